--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/domain/src/request/caller_request.rs
@@ -0,0 +1,111 @@
+//! A caller's request, checked against the table.
+
+use {
+    crate::{
+        codes::{Refusal, ResultCode},
+        names::{KeyDigest, QueueName, RequestName, TeamName},
+        table::{FleetTable, QueueRow, TargetKind, TeamRow},
+    },
+    std::time::Duration,
+};
+
+/// What a front end read of a request, before any check.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RawRequest {
+    /// The queue named.
+    pub queue: String,
+    /// The identifier given, if any.
+    pub id: Option<String>,
+    /// Digest of the key presented, if any.
+    pub key: Option<KeyDigest>,
+    /// The team named, if any; it must be the key's.
+    pub team: Option<String>,
+    /// Whether the caller marked the request idempotent.
+    pub idempotent: bool,
+    /// How long the caller waits, if it says so.
+    pub timeout: Option<Duration>,
+}
+
+/// A request that the table allows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerRequest {
+    /// The queue it goes to.
+    pub queue: QueueRow,
+    /// The team it runs for.
+    pub team: TeamRow,
+    /// Its identifier, if the caller gave one.
+    pub id: Option<RequestName>,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// How long the caller waits.
+    pub timeout: Duration,
+}
+
+/// The team that work without a key on an open queue runs for, unless the table has it.
+const OPEN_TEAM: &str = "open";
+/// Weight of the open team.
+const OPEN_WEIGHT: u32 = 1;
+
+impl CallerRequest {
+    /// Checks a request against the table.
+    ///
+    /// # Errors
+    ///
+    /// `MalformedRequest` for names that are none, `UnknownQueue`, `WrongPoolKind`,
+    /// and `KeyMissing`, `KeyUnknown` or `KeyOfOtherTeam` where the key does not fit.
+    pub fn check(raw: &RawRequest, table: &FleetTable, kind: TargetKind) -> Result<Self, Refusal> {
+        let malformed = |fault: crate::names::NameFault| {
+            Refusal::not_run(ResultCode::MalformedRequest, fault.to_string())
+        };
+        let queue_name = QueueName::try_from(raw.queue.as_str()).map_err(malformed)?;
+        let queue = table.queue(&queue_name)?;
+        let team = team_for(raw, queue, table)?;
+        let pool = table.pool(&queue.pool)?;
+        if pool.kind != kind {
+            let detail = format!("queue '{}' is served by {:?}s", queue.name, pool.kind);
+            return Err(Refusal::not_run(ResultCode::WrongPoolKind, detail));
+        }
+        let id = raw
+            .id
+            .as_deref()
+            .map(RequestName::try_from)
+            .transpose()
+            .map_err(malformed)?;
+        Ok(Self {
+            queue: queue.clone(),
+            team,
+            id,
+            idempotent: raw.idempotent,
+            timeout: raw.timeout.unwrap_or_else(|| queue.patience()),
+        })
+    }
+}
+
+fn team_for(raw: &RawRequest, queue: &QueueRow, table: &FleetTable) -> Result<TeamRow, Refusal> {
+    let team = match &raw.key {
+        Some(key) => table.team_of(key)?.clone(),
+        None if queue.open => open_team(table)?,
+        None => {
+            let detail = format!("send the team's key for queue '{}'", queue.name);
+            return Err(Refusal::not_run(ResultCode::KeyMissing, detail));
+        }
+    };
+    match &raw.team {
+        Some(named) if named != team.name.as_str() => {
+            let detail = format!("the key is not one of team '{named}'");
+            Err(Refusal::not_run(ResultCode::KeyOfOtherTeam, detail))
+        }
+        _ => Ok(team),
+    }
+}
+
+fn open_team(table: &FleetTable) -> Result<TeamRow, Refusal> {
+    let name = TeamName::try_from(OPEN_TEAM)
+        .map_err(|fault| Refusal::not_run(ResultCode::UnknownTeam, fault.to_string()))?;
+    let absent = || TeamRow {
+        name: name.clone(),
+        weight: OPEN_WEIGHT,
+        ceiling: u32::MAX,
+    };
+    Ok(table.teams.get(&name).cloned().unwrap_or_else(absent))
+}
--- /dev/null
+++ b/crates/domain/src/table/mod.rs
@@ -0,0 +1,15 @@
+//! The operators' table: rows, checks, and changes by revision.
+
+mod fleet_table;
+mod row_change;
+mod row_fault;
+mod rows;
+mod table_head;
+
+pub use {
+    fleet_table::FleetTable,
+    row_change::{RowChange, TableChange},
+    row_fault::{RowFault, TableKind},
+    rows::{CentreRow, KeyRow, PoolRow, QueueRow, TargetKind, TeamRow, WorkClass},
+    table_head::TableHead,
+};
--- /dev/null
+++ b/crates/domain/src/table/row_fault.rs
@@ -0,0 +1,61 @@
+//! What is wrong with a row, and where.
+
+use {
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+    std::fmt,
+};
+
+/// Which of the table's lists a row stands in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TableKind {
+    /// Data centres.
+    Centres,
+    /// Pools.
+    Pools,
+    /// Queues.
+    Queues,
+    /// Teams.
+    Teams,
+    /// Keys.
+    Keys,
+}
+
+impl fmt::Display for TableKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Centres => "data-centres",
+            Self::Pools => "pools",
+            Self::Queues => "queues",
+            Self::Teams => "teams",
+            Self::Keys => "keys",
+        })
+    }
+}
+
+/// A fault in one row, with what to do about it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Snafu)]
+#[snafu(display("{table} row '{row}', column '{column}': {problem}"))]
+pub struct RowFault {
+    /// The list the row stands in.
+    pub table: TableKind,
+    /// The row's name.
+    pub row: String,
+    /// The column at fault.
+    pub column: String,
+    /// What is wrong and what to do.
+    pub problem: String,
+}
+
+impl RowFault {
+    /// A fault at the given place.
+    pub fn new(table: TableKind, row: &str, column: &str, problem: impl Into<String>) -> Self {
+        Self {
+            table,
+            row: row.to_owned(),
+            column: column.to_owned(),
+            problem: problem.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/team/mod.rs
@@ -0,0 +1,9 @@
+//! Teams: permits that keep each below its ceiling.
+
+mod permit_ledger;
+mod team_permits;
+
+pub use {
+    permit_ledger::{LEDGER_SHARDS, PermitLedger, ledger_shard},
+    team_permits::TeamPermits,
+};
--- /dev/null
+++ b/crates/domain/src/team/permit_ledger.rs
@@ -0,0 +1,128 @@
+//! The recorded split of each team's ceiling among entries.
+
+use {
+    crate::{
+        collections::FastMap,
+        names::{EntryStamp, TeamName},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// How many ledger records the teams are spread over.
+pub const LEDGER_SHARDS: u32 = 16;
+
+/// The record that holds a team's split, the same on every entry.
+pub fn ledger_shard(team: &TeamName) -> u32 {
+    let digest = crate::names::KeyDigest::of(team.as_str());
+    let byte = u32::from(digest.as_str().as_bytes()[63]);
+    (byte ^ u32::from(digest.as_str().as_bytes()[62]).wrapping_mul(7)) % LEDGER_SHARDS
+}
+
+/// One entry's holding of one team's permits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PermitHolding {
+    entry: EntryStamp,
+    permits: u32,
+}
+
+/// The permits of some teams, by holder. The record in the store is the truth;
+/// an entry may use at most what stands under its own stamp.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PermitLedger {
+    teams: FastMap<TeamName, Vec<PermitHolding>>,
+}
+
+impl PermitLedger {
+    /// Permits of the team granted to all holders together.
+    pub fn granted(&self, team: &TeamName) -> u32 {
+        let holdings = self.teams.get(team);
+        holdings.map_or(0, |holdings| {
+            holdings.iter().map(|holding| holding.permits).sum()
+        })
+    }
+
+    /// Permits of the team that the entry may use.
+    pub fn held(&self, team: &TeamName, entry: &EntryStamp) -> u32 {
+        let holdings = self.teams.get(team).map_or(&[][..], Vec::as_slice);
+        holdings
+            .iter()
+            .find(|holding| holding.entry == *entry)
+            .map_or(0, |holding| holding.permits)
+    }
+
+    /// Raises the entry's holding towards `wanted` as far as the ceiling allows,
+    /// and returns what it then holds. Asked again, it grants nothing more.
+    pub fn raise(&mut self, team: &TeamName, entry: &EntryStamp, wanted: u32, ceiling: u32) -> u32 {
+        let held = self.held(team, entry);
+        let free = ceiling.saturating_sub(self.granted(team));
+        let reached = wanted.min(held + free).max(held);
+        self.set(team, entry, reached);
+        reached
+    }
+
+    /// Lowers the entry's holding to `kept` at most, and returns what was freed.
+    pub fn lower(&mut self, team: &TeamName, entry: &EntryStamp, kept: u32) -> u32 {
+        let held = self.held(team, entry);
+        let kept = kept.min(held);
+        self.set(team, entry, kept);
+        held - kept
+    }
+
+    /// Permits granted beyond the ceiling, as after the ceiling was lowered.
+    pub fn excess(&self, team: &TeamName, ceiling: u32) -> u32 {
+        self.granted(team).saturating_sub(ceiling)
+    }
+
+    /// Every life of an entry that holds permits.
+    pub fn holders(&self) -> Vec<EntryStamp> {
+        let mut holders: Vec<EntryStamp> = self
+            .teams
+            .values()
+            .flatten()
+            .map(|holding| holding.entry.clone())
+            .collect();
+        holders.sort();
+        holders.dedup();
+        holders
+    }
+
+    /// Takes everything from a holder that is gone and whose work has ended.
+    pub fn forget(&mut self, entry: &EntryStamp) -> u32 {
+        let mut freed = 0;
+        for holdings in self.teams.values_mut() {
+            freed += holdings
+                .iter()
+                .filter(|holding| holding.entry == *entry)
+                .map(|holding| holding.permits)
+                .sum::<u32>();
+            holdings.retain(|holding| holding.entry != *entry);
+        }
+        self.teams.retain(|_, holdings| !holdings.is_empty());
+        freed
+    }
+
+    /// Permits that an entry holds, for all teams in this record.
+    pub fn holdings_of(&self, entry: &EntryStamp) -> Vec<(TeamName, u32)> {
+        let held = self
+            .teams
+            .keys()
+            .map(|team| (team.clone(), self.held(team, entry)));
+        held.filter(|(_, permits)| *permits > 0).collect()
+    }
+
+    fn set(&mut self, team: &TeamName, entry: &EntryStamp, permits: u32) {
+        let holdings = self.teams.entry(team.clone()).or_default();
+        holdings.retain(|holding| holding.entry != *entry);
+        if permits > 0 {
+            holdings.push(PermitHolding {
+                entry: entry.clone(),
+                permits,
+            });
+        }
+        if holdings.is_empty() {
+            self.teams.remove(team);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch/mod.rs
@@ -0,0 +1,23 @@
+//! From a checked request to a target's answer: turns, targets, exchanges.
+
+mod demand_task;
+mod dispatch_desk;
+mod pool_desk;
+mod request_run;
+mod run_turn;
+mod target_load;
+mod target_word;
+
+pub(crate) use {
+    dispatch_desk::DispatchDesk,
+    pool_desk::TargetSeat,
+    request_run::{RequestCarry, carry_request},
+    run_turn::RunTurn,
+    target_word::{instance_quiet, running_for},
+};
+
+pub(crate) use {
+    demand_task::start,
+    dispatch_desk::{await_turn, pump_all},
+    target_load::TargetResult,
+};
--- /dev/null
+++ b/crates/entry/src/front/front_request.rs
@@ -0,0 +1,153 @@
+//! A request as the front read it, whole.
+
+use {
+    bytes::Bytes,
+    dotterelshore_domain::{
+        codes::{Refusal, ResultCode},
+        names::KeyDigest,
+    },
+    dotterelshore_wire::http_server::{BodyFault, whole_body},
+    hyper::{HeaderMap, Method, Request, body::Incoming, header},
+    serde::de::DeserializeOwned,
+    std::time::Duration,
+};
+
+/// Longest deadline a caller may give, in seconds.
+const TIMEOUT_SECONDS_MAX: f64 = 3600.0;
+
+/// A request read whole.
+#[derive(Debug)]
+pub(super) struct FrontRequest {
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) query: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+impl FrontRequest {
+    /// Reads a request's whole body.
+    pub(super) async fn read(
+        request: Request<Incoming>,
+        body_bytes_max: usize,
+    ) -> Result<Self, Refusal> {
+        let (parts, body) = request.into_parts();
+        let told = parts
+            .headers
+            .get(header::CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+        let too_large = || {
+            Refusal::not_run(
+                ResultCode::BodyTooLarge,
+                format!("send at most {body_bytes_max} bytes"),
+            )
+        };
+        if told.is_some_and(|told| told > body_bytes_max) {
+            return Err(too_large());
+        }
+        let body = whole_body(body, body_bytes_max)
+            .await
+            .map_err(|fault| match fault {
+                BodyFault::TooLarge => too_large(),
+                BodyFault::Broken => {
+                    Refusal::not_run(ResultCode::MalformedRequest, "the body ended early")
+                }
+            })?;
+        Ok(Self {
+            method: parts.method,
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().unwrap_or_default().to_owned(),
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    /// A header as text.
+    pub(super) fn header(&self, name: &str) -> Result<Option<&str>, Refusal> {
+        let Some(value) = self.headers.get(name) else {
+            return Ok(None);
+        };
+        let text = value.to_str().map_err(|error| malformed(name, error))?;
+        Ok(Some(text.trim()))
+    }
+
+    /// The token after `Bearer` in the `Authorization` header.
+    pub(super) fn bearer(&self) -> Result<Option<&str>, Refusal> {
+        let Some(value) = self.header("authorization")? else {
+            return Ok(None);
+        };
+        let token = value
+            .strip_prefix("Bearer ")
+            .or_else(|| value.strip_prefix("bearer "));
+        let token = token.map(str::trim).filter(|token| !token.is_empty());
+        token
+            .map(Some)
+            .ok_or_else(|| malformed("authorization", "write 'Bearer' and the key"))
+    }
+
+    /// Digest of the key presented, if any.
+    pub(super) fn key(&self) -> Result<Option<KeyDigest>, Refusal> {
+        Ok(self.bearer()?.map(KeyDigest::of))
+    }
+
+    /// How long the caller waits, from `Request-Timeout` in seconds.
+    pub(super) fn timeout(&self) -> Result<Option<Duration>, Refusal> {
+        let Some(text) = self.header("request-timeout")? else {
+            return Ok(None);
+        };
+        let seconds = text
+            .parse::<f64>()
+            .ok()
+            .filter(|seconds| (0.0..=TIMEOUT_SECONDS_MAX).contains(seconds));
+        let seconds =
+            seconds.ok_or_else(|| malformed("request-timeout", "write seconds from 0 to 3600"))?;
+        Ok(Some(Duration::from_secs_f64(seconds)))
+    }
+
+    /// Whether the caller marked the request idempotent: `Idempotent: true`, or `PUT`.
+    pub(super) fn idempotent(&self) -> Result<bool, Refusal> {
+        match self.header("idempotent")? {
+            None => Ok(self.method == Method::PUT),
+            Some("true") => Ok(true),
+            Some("false") => Ok(false),
+            Some(_) => Err(malformed("idempotent", "write 'true' or 'false'")),
+        }
+    }
+
+    /// The body as JSON.
+    pub(super) fn json<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
+        serde_json::from_slice(&self.body).map_err(|error| malformed("body", error))
+    }
+
+    /// A value of the query.
+    pub(super) fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        pairs
+            .filter(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+            .next()
+    }
+
+    /// Refuses any other method.
+    pub(super) fn expect_method(&self, allowed: &[Method]) -> Result<(), Refusal> {
+        if allowed.contains(&self.method) {
+            return Ok(());
+        }
+        let names: Vec<&str> = allowed.iter().map(Method::as_str).collect();
+        Err(Refusal::not_run(
+            ResultCode::MethodNotAllowed,
+            format!("use {}", names.join(" or ")),
+        ))
+    }
+}
+
+/// A refusal of something that can't be read.
+pub(super) fn malformed(what: &str, why: impl ToString) -> Refusal {
+    Refusal::not_run(
+        ResultCode::MalformedRequest,
+        format!("{what}: {}", why.to_string()),
+    )
+}
--- /dev/null
+++ b/crates/entry/src/front/mod.rs
@@ -0,0 +1,79 @@
+//! The HTTP front: callers, operators, health and metrics.
+
+mod caller_front;
+mod front_request;
+mod operator_front;
+
+use {
+    crate::node::EntryNode,
+    dotterelshore_domain::codes::{Refusal, ResultCode},
+    dotterelshore_wire::{
+        http_server::{WholeAnswer, plain_answer},
+        log_event,
+        operator_message::HEADER_REVISION,
+        problem_details::refusal_answer,
+    },
+    front_request::FrontRequest,
+    hyper::{Request, body::Incoming, header::HeaderValue},
+    std::sync::Arc,
+};
+
+/// Answers one request on a connection.
+pub(crate) async fn answer(node: Arc<EntryNode>, request: Request<Incoming>) -> WholeAnswer {
+    let result = match FrontRequest::read(request, node.settings.body_bytes_max).await {
+        Ok(request) => route(&node, request).await,
+        Err(refusal) => Err(refusal),
+    };
+    let mut answer = result.unwrap_or_else(|refusal| refuse(&node, &refusal));
+    let revision = node.table().revision;
+    answer
+        .headers_mut()
+        .insert(HEADER_REVISION, HeaderValue::from(revision));
+    answer
+}
+
+fn refuse(node: &EntryNode, refusal: &Refusal) -> WholeAnswer {
+    node.metrics.count_refusal(refusal);
+    log_event!(
+        Debug,
+        "refused",
+        code = refusal.code.number(),
+        reason = refusal.code.slug(),
+        outcome = refusal.outcome.as_str(),
+    );
+    refusal_answer(refusal)
+}
+
+async fn route(node: &Arc<EntryNode>, request: FrontRequest) -> Result<WholeAnswer, Refusal> {
+    let path = request.path.clone();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match parts[..] {
+        ["healthz"] => Ok(plain_answer(200, "text/plain", "alive\n")),
+        ["readyz"] => Ok(ready(node)),
+        ["metrics"] => Ok(plain_answer(
+            200,
+            "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            node.metrics.text(),
+        )),
+        ["v1", "queues", queue, "requests"] => {
+            caller_front::run_request(node, request, queue).await
+        }
+        ["v1", "queues", queue, "jobs"] => caller_front::submit_job(node, request, queue).await,
+        ["v1", "jobs", job] => caller_front::job_call(node, request, job).await,
+        ["operator", "v1", ref rest @ ..] => operator_front::answer(node, request, rest).await,
+        _ => Err(Refusal::not_run(
+            ResultCode::UnknownPath,
+            format!("nothing is at '{path}'"),
+        )),
+    }
+}
+
+fn ready(node: &EntryNode) -> WholeAnswer {
+    if node.is_leaving() {
+        return plain_answer(503, "text/plain", "leaving\n");
+    }
+    if node.table().revision == 0 {
+        return plain_answer(503, "text/plain", "no table yet\n");
+    }
+    plain_answer(200, "text/plain", "ready\n")
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,31 @@
+//! The entry process: callers and operators on one side, targets on the other.
+
+mod claims;
+mod cli;
+mod dispatch;
+mod fleet;
+mod front;
+mod jobs;
+mod metrics;
+mod node;
+mod peers;
+mod permits;
+mod table;
+mod takeover;
+mod timer_hub;
+mod waves;
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    match cli::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dotterelshore-entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,136 @@
+//! What the parts of one entry share.
+
+use {
+    crate::{
+        claims::ClaimDesk,
+        cli::EntrySettings,
+        dispatch::DispatchDesk,
+        fleet::FleetView,
+        jobs::JobDesk,
+        metrics::EntryMetrics,
+        peers::{MemberBook, PeerBook},
+        permits::PermitDesk,
+        timer_hub::TimerHub,
+    },
+    dotterelshore_domain::{
+        codes::{Refusal, ResultCode},
+        names::EntryStamp,
+        request::RetryBudget,
+        table::FleetTable,
+    },
+    dotterelshore_wire::{http_link::HttpLink, platform_link::PlatformLink, store_link::StoreLink},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::sync::watch,
+};
+
+/// Spare connections to each target.
+const TARGET_IDLE_CONNECTIONS: usize = 8;
+
+/// One life of an entry.
+#[derive(Debug)]
+pub(crate) struct EntryNode {
+    pub(crate) settings: EntrySettings,
+    pub(crate) stamp: EntryStamp,
+    pub(crate) started: Instant,
+    pub(crate) tables: watch::Sender<Arc<FleetTable>>,
+    pub(crate) confirmed: Mutex<Option<Instant>>,
+    pub(crate) fleet: FleetView,
+    pub(crate) members: MemberBook,
+    pub(crate) peers: PeerBook,
+    pub(crate) permits: PermitDesk,
+    pub(crate) desks: DispatchDesk,
+    pub(crate) claims: ClaimDesk,
+    pub(crate) jobs: JobDesk,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) store: StoreLink,
+    pub(crate) platform: PlatformLink,
+    pub(crate) targets: HttpLink,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) timer: TimerHub,
+    pub(crate) leaving: watch::Sender<bool>,
+}
+
+impl EntryNode {
+    /// A new life under a random incarnation.
+    pub(crate) fn new(settings: EntrySettings) -> Arc<Self> {
+        let stamp = EntryStamp {
+            name: settings.name.clone(),
+            incarnation: rand::random(),
+        };
+        Arc::new(Self {
+            tables: watch::Sender::new(Arc::new(FleetTable::default())),
+            started: Instant::now(),
+            confirmed: Mutex::new(None),
+            fleet: FleetView::default(),
+            members: MemberBook::default(),
+            peers: PeerBook::default(),
+            permits: PermitDesk::default(),
+            desks: DispatchDesk::new(&settings),
+            claims: ClaimDesk::default(),
+            jobs: JobDesk::default(),
+            retries: Mutex::new(RetryBudget::new(settings.retry_ratio)),
+            store: StoreLink::new(settings.platform.clone(), settings.store_timeout),
+            platform: PlatformLink::new(settings.platform.clone(), settings.store_timeout),
+            targets: HttpLink::new(TARGET_IDLE_CONNECTIONS, settings.answer_bytes_max),
+            metrics: EntryMetrics::new(),
+            timer: TimerHub::start(),
+            leaving: watch::Sender::new(false),
+            stamp,
+            settings,
+        })
+    }
+
+    /// The table in force here.
+    pub(crate) fn table(&self) -> Arc<FleetTable> {
+        Arc::clone(&self.tables.borrow())
+    }
+
+    /// Takes a newer table into force; an older one changes nothing.
+    pub(crate) fn adopt_table(&self, table: FleetTable) -> bool {
+        self.tables.send_if_modified(|present| {
+            let newer = table.revision > present.revision;
+            if newer {
+                *present = Arc::new(table);
+            }
+            newer
+        })
+    }
+
+    /// Notes that the table was the newest not longer than `age` ago.
+    pub(crate) fn confirm_table(&self, age: Duration) {
+        let at = Instant::now().checked_sub(age);
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = (*confirmed).max(at);
+    }
+
+    /// How long ago the table was known to be the newest.
+    pub(crate) fn confirmed_age(&self) -> Duration {
+        let confirmed = *lock(&self.confirmed);
+        confirmed.unwrap_or(self.started).elapsed()
+    }
+
+    /// Whether keyed work may be taken on the table known here.
+    pub(crate) fn check_key_trust(&self) -> Result<(), Refusal> {
+        match self.settings.key_trust {
+            Some(trust) if self.confirmed_age() > trust => {
+                let detail = "this entry is cut off and can't tell whether the key still holds";
+                Err(Refusal::not_run(ResultCode::TableMissing, detail)
+                    .retry_after(Duration::from_secs(1)))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Whether this entry is shutting down.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+}
+
+/// Locks a mutex whose holders never leave it half changed.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/load/src/checker/mod.rs
@@ -0,0 +1,1 @@
+//! Judging histories.
--- /dev/null
+++ b/crates/load/src/deployment/child_process.rs
@@ -0,0 +1,104 @@
+//! A process that the harness started, and ends by its id.
+
+use {
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    std::{
+        ffi::OsStr,
+        fs::OpenOptions,
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+};
+
+/// A process of the deployment. It is killed when it is dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    child: Child,
+}
+
+/// The folder of the programs: where this one is, or the one above for tests.
+pub fn program_folder() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let folder = own.parent().unwrap_or(Path::new(".")).to_owned();
+    if folder.ends_with("deps") {
+        folder.parent().unwrap_or(Path::new(".")).to_owned()
+    } else {
+        folder
+    }
+}
+
+impl ChildProcess {
+    /// Starts a program of this project; what it logs goes to `log`.
+    ///
+    /// # Errors
+    ///
+    /// The system's fault, as when the program was not built.
+    pub fn start<S: AsRef<OsStr>>(program: &str, args: &[S], log: &Path) -> std::io::Result<Self> {
+        let path = program_folder().join(program);
+        let log = OpenOptions::new().create(true).append(true).open(log)?;
+        let child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|error| {
+                std::io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+            })?;
+        Ok(Self { child })
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        let Ok(id) = i32::try_from(self.child.id()) else {
+            return;
+        };
+        if let Err(error) = kill(Pid::from_raw(id), signal) {
+            log::warn!("event=signal-failed pid={id} error={error:?}");
+        }
+    }
+
+    /// Stops it until it is thawed.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks it to end and waits for that.
+    pub fn terminate(&mut self, wait: Duration) -> bool {
+        self.signal(Signal::SIGTERM);
+        let until = Instant::now() + wait;
+        while Instant::now() < until {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        let _gone_already = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/load/src/driver/mod.rs
@@ -0,0 +1,13 @@
+//! Callers: open-loop arrivals, answers checked, latency from the intended send time.
+
+mod arrival_plan;
+mod caller_link;
+mod load_run;
+mod run_report;
+
+pub use {
+    arrival_plan::{ArrivalPlan, PlannedRequest},
+    caller_link::{CallResult, CallerLink, SentRequest},
+    load_run::{EntryChoice, run_load},
+    run_report::{RunReport, TeamReport},
+};
--- /dev/null
+++ b/crates/standins/src/platform/platform_front.rs
@@ -0,0 +1,407 @@
+//! The platform's HTTP front.
+
+use {
+    super::{
+        fault_mode::FaultMode,
+        instance_list::{AddedInstance, InstanceBook, RebootAnswer},
+        key_store::{KeyCondition, KeyStore},
+    },
+    crate::history::{HistoryEvent, HistoryWriter},
+    bytes::Bytes,
+    dotterelshore_wire::{
+        http_link::{HttpLink, request_to},
+        http_server::{WholeAnswer, json_answer, plain_answer, serve, whole_body},
+        platform_message::LifeState,
+    },
+    hyper::{Method, Request, body::Incoming},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, sync::watch},
+};
+
+/// Largest value kept, in bytes.
+const VALUE_BYTES_MAX: usize = 1024 * 1024;
+/// How long an answer that gets lost keeps its caller waiting.
+const LOST_ANSWER_WAIT: Duration = Duration::from_secs(60);
+/// How often lapsed leases are looked for.
+const EXPIRY_PERIOD: Duration = Duration::from_millis(100);
+/// Longest a control call to an instance takes.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Options of the platform's stand-in.
+#[derive(Debug, Clone)]
+pub struct PlatformOptions {
+    /// How long a reboot keeps an instance down.
+    pub reboot: Duration,
+    /// Where events are written.
+    pub history: HistoryWriter,
+}
+
+#[derive(Debug)]
+struct PlatformState {
+    keys: KeyStore,
+    book: InstanceBook,
+    mode: FaultMode,
+    counts: BTreeMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct PlatformFront {
+    state: Mutex<PlatformState>,
+    changed: watch::Sender<u64>,
+    options: PlatformOptions,
+    control: HttpLink,
+}
+
+/// Serves the platform until the process ends.
+pub async fn run_platform(listener: TcpListener, options: PlatformOptions) {
+    let state = PlatformState {
+        keys: KeyStore::default(),
+        book: InstanceBook::default(),
+        mode: FaultMode::default(),
+        counts: BTreeMap::new(),
+    };
+    let front = Arc::new(PlatformFront {
+        state: Mutex::new(state),
+        changed: watch::Sender::new(0),
+        options,
+        control: HttpLink::new(4, VALUE_BYTES_MAX),
+    });
+    tokio::spawn(expire_leases(Arc::clone(&front)));
+    let (_stay, leaving) = watch::channel(false);
+    serve(
+        listener,
+        move |request| {
+            let front = Arc::clone(&front);
+            async move { front.answer(request).await }
+        },
+        leaving,
+    )
+    .await;
+}
+
+async fn expire_leases(front: Arc<PlatformFront>) {
+    loop {
+        tokio::time::sleep(EXPIRY_PERIOD).await;
+        let before = front.lock().keys.revision();
+        front.lock().keys.expire(Instant::now());
+        if front.lock().keys.revision() > before {
+            front.announce();
+        }
+    }
+}
+
+impl PlatformFront {
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn announce(&self) {
+        self.changed.send_modify(|turn| *turn += 1);
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> WholeAnswer {
+        let path = request.uri().path().to_owned();
+        if path.starts_with("/control") {
+            return self.control_call(&path, request).await;
+        }
+        let mode = self.lock().mode;
+        self.count(request.method(), &path);
+        tokio::time::sleep(mode.slowness()).await;
+        if mode.down {
+            return plain_answer(503, "text/plain", "down");
+        }
+        let writes = request.method() != Method::GET;
+        let answer = self.act(&path, request).await;
+        if writes && mode.lose_fraction > rand::random::<f64>() {
+            tokio::time::sleep(LOST_ANSWER_WAIT).await;
+        }
+        answer
+    }
+
+    fn count(&self, method: &Method, path: &str) {
+        let group = path
+            .trim_start_matches('/')
+            .split('/')
+            .take(2)
+            .collect::<Vec<_>>()
+            .join("/");
+        *self
+            .lock()
+            .counts
+            .entry(format!("{method} {group}"))
+            .or_default() += 1;
+    }
+
+    async fn act(self: Arc<Self>, path: &str, request: Request<Incoming>) -> WholeAnswer {
+        let query = QueryPairs::of(&request);
+        match (request.method().clone(), path) {
+            (Method::GET, "/kv") => {
+                json_answer(200, &self.lock().keys.changes(&query.text("prefix"), 0))
+            }
+            (Method::GET, "/watch") => self.watch_keys(&query).await,
+            (Method::GET, "/instances") => self.watch_instances(&query).await,
+            (Method::POST, path) if path.ends_with("/reboot") => self.reboot(path, &query),
+            (method, path) if path.starts_with("/kv/") => {
+                self.key_call(&method, &path[4..], request).await
+            }
+            _ => plain_answer(404, "text/plain", "no such path"),
+        }
+    }
+
+    async fn key_call(
+        &self,
+        method: &Method,
+        key: &str,
+        request: Request<Incoming>,
+    ) -> WholeAnswer {
+        if method == Method::GET {
+            let state = self.lock();
+            return match state.keys.get(key) {
+                Some((version, value)) => tagged(version, value.to_owned()),
+                None => plain_answer(404, "text/plain", "no such key"),
+            };
+        }
+        let Some(condition) = condition_of(&request) else {
+            return plain_answer(428, "text/plain", "send If-Match or If-None-Match");
+        };
+        let lease = request
+            .headers()
+            .get("x-lease-ttl-ms")
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        let lease = lease.map(Duration::from_millis);
+        let value = match whole_body(request.into_body(), VALUE_BYTES_MAX).await {
+            Ok(body) => String::from_utf8_lossy(&body).into_owned(),
+            Err(fault) => return plain_answer(413, "text/plain", format!("{fault:?}")),
+        };
+        let value = (method == Method::PUT).then_some(value);
+        let written = self.lock().keys.put(key, value.clone(), condition, lease);
+        let Some(version) = written else {
+            return plain_answer(412, "text/plain", "version differs");
+        };
+        self.note_write(key, value.as_deref());
+        self.announce();
+        tagged(version, String::new())
+    }
+
+    fn note_write(&self, key: &str, value: Option<&str>) {
+        let Some(instance) = key.strip_prefix("instance/") else {
+            return;
+        };
+        let record: serde_json::Value =
+            serde_json::from_str(value.unwrap_or_default()).unwrap_or_default();
+        let field = |name: &str| {
+            record["value"][name]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned()
+        };
+        let event = HistoryEvent::InstanceWritten {
+            instance: instance.to_owned(),
+            pool: field("pool"),
+            state: field("state"),
+        };
+        self.options.history.note(event);
+    }
+
+    async fn watch_keys(&self, query: &QueryPairs) -> WholeAnswer {
+        let prefix = query.text("prefix");
+        let after = query.number("after");
+        let until = tokio::time::Instant::now() + Duration::from_millis(query.number("wait_ms"));
+        let mut changed = self.changed.subscribe();
+        loop {
+            let list = self.lock().keys.changes(&prefix, after);
+            let waited_enough = tokio::time::timeout_at(until, changed.changed());
+            if !list.entries.is_empty() || waited_enough.await.is_err() {
+                return json_answer(200, &list);
+            }
+        }
+    }
+
+    async fn watch_instances(&self, query: &QueryPairs) -> WholeAnswer {
+        let after = query.number("after");
+        let until = tokio::time::Instant::now() + Duration::from_millis(query.number("wait_ms"));
+        let mut changed = self.changed.subscribe();
+        loop {
+            let list = self.lock().book.changes(after);
+            let waited_enough = tokio::time::timeout_at(until, changed.changed());
+            if !list.instances.is_empty() || waited_enough.await.is_err() {
+                return json_answer(200, &list);
+            }
+        }
+    }
+
+    fn reboot(self: Arc<Self>, path: &str, query: &QueryPairs) -> WholeAnswer {
+        let name = path
+            .trim_start_matches("/instances/")
+            .trim_end_matches("/reboot")
+            .to_owned();
+        let begun = self.lock().book.begin_reboot(&name, &query.text("ticket"));
+        match begun {
+            RebootAnswer::Unknown => plain_answer(404, "text/plain", "no such instance"),
+            RebootAnswer::Known => plain_answer(202, "text/plain", "known"),
+            RebootAnswer::Begin(control) => {
+                tokio::spawn(async move { self.carry_out_reboot(name, control).await });
+                plain_answer(202, "text/plain", "begun")
+            }
+        }
+    }
+
+    async fn carry_out_reboot(&self, name: String, control: String) {
+        self.options.history.note(HistoryEvent::StopBegun {
+            instance: name.clone(),
+            planned: true,
+        });
+        self.tell_target(&control, &name, "stop").await;
+        self.set_life(&name, LifeState::Down).await;
+        tokio::time::sleep(self.options.reboot).await;
+        self.tell_target(&control, &name, "start").await;
+        self.options.history.note(HistoryEvent::Started {
+            instance: name.clone(),
+        });
+        self.set_life(&name, LifeState::Live).await;
+    }
+
+    async fn set_life(&self, name: &str, life: LifeState) {
+        let lag = {
+            let mut state = self.lock();
+            state.book.set_life(name, life);
+            Duration::from_millis(state.mode.list_lag_ms)
+        };
+        tokio::time::sleep(lag).await;
+        self.lock().book.publish(name);
+        self.announce();
+    }
+
+    async fn tell_target(&self, control: &str, name: &str, verb: &str) {
+        if control.is_empty() {
+            return;
+        }
+        let path = format!("/targets/{name}/{verb}");
+        let Ok(request) = request_to(Method::POST, control, &path, &[], Bytes::new()) else {
+            return;
+        };
+        if let Err(fault) = self.control.send(request, CONTROL_TIMEOUT).await {
+            log::warn!("event=control-failed instance={name} verb={verb} error={fault:?}");
+        }
+    }
+
+    async fn control_call(self: Arc<Self>, path: &str, request: Request<Incoming>) -> WholeAnswer {
+        let method = request.method().clone();
+        let body = whole_body(request.into_body(), VALUE_BYTES_MAX)
+            .await
+            .unwrap_or_default();
+        match (method, path) {
+            (Method::POST, "/control/mode") => match serde_json::from_slice::<FaultMode>(&body) {
+                Ok(mode) => {
+                    self.lock().mode = mode;
+                    json_answer(200, &mode)
+                }
+                Err(error) => plain_answer(400, "text/plain", error.to_string()),
+            },
+            (Method::POST, "/control/instances") => {
+                match serde_json::from_slice::<Vec<AddedInstance>>(&body) {
+                    Ok(added) => {
+                        for instance in added {
+                            self.lock().book.add(instance);
+                        }
+                        self.announce();
+                        plain_answer(200, "text/plain", "")
+                    }
+                    Err(error) => plain_answer(400, "text/plain", error.to_string()),
+                }
+            }
+            (Method::GET, "/control/counts") => json_answer(200, &self.lock().counts),
+            (Method::POST, path) => self.life_call(path),
+            _ => plain_answer(404, "text/plain", "no such path"),
+        }
+    }
+
+    /// `/control/instances/{name}/{live|leaving|down|gone}`: what became of an instance.
+    fn life_call(self: Arc<Self>, path: &str) -> WholeAnswer {
+        let Some((name, verb)) = path
+            .trim_start_matches("/control/instances/")
+            .rsplit_once('/')
+        else {
+            return plain_answer(404, "text/plain", "no such path");
+        };
+        let life = match verb {
+            "live" => LifeState::Live,
+            "leaving" => LifeState::Leaving,
+            "down" => LifeState::Down,
+            "gone" => LifeState::Gone,
+            _ => return plain_answer(404, "text/plain", "no such life"),
+        };
+        match life {
+            LifeState::Leaving => self.options.history.note(HistoryEvent::Leaving {
+                instance: name.to_owned(),
+            }),
+            LifeState::Live => self.options.history.note(HistoryEvent::Started {
+                instance: name.to_owned(),
+            }),
+            LifeState::Down | LifeState::Gone => {
+                self.options.history.note(HistoryEvent::StopBegun {
+                    instance: name.to_owned(),
+                    planned: false,
+                });
+            }
+        }
+        let name = name.to_owned();
+        tokio::spawn(async move { self.set_life(&name, life).await });
+        plain_answer(200, "text/plain", "")
+    }
+}
+
+fn condition_of(request: &Request<Incoming>) -> Option<KeyCondition> {
+    if let Some(tag) = request.headers().get("if-match") {
+        return Some(KeyCondition::Version(
+            tag.to_str().ok()?.trim_matches('"').parse().ok()?,
+        ));
+    }
+    request
+        .headers()
+        .contains_key("if-none-match")
+        .then_some(KeyCondition::Absent)
+}
+
+fn tagged(version: u64, body: String) -> WholeAnswer {
+    let mut answer = plain_answer(200, "application/json", body);
+    if let Ok(tag) = format!("\"{version}\"").parse() {
+        answer.headers_mut().insert("etag", tag);
+    }
+    answer
+}
+
+/// The pairs of a query; values need no unescaping in this protocol.
+#[derive(Debug)]
+struct QueryPairs(BTreeMap<String, String>);
+
+impl QueryPairs {
+    fn of(request: &Request<Incoming>) -> Self {
+        let pairs = request
+            .uri()
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        Self(
+            pairs
+                .map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .collect(),
+        )
+    }
+
+    fn text(&self, name: &str) -> String {
+        self.0.get(name).cloned().unwrap_or_default()
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        self.0
+            .get(name)
+            .and_then(|value| value.parse().ok())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/targets/target_work.rs
@@ -0,0 +1,45 @@
+//! What a request's or task's body asks the stand-in to do.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// How an answer goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WorkAct {
+    /// It does not.
+    #[default]
+    Well,
+    /// It fails.
+    Fail,
+    /// Its answer ends early.
+    Truncate,
+    /// Its answer is another request's.
+    Cross,
+}
+
+/// The body of a request or task.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TargetWork {
+    /// How long it runs, in milliseconds.
+    pub work_ms: u64,
+    /// How it goes.
+    pub act: WorkAct,
+    /// Comes back in the answer.
+    pub nonce: String,
+}
+
+impl TargetWork {
+    /// Reads a body; one that is no JSON asks for nothing.
+    pub fn of(body: &[u8]) -> Self {
+        serde_json::from_slice(body).unwrap_or_default()
+    }
+
+    /// How long it runs.
+    pub fn length(&self) -> Duration {
+        Duration::from_millis(self.work_ms)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/declaration/declaration_file.rs
@@ -0,0 +1,235 @@
+//! Reading and writing a whole declaration.
+
+use {
+    super::{
+        declaration_fault::DeclarationFault,
+        sheet::{SheetRow, read_sheet},
+    },
+    dotterelshore_domain::{
+        collections::FastMap,
+        table::{
+            CentreRow, FleetTable, KeyRow, PoolRow, QueueRow, RowChange, RowFault, TableKind,
+            TeamRow,
+        },
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        fmt::Write,
+        path::{Path, PathBuf},
+    },
+};
+
+/// The TOML file at the head of a declaration.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DeclarationFile {
+    /// The sheet of teams, beside this file.
+    pub teams_sheet: PathBuf,
+    /// The sheet of pools, beside this file.
+    pub pools_sheet: PathBuf,
+    /// Data centres.
+    pub data_centre: Vec<CentreRow>,
+    /// Queues.
+    pub queue: Vec<QueueRow>,
+    /// Keys, as digests.
+    pub key: Vec<KeyRow>,
+}
+
+/// Where each row stands, to name it in faults.
+type RowLines = FastMap<(TableKind, String), (PathBuf, u64)>;
+
+struct TableReader {
+    table: FleetTable,
+    lines: RowLines,
+    faults: Vec<DeclarationFault>,
+}
+
+/// Reads and checks a declaration. Its revision is nought.
+///
+/// # Errors
+///
+/// Every fault found, with file, line and column.
+pub fn read_declaration(path: &Path) -> Result<FleetTable, Vec<DeclarationFault>> {
+    let text = read_text(path)?;
+    let file: DeclarationFile = toml::from_str(&text).map_err(|error| {
+        let line = error.span().map_or(0, |span| line_at(&text, span.start));
+        vec![DeclarationFault::new(path, line, "", error.message())]
+    })?;
+    let mut reader = TableReader {
+        table: FleetTable::default(),
+        lines: RowLines::default(),
+        faults: Vec::new(),
+    };
+    let folder = path.parent().unwrap_or(Path::new("."));
+    reader.take_toml(path, &text, &file);
+    reader.take_sheet(
+        folder.join(&file.pools_sheet),
+        TableKind::Pools,
+        |row: &PoolRow| {
+            (
+                row.name.to_string(),
+                RowChange::Pool(row.name.clone(), Some(row.clone())),
+            )
+        },
+    );
+    reader.take_sheet(
+        folder.join(&file.teams_sheet),
+        TableKind::Teams,
+        |row: &TeamRow| {
+            (
+                row.name.to_string(),
+                RowChange::Team(row.name.clone(), Some(row.clone())),
+            )
+        },
+    );
+    reader.finish(path)
+}
+
+impl TableReader {
+    fn take_toml(&mut self, path: &Path, text: &str, file: &DeclarationFile) {
+        for row in &file.data_centre {
+            let change = RowChange::Centre(row.name.clone(), Some(row.clone()));
+            self.take(
+                path,
+                toml_line(text, row.name.as_str()),
+                TableKind::Centres,
+                row.name.to_string(),
+                change,
+            );
+        }
+        for row in &file.queue {
+            let change = RowChange::Queue(row.name.clone(), Some(row.clone()));
+            self.take(
+                path,
+                toml_line(text, row.name.as_str()),
+                TableKind::Queues,
+                row.name.to_string(),
+                change,
+            );
+        }
+        for row in &file.key {
+            let change = RowChange::Key(row.digest.clone(), Some(row.clone()));
+            self.take(
+                path,
+                toml_line(text, row.digest.as_str()),
+                TableKind::Keys,
+                row.digest.to_string(),
+                change,
+            );
+        }
+    }
+
+    fn take_sheet<T: serde::de::DeserializeOwned>(
+        &mut self,
+        path: PathBuf,
+        kind: TableKind,
+        name_row: fn(&T) -> (String, RowChange),
+    ) {
+        let text = match read_text(&path) {
+            Ok(text) => text,
+            Err(faults) => return self.faults.extend(faults),
+        };
+        let (rows, faults) = read_sheet::<T>(&path, &text);
+        self.faults.extend(faults);
+        for SheetRow { line, row } in rows {
+            let (name, change) = name_row(&row);
+            self.take(&path, line, kind, name, change);
+        }
+    }
+
+    fn take(&mut self, path: &Path, line: u64, kind: TableKind, name: String, change: RowChange) {
+        if let Some((_, first)) = self.lines.get(&(kind, name.clone())) {
+            let problem = format!("'{name}' stands on line {first} already; keep one of them");
+            self.faults
+                .push(DeclarationFault::new(path, line, "name", problem));
+            return;
+        }
+        self.lines.insert((kind, name), (path.to_owned(), line));
+        self.table.put(change);
+    }
+
+    fn finish(mut self, path: &Path) -> Result<FleetTable, Vec<DeclarationFault>> {
+        for fault in self.table.faults() {
+            let fault = placed(path, &self.lines, fault);
+            self.faults.push(fault);
+        }
+        if self.faults.is_empty() {
+            Ok(self.table)
+        } else {
+            Err(self.faults)
+        }
+    }
+}
+
+fn placed(path: &Path, lines: &RowLines, fault: RowFault) -> DeclarationFault {
+    let place = lines.get(&(fault.table, fault.row.clone()));
+    let (file, line) = place.map_or((path, 0), |(file, line)| (file.as_path(), *line));
+    DeclarationFault::new(
+        file,
+        line,
+        &fault.column,
+        format!("{} '{}': {}", fault.table, fault.row, fault.problem),
+    )
+}
+
+fn read_text(path: &Path) -> Result<String, Vec<DeclarationFault>> {
+    std::fs::read_to_string(path).map_err(|error| {
+        vec![DeclarationFault::new(
+            path,
+            0,
+            "",
+            format!("can't be read: {error}"),
+        )]
+    })
+}
+
+fn line_at(text: &str, offset: usize) -> u64 {
+    let before = text.get(..offset).unwrap_or(text);
+    before.bytes().filter(|byte| *byte == b'\n').count() as u64 + 1
+}
+
+/// The last line that holds the quoted value: where a duplicate stands.
+fn toml_line(text: &str, value: &str) -> u64 {
+    let quoted = format!("\"{value}\"");
+    let found = text
+        .lines()
+        .enumerate()
+        .filter(|(_, line)| line.contains(&quoted))
+        .last();
+    found.map_or(0, |(index, _)| index as u64 + 1)
+}
+
+/// Writes a table as a declaration's three files into a folder.
+///
+/// # Errors
+///
+/// The file system's fault.
+pub fn write_declaration(folder: &Path, table: &FleetTable) -> std::io::Result<()> {
+    let file = DeclarationFile {
+        teams_sheet: PathBuf::from("teams.csv"),
+        pools_sheet: PathBuf::from("pools.csv"),
+        data_centre: sorted(&table.centres),
+        queue: sorted(&table.queues),
+        key: sorted(&table.keys),
+    };
+    let text = toml::to_string(&file).map_err(std::io::Error::other)?;
+    std::fs::write(folder.join("fleet.toml"), text)?;
+    let mut pools = String::from("name,kind,size,max_out\n");
+    for row in sorted(&table.pools) {
+        let kind = serde_json::to_value(row.kind).map_err(std::io::Error::other)?;
+        let kind = kind.as_str().unwrap_or_default();
+        let _infallible = writeln!(pools, "{},{kind},{},{}", row.name, row.size, row.max_out);
+    }
+    std::fs::write(folder.join("pools.csv"), pools)?;
+    let mut teams = String::from("name,weight,ceiling\n");
+    for row in sorted(&table.teams) {
+        let _infallible = writeln!(teams, "{},{},{}", row.name, row.weight, row.ceiling);
+    }
+    std::fs::write(folder.join("teams.csv"), teams)
+}
+
+fn sorted<K: Ord, V: Clone>(rows: &FastMap<K, V>) -> Vec<V> {
+    let mut rows: Vec<(&K, &V)> = rows.iter().collect();
+    rows.sort_by(|a, b| a.0.cmp(b.0));
+    rows.into_iter().map(|(_, row)| row.clone()).collect()
+}
--- /dev/null
+++ b/crates/wire/src/http_link.rs
@@ -0,0 +1,176 @@
+//! A small HTTP client that reads whole, bounded answers.
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{HeaderMap, Request, StatusCode, header},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    snafu::Snafu,
+    std::time::Duration,
+};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Why an exchange brought no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum HttpFault {
+    /// No byte of the request reached the server.
+    #[snafu(display("could not connect: {detail}"))]
+    NotSent {
+        /// What the connection said.
+        detail: String,
+    },
+    /// The request was or may have been sent, and no answer came.
+    #[snafu(display("no answer: {detail}"))]
+    NoAnswer {
+        /// What the connection said.
+        detail: String,
+    },
+    /// The answer began and ended early.
+    #[snafu(display("the answer ended early: {detail}"))]
+    Truncated {
+        /// What the connection said.
+        detail: String,
+    },
+    /// The answer is larger than allowed.
+    #[snafu(display("the answer is larger than {limit} bytes"))]
+    TooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct HttpAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+impl HttpAnswer {
+    /// A header as text, if it is there and readable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A client that keeps connections open between exchanges.
+#[derive(Debug, Clone)]
+pub struct HttpLink {
+    client: Client<HttpConnector, Full<Bytes>>,
+    answer_bytes_max: usize,
+}
+
+impl HttpLink {
+    /// A client with `idle_per_host` spare connections to each server, and answers of
+    /// at most `answer_bytes_max` bytes.
+    pub fn new(idle_per_host: usize, answer_bytes_max: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(idle_per_host)
+            .build(connector);
+        Self {
+            client,
+            answer_bytes_max,
+        }
+    }
+
+    /// Sends a request and reads the whole answer within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` only if no byte was sent; every other fault leaves open whether the
+    /// server acted.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<HttpAnswer, HttpFault> {
+        match tokio::time::timeout(timeout, self.exchange(request)).await {
+            Ok(answer) => answer,
+            Err(elapsed) => Err(HttpFault::NoAnswer {
+                detail: elapsed.to_string(),
+            }),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpAnswer, HttpFault> {
+        let answer = self.client.request(request).await.map_err(|error| {
+            let detail = error.to_string();
+            if error.is_connect() {
+                HttpFault::NotSent { detail }
+            } else {
+                HttpFault::NoAnswer { detail }
+            }
+        })?;
+        let (parts, body) = answer.into_parts();
+        let limit = self.answer_bytes_max;
+        let body = Limited::new(body, limit).collect().await.map_err(|error| {
+            if error.is::<http_body_util::LengthLimitError>() {
+                HttpFault::TooLarge { limit }
+            } else {
+                HttpFault::Truncated {
+                    detail: error.to_string(),
+                }
+            }
+        })?;
+        let body = body.to_bytes();
+        check_length(&parts.headers, body.len())?;
+        Ok(HttpAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+}
+
+fn check_length(headers: &HeaderMap, read: usize) -> Result<(), HttpFault> {
+    let told = headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    match told {
+        Some(told) if told != read => Err(HttpFault::Truncated {
+            detail: format!("{read} of {told} bytes came"),
+        }),
+        _ => Ok(()),
+    }
+}
+
+/// A request to a server by host and port.
+///
+/// # Errors
+///
+/// `NotSent` if the parts make no valid request.
+pub fn request_to(
+    method: hyper::Method,
+    authority: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, HttpFault> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(format!("http://{authority}{path}"));
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder
+        .body(Full::new(body))
+        .map_err(|error| HttpFault::NotSent {
+            detail: error.to_string(),
+        })
+}
--- /dev/null
+++ b/crates/wire/src/http_server.rs
@@ -0,0 +1,130 @@
+//! Serving HTTP: one task for each connection, and a graceful end.
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        Request, Response,
+        body::{Body, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{convert::Infallible, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// Largest head of a request, in bytes.
+pub const HEAD_BYTES_MAX: usize = 16 * 1024;
+/// Longest wait for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Wait after a failed accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a streamed body may fail with.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A whole answer to a caller.
+pub type WholeAnswer = Response<Full<Bytes>>;
+
+/// Accepts connections until `leaving` turns true, then lets open ones finish.
+/// Each connection has its own task; `answer` is called for each request on it.
+pub async fn serve<F, A, B>(listener: TcpListener, answer: F, leaving: watch::Receiver<bool>)
+where
+    F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BodyError>,
+{
+    let answer = Arc::new(answer);
+    let mut closing = leaving.clone();
+    let (open, mut all_closed) = tokio::sync::mpsc::channel::<()>(1);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|leaving| *leaving) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = Arc::clone(&answer);
+        let leaving = leaving.clone();
+        let open = open.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, answer, leaving).await;
+            drop(open);
+        });
+    }
+    drop(open);
+    let _none = all_closed.recv().await;
+}
+
+async fn serve_connection<F, A, B>(
+    stream: TcpStream,
+    answer: Arc<F>,
+    mut leaving: watch::Receiver<bool>,
+) where
+    F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BodyError>,
+{
+    let _best_effort = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answered = answer(request);
+        async move { Ok::<_, Infallible>(answered.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_BYTES_MAX)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = leaving.wait_for(|leaving| *leaving) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ended = connection.await;
+}
+
+/// Why a request's body was not read whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFault {
+    /// It is larger than allowed.
+    TooLarge,
+    /// The caller ended it early.
+    Broken,
+}
+
+/// Reads a request's whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// `TooLarge` past the limit, `Broken` if the caller ended it early.
+pub async fn whole_body(body: Incoming, limit: usize) -> Result<Bytes, BodyFault> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyFault::TooLarge),
+        Err(_) => Err(BodyFault::Broken),
+    }
+}
+
+/// An answer with a JSON body.
+pub fn json_answer<T: serde::Serialize>(status: u16, value: &T) -> WholeAnswer {
+    let body =
+        serde_json::to_vec(value).unwrap_or_else(|error| format!("\"{error}\"").into_bytes());
+    plain_answer(status, "application/json", body)
+}
+
+/// An answer with a body of the given type.
+pub fn plain_answer(status: u16, content_type: &str, body: impl Into<Bytes>) -> WholeAnswer {
+    let answer = Response::builder()
+        .status(status)
+        .header("content-type", content_type)
+        .body(Full::new(body.into()));
+    answer.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! Encodings and client links: HTTP towards callers, targets and the platform,
+//! postcard between entries, files for operators.
+
+pub mod declaration;
+pub mod event_log;
+pub mod http_link;
+pub mod http_server;
+pub mod operator_link;
+pub mod operator_message;
+pub mod peer_codec;
+pub mod peer_message;
+pub mod platform_link;
+pub mod platform_message;
+pub mod problem_details;
+pub mod store_link;
+pub mod target_message;
--- /dev/null
+++ b/crates/wire/src/problem_details.rs
@@ -0,0 +1,65 @@
+//! Refusals as HTTP problem details (RFC 9457).
+
+use {
+    crate::http_server::{WholeAnswer, plain_answer},
+    dotterelshore_domain::codes::{Refusal, ResultCode, RunOutcome},
+    hyper::header::HeaderValue,
+    serde::{Deserialize, Serialize},
+};
+
+/// Content type of problem details.
+pub const PROBLEM_TYPE: &str = "application/problem+json";
+
+/// A refusal as callers read it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProblemDetails {
+    /// Identifies the kind of problem.
+    pub r#type: String,
+    /// One line for people.
+    pub title: String,
+    /// The HTTP status.
+    pub status: u16,
+    /// What happened this time.
+    pub detail: String,
+    /// The numbered code.
+    pub code: u16,
+    /// Whether the work may have run.
+    pub outcome: RunOutcome,
+}
+
+impl From<&Refusal> for ProblemDetails {
+    fn from(refusal: &Refusal) -> Self {
+        Self {
+            r#type: format!("urn:dotterelshore:{}", refusal.code.slug()),
+            title: refusal.code.title().to_owned(),
+            status: refusal.code.status(),
+            detail: refusal.detail.clone(),
+            code: refusal.code.number(),
+            outcome: refusal.outcome,
+        }
+    }
+}
+
+impl ProblemDetails {
+    /// The code as a value, if this version knows it.
+    pub fn result_code(&self) -> Option<ResultCode> {
+        ResultCode::ALL
+            .iter()
+            .copied()
+            .find(|code| code.number() == self.code)
+    }
+}
+
+/// The HTTP answer for a refusal.
+pub fn refusal_answer(refusal: &Refusal) -> WholeAnswer {
+    let problem = ProblemDetails::from(refusal);
+    let body = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut answer = plain_answer(problem.status, PROBLEM_TYPE, body);
+    if let Some(wait) = refusal.retry_after {
+        let seconds = wait.as_millis().div_ceil(1000).max(1);
+        if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+            answer.headers_mut().insert("retry-after", value);
+        }
+    }
+    answer
+}
