--- /dev/null
+++ b/crates/ctl/src/cli/launch.rs
@@ -0,0 +1,54 @@
+//! From the arguments to a command.
+
+use {
+    super::{
+        ctl_args::{CtlArgs, CtlCommand},
+        ctl_fault::CtlFault,
+    },
+    crate::{
+        commands::{self, CommandContext},
+        output::Printer,
+    },
+    clap::Parser,
+    dotterelshore_wire::operator_link::OperatorLink,
+    std::time::Duration,
+};
+
+/// Runs the command given.
+pub(crate) fn run() -> Result<(), CtlFault> {
+    let args = CtlArgs::parse();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| CtlFault::File {
+            what: "starting".to_owned(),
+            source,
+        })?;
+    runtime.block_on(dispatch(args))
+}
+
+async fn dispatch(args: CtlArgs) -> Result<(), CtlFault> {
+    let context = CommandContext {
+        link: OperatorLink::new(args.entry, args.operator_token),
+        author: args.author,
+        printer: Printer::new(args.json),
+    };
+    match args.command {
+        CtlCommand::Check(declaration) => commands::check(&context, &declaration.file),
+        CtlCommand::Diff(declaration) => commands::diff(&context, &declaration.file).await,
+        CtlCommand::Apply {
+            declaration,
+            wait,
+            wait_s,
+        } => {
+            let wait = wait.then(|| Duration::from_secs(wait_s));
+            commands::apply(&context, &declaration.file, wait).await
+        }
+        CtlCommand::Show { out } => commands::show(&context, out.as_deref()).await,
+        CtlCommand::History => commands::history(&context).await,
+        CtlCommand::Status => commands::status(&context).await,
+        CtlCommand::Keys(command) => commands::keys(&context, command).await,
+        CtlCommand::Instances(command) => commands::instances(&context, command).await,
+        CtlCommand::Waves(command) => commands::waves(&context, command).await,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cli/mod.rs
@@ -0,0 +1,11 @@
+//! Arguments and the launch.
+
+mod ctl_args;
+mod ctl_fault;
+mod launch;
+
+pub(crate) use {
+    ctl_args::{InstanceCommand, KeyCommand, WaveCommand, WaveOrderArg},
+    ctl_fault::CtlFault,
+    launch::run,
+};
--- /dev/null
+++ b/crates/ctl/src/commands/mod.rs
@@ -0,0 +1,25 @@
+//! What each command does.
+
+mod declaration_commands;
+mod instance_commands;
+mod key_commands;
+mod status_command;
+mod wave_commands;
+
+use {crate::output::Printer, dotterelshore_wire::operator_link::OperatorLink};
+
+pub(crate) use {
+    declaration_commands::{apply, check, diff, history, show},
+    instance_commands::instances,
+    key_commands::keys,
+    status_command::status,
+    wave_commands::waves,
+};
+
+/// What every command needs.
+#[derive(Debug)]
+pub(crate) struct CommandContext {
+    pub(crate) link: OperatorLink,
+    pub(crate) author: String,
+    pub(crate) printer: Printer,
+}
--- /dev/null
+++ b/crates/ctl/src/commands/wave_commands.rs
@@ -0,0 +1,112 @@
+//! Waves: start, pause, watch.
+
+use {
+    super::CommandContext,
+    crate::cli::{CtlFault, WaveCommand, WaveOrderArg},
+    dotterelshore_domain::{
+        names::{PoolName, WaveName},
+        wave::{WaveOrder, WavePlan, WaveRecord, WaveStatus},
+    },
+    dotterelshore_wire::operator_message::WaveOrderForm,
+    std::time::Duration,
+};
+
+/// How often progress is shown.
+const WATCH_PERIOD: Duration = Duration::from_millis(500);
+
+/// Starts, pauses and watches waves.
+pub(crate) async fn waves(context: &CommandContext, command: WaveCommand) -> Result<(), CtlFault> {
+    match command {
+        WaveCommand::Start {
+            name,
+            pool,
+            order,
+            buffer,
+            watch: watching,
+        } => {
+            let form = WaveOrderForm {
+                name: WaveName::try_from(name)?,
+                pool: PoolName::try_from(pool)?,
+                plan: WavePlan {
+                    order: wave_order(order),
+                    buffer,
+                },
+            };
+            let record = context.link.start_wave(&form).await?;
+            if watching {
+                return watch(context, &record.name).await;
+            }
+            print_wave(context, &record);
+        }
+        WaveCommand::Pause { name } => {
+            let record = context
+                .link
+                .set_paused(&WaveName::try_from(name)?, true)
+                .await?;
+            print_wave(context, &record);
+        }
+        WaveCommand::Resume { name } => {
+            let record = context
+                .link
+                .set_paused(&WaveName::try_from(name)?, false)
+                .await?;
+            print_wave(context, &record);
+        }
+        WaveCommand::List => {
+            let waves = context.link.waves().await?;
+            context
+                .printer
+                .print(&waves, || waves.iter().map(progress_line).collect());
+        }
+        WaveCommand::Watch { name } => watch(context, &WaveName::try_from(name)?).await?,
+    }
+    Ok(())
+}
+
+fn wave_order(order: WaveOrderArg) -> WaveOrder {
+    match order {
+        WaveOrderArg::RackTogether => WaveOrder::RackTogether,
+        WaveOrderArg::RackSpread => WaveOrder::RackSpread,
+        WaveOrderArg::OneAtATime => WaveOrder::OneAtATime,
+    }
+}
+
+fn print_wave(context: &CommandContext, record: &WaveRecord) {
+    context
+        .printer
+        .print(record, || vec![progress_line(record)]);
+}
+
+/// A wave in one line.
+pub(super) fn progress_line(wave: &WaveRecord) -> String {
+    format!(
+        "wave {} through {}: {:?}, {} of {} instances, carried out by {}",
+        wave.name,
+        wave.pool,
+        wave.status,
+        wave.done.len(),
+        wave.members.len(),
+        wave.owner.name
+    )
+}
+
+async fn watch(context: &CommandContext, name: &WaveName) -> Result<(), CtlFault> {
+    let mut shown = String::new();
+    loop {
+        let waves = context.link.waves().await?;
+        let Some(wave) = waves.iter().find(|wave| wave.name == *name) else {
+            let detail = format!("no wave '{name}'; 'waves list' shows them");
+            return Err(CtlFault::Missing { detail });
+        };
+        let line = progress_line(wave);
+        if wave.status == WaveStatus::Done {
+            print_wave(context, wave);
+            return Ok(());
+        }
+        if line != shown {
+            context.printer.progress(&line);
+            shown = line;
+        }
+        tokio::time::sleep(WATCH_PERIOD).await;
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,20 @@
 //! The operators' command line.
 
-fn main() {}
+mod cli;
+mod commands;
+mod output;
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    match cli::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("dotterelshore: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/domain/src/codes.rs
+++ b/crates/domain/src/codes.rs
@@ -149,6 +149,7 @@
     }
 
     /// The same refusal with advice on when to try again.
+    #[must_use]
     pub fn retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
         self
--- a/crates/entry/src/dispatch/request_run.rs
+++ b/crates/entry/src/dispatch/request_run.rs
@@ -69,10 +69,10 @@
     };
     lock(&node.retries).note_try();
     let result = carry_tries(node, &carry).await;
-    if let (Some(claim), Err(refusal)) = (claim, &result) {
-        if refusal.outcome == RunOutcome::NotRun {
-            claims::release(node, claim).await;
-        }
+    if let (Some(claim), Err(refusal)) = (claim, &result)
+        && refusal.outcome == RunOutcome::NotRun
+    {
+        claims::release(node, claim).await;
     }
     result
 }
--- a/crates/entry/src/front/caller_front.rs
+++ b/crates/entry/src/front/caller_front.rs
@@ -66,9 +66,9 @@
     let checked = check(node, &request, queue, TargetKind::Worker)?;
     let id = checked.id.clone().map_or_else(fresh_id, Ok)?;
     let name = JobName::try_from(format!("{}:{id}", checked.team.name))
-        .map_err(|fault| malformed("job", fault))?;
+        .map_err(|fault| malformed("job", &fault))?;
     let body =
-        String::from_utf8(request.body.to_vec()).map_err(|error| malformed("body", error))?;
+        String::from_utf8(request.body.to_vec()).map_err(|error| malformed("body", &error))?;
     let record = jobs::submit(node, &checked, name, body).await?;
     Ok(json_answer(202, &report(record)))
 }
@@ -81,7 +81,7 @@
 ) -> Result<WholeAnswer, Refusal> {
     request.expect_method(&[Method::GET, Method::DELETE])?;
     let team = team_of(node, &request)?;
-    let job = JobName::try_from(job).map_err(|fault| malformed("job", fault))?;
+    let job = JobName::try_from(job).map_err(|fault| malformed("job", &fault))?;
     let record = if request.method == Method::GET {
         jobs::read(node, &team, &job).await?
     } else {
@@ -138,7 +138,7 @@
 
 fn fresh_id() -> Result<RequestName, Refusal> {
     RequestName::try_from(format!("{:032x}", rand::random::<u128>()))
-        .map_err(|fault| malformed("request", fault))
+        .map_err(|fault| malformed("request", &fault))
 }
 
 fn report(record: JobRecord) -> JobReport {
--- a/crates/entry/src/front/front_request.rs
+++ b/crates/entry/src/front/front_request.rs
@@ -67,7 +67,7 @@
         let Some(value) = self.headers.get(name) else {
             return Ok(None);
         };
-        let text = value.to_str().map_err(|error| malformed(name, error))?;
+        let text = value.to_str().map_err(|error| malformed(name, &error))?;
         Ok(Some(text.trim()))
     }
 
@@ -116,7 +116,7 @@
 
     /// The body as JSON.
     pub(super) fn json<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
-        serde_json::from_slice(&self.body).map_err(|error| malformed("body", error))
+        serde_json::from_slice(&self.body).map_err(|error| malformed("body", &error))
     }
 
     /// A value of the query.
@@ -145,7 +145,7 @@
 }
 
 /// A refusal of something that can't be read.
-pub(super) fn malformed(what: &str, why: impl ToString) -> Refusal {
+pub(super) fn malformed(what: &str, why: &(impl ToString + ?Sized)) -> Refusal {
     Refusal::not_run(
         ResultCode::MalformedRequest,
         format!("{what}: {}", why.to_string()),
--- a/crates/entry/src/front/operator_front.rs
+++ b/crates/entry/src/front/operator_front.rs
@@ -94,7 +94,7 @@
     name: &str,
     verb: &str,
 ) -> Result<WholeAnswer, Refusal> {
-    let name = InstanceName::try_from(name).map_err(|fault| malformed("instance", fault))?;
+    let name = InstanceName::try_from(name).map_err(|fault| malformed("instance", &fault))?;
     match verb {
         "move" => {
             let order: MoveOrder = request.json()?;
@@ -108,7 +108,7 @@
 }
 
 async fn wave_call(node: &Arc<EntryNode>, name: &str, verb: &str) -> Result<WholeAnswer, Refusal> {
-    let name = WaveName::try_from(name).map_err(|fault| malformed("wave", fault))?;
+    let name = WaveName::try_from(name).map_err(|fault| malformed("wave", &fault))?;
     let status = match verb {
         "pause" => WaveStatus::Paused,
         "resume" => WaveStatus::Running,
--- a/crates/entry/src/jobs/job_desk.rs
+++ b/crates/entry/src/jobs/job_desk.rs
@@ -102,10 +102,11 @@
 
 /// Takes over a job that another entry handed to this one.
 pub(crate) async fn take_handed(node: &Arc<EntryNode>, job: &JobName) {
-    if let Ok(Some(record)) = node.store.get::<JobRecord>(&job_key(job)).await {
-        if record.value.home == node.stamp && !record.value.state.ended() {
-            look_after(node, record.value);
-        }
+    if let Ok(Some(record)) = node.store.get::<JobRecord>(&job_key(job)).await
+        && record.value.home == node.stamp
+        && !record.value.state.ended()
+    {
+        look_after(node, record.value);
     }
 }
 
--- a/crates/entry/src/jobs/job_run.rs
+++ b/crates/entry/src/jobs/job_run.rs
@@ -214,14 +214,10 @@
                 state: TaskState::Never,
                 ..
             }) => stopping = true,
-            Some(TaskReport {
-                state: TaskState::Running,
-                ..
-            }) => {}
             None if node.fleet.is_stopped(worker) => {
                 return TaskEnd::Failed("the worker stopped".to_owned());
             }
-            None => {}
+            Some(_) | None => {}
         }
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
--- a/crates/entry/src/jobs/worker_link.rs
+++ b/crates/entry/src/jobs/worker_link.rs
@@ -16,7 +16,7 @@
 };
 
 /// Longest call to a worker.
-const CALL_TIMEOUT: Duration = Duration::from_millis(2000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What became of a start.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/entry/src/peers/peer_answers.rs
+++ b/crates/entry/src/peers/peer_answers.rs
@@ -32,11 +32,11 @@
 async fn answer_peer(node: Arc<EntryNode>, stream: TcpStream) {
     let _best_effort = stream.set_nodelay(true);
     let mut stream = BufStream::new(stream);
-    if let Err(fault) = answer_calls(&node, &mut stream).await {
-        if !matches!(fault, PeerFault::Connection { .. }) {
-            node.metrics.count_peer_fault("foreign");
-            log_event!(Warn, "peer-foreign", error = fault);
-        }
+    if let Err(fault) = answer_calls(&node, &mut stream).await
+        && !matches!(fault, PeerFault::Connection { .. })
+    {
+        node.metrics.count_peer_fault("foreign");
+        log_event!(Warn, "peer-foreign", error = fault);
     }
 }
 
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -34,7 +34,7 @@
                         settled.insert(gone);
                     }
                     Err(refusal) => {
-                        log_event!(Debug, "takeover-waits", gone = gone, error = refusal)
+                        log_event!(Debug, "takeover-waits", gone = gone, error = refusal);
                     }
                 }
             }
--- a/crates/entry/src/waves/wave_run.rs
+++ b/crates/entry/src/waves/wave_run.rs
@@ -60,16 +60,14 @@
         done_at_ms: None,
     };
     node.store
-        .update(
-            &wave_key(&record.name),
-            |known: Option<WaveRecord>| match known {
-                None => Ok(UpdateStep::Write(record.clone(), ())),
-                Some(_) => {
-                    let detail = format!("choose another name than '{}'", record.name);
-                    Err(Refusal::not_run(ResultCode::WaveExists, detail))
-                }
-            },
-        )
+        .update(&wave_key(&record.name), |known: Option<WaveRecord>| {
+            if known.is_none() {
+                Ok(UpdateStep::Write(record.clone(), ()))
+            } else {
+                let detail = format!("choose another name than '{}'", record.name);
+                Err(Refusal::not_run(ResultCode::WaveExists, detail))
+            }
+        })
         .await?;
     log_event!(
         Info,
--- a/crates/load/src/deployment/running_deployment.rs
+++ b/crates/load/src/deployment/running_deployment.rs
@@ -283,9 +283,9 @@
     pub fn set_frozen(&self, number: usize, frozen: bool) {
         if let Some(process) = &self.entries[number].process {
             if frozen {
-                process.freeze()
+                process.freeze();
             } else {
-                process.thaw()
+                process.thaw();
             }
         }
     }
@@ -294,9 +294,9 @@
     pub fn set_targets_frozen(&self, pool: &str, frozen: bool) {
         for (_, process) in self.hosts.iter().filter(|(name, _)| name == pool) {
             if frozen {
-                process.freeze()
+                process.freeze();
             } else {
-                process.thaw()
+                process.thaw();
             }
         }
     }
--- a/crates/load/src/driver/load_run.rs
+++ b/crates/load/src/driver/load_run.rs
@@ -69,7 +69,7 @@
         .unwrap_or_default();
     match choice {
         EntryChoice::InTurn => number % entries,
-        EntryChoice::ByTeam if number % STRAY_EVERY == 0 => number / STRAY_EVERY % entries,
+        EntryChoice::ByTeam if number.is_multiple_of(STRAY_EVERY) => number / STRAY_EVERY % entries,
         EntryChoice::ByTeam => team % entries,
     }
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,5 +1,8 @@
 //! x
-use dotterelshore_load::{deployment::*, driver::*};
+use dotterelshore_load::{
+    deployment::{DeploymentOptions, DeploymentShape, RunningDeployment},
+    driver::{ArrivalPlan, EntryChoice, run_load},
+};
 #[tokio::main]
 async fn main() {
     let shape = if std::env::args().nth(1).as_deref() == Some("karatula") {
--- a/crates/standins/src/targets/worker_target.rs
+++ b/crates/standins/src/targets/worker_target.rs
@@ -180,8 +180,8 @@
             lease_until: Instant::now() + lease,
             stop: Arc::clone(&stop),
         };
-        tasks.insert(job.clone(), task);
-    }
+        tasks.insert(job.clone(), task)
+    };
     target.history.note(HistoryEvent::TaskBegun {
         target: target.name.clone(),
         job: job.clone(),
--- a/crates/wire/src/declaration/declaration_file.rs
+++ b/crates/wire/src/declaration/declaration_file.rs
@@ -63,7 +63,7 @@
     let folder = path.parent().unwrap_or(Path::new("."));
     reader.take_toml(path, &text, &file);
     reader.take_sheet(
-        folder.join(&file.pools_sheet),
+        &folder.join(&file.pools_sheet),
         TableKind::Pools,
         |row: &PoolRow| {
             (
@@ -73,7 +73,7 @@
         },
     );
     reader.take_sheet(
-        folder.join(&file.teams_sheet),
+        &folder.join(&file.teams_sheet),
         TableKind::Teams,
         |row: &TeamRow| {
             (
@@ -121,19 +121,19 @@
 
     fn take_sheet<T: serde::de::DeserializeOwned>(
         &mut self,
-        path: PathBuf,
+        path: &Path,
         kind: TableKind,
         name_row: fn(&T) -> (String, RowChange),
     ) {
-        let text = match read_text(&path) {
+        let text = match read_text(path) {
             Ok(text) => text,
             Err(faults) => return self.faults.extend(faults),
         };
-        let (rows, faults) = read_sheet::<T>(&path, &text);
+        let (rows, faults) = read_sheet::<T>(path, &text);
         self.faults.extend(faults);
         for SheetRow { line, row } in rows {
             let (name, change) = name_row(&row);
-            self.take(&path, line, kind, name, change);
+            self.take(path, line, kind, name, change);
         }
     }
 
@@ -150,7 +150,7 @@
 
     fn finish(mut self, path: &Path) -> Result<FleetTable, Vec<DeclarationFault>> {
         for fault in self.table.faults() {
-            let fault = placed(path, &self.lines, fault);
+            let fault = placed(path, &self.lines, &fault);
             self.faults.push(fault);
         }
         if self.faults.is_empty() {
@@ -161,7 +161,7 @@
     }
 }
 
-fn placed(path: &Path, lines: &RowLines, fault: RowFault) -> DeclarationFault {
+fn placed(path: &Path, lines: &RowLines, fault: &RowFault) -> DeclarationFault {
     let place = lines.get(&(fault.table, fault.row.clone()));
     let (file, line) = place.map_or((path, 0), |(file, line)| (file.as_path(), *line));
     DeclarationFault::new(
--- a/crates/wire/src/declaration/mod.rs
+++ b/crates/wire/src/declaration/mod.rs
@@ -7,4 +7,5 @@
 pub use {
     declaration_fault::{DeclarationFault, FilePlace},
     declaration_file::{DeclarationFile, read_declaration, write_declaration},
+    sheet::{SheetRow, read_sheet},
 };
--- a/crates/wire/src/http_link.rs
+++ b/crates/wire/src/http_link.rs
@@ -13,7 +13,7 @@
 };
 
 /// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
--- a/crates/wire/src/store_link.rs
+++ b/crates/wire/src/store_link.rs
@@ -360,9 +360,9 @@
             404 => Ok(None),
             200 => {
                 let version = entity_tag(&answer)
-                    .ok_or_else(|| unreadable(key, "no version came with it"))?;
-                let envelope =
-                    serde_json::from_slice(&answer.body).map_err(|error| unreadable(key, error))?;
+                    .ok_or_else(|| unreadable(key, &"no version came with it"))?;
+                let envelope = serde_json::from_slice(&answer.body)
+                    .map_err(|error| unreadable(key, &error))?;
                 Ok(Some((version, envelope)))
             }
             status => Err(StoreFault::Down {
@@ -377,7 +377,7 @@
         envelope: &TokenEnvelope<T>,
         expected: Option<u64>,
     ) -> Result<u64, StoreFault> {
-        let body = serde_json::to_vec(envelope).map_err(|error| unreadable(key, error))?;
+        let body = serde_json::to_vec(envelope).map_err(|error| unreadable(key, &error))?;
         let tag = expected.map(|version| format!("\"{version}\""));
         let condition = tag
             .as_deref()
@@ -424,7 +424,7 @@
     }
 }
 
-fn unreadable(key: &str, detail: impl ToString) -> StoreFault {
+fn unreadable(key: &str, detail: &impl ToString) -> StoreFault {
     StoreFault::Unreadable {
         key: key.to_owned(),
         detail: detail.to_string(),
@@ -460,7 +460,7 @@
         });
     }
     let list: KeyList =
-        serde_json::from_slice(&answer.body).map_err(|error| unreadable(prefix, error))?;
+        serde_json::from_slice(&answer.body).map_err(|error| unreadable(prefix, &error))?;
     let mut records = Vec::with_capacity(list.entries.len());
     let mut bad = Vec::new();
     for entry in list.entries {
@@ -478,7 +478,7 @@
                     }),
                 ));
             }
-            Err(error) => bad.push(unreadable(&entry.key, error)),
+            Err(error) => bad.push(unreadable(&entry.key, &error)),
         }
     }
     Ok(RecordList {
