--- a/crates/ctl/src/commands/declaration_commands.rs
+++ b/crates/ctl/src/commands/declaration_commands.rs
@@ -189,7 +189,8 @@
     const ROWS_SHOWN: usize = 3;
     let mut text = changed[..changed.len().min(ROWS_SHOWN)].join("; ");
     if changed.len() > ROWS_SHOWN {
-        text.push_str(&format!("; and {} more", changed.len() - ROWS_SHOWN));
+        let more = changed.len() - ROWS_SHOWN;
+        text = format!("{text}; and {more} more");
     }
     text
 }
--- a/crates/entry/src/front/front_request.rs
+++ b/crates/entry/src/front/front_request.rs
@@ -6,7 +6,7 @@
         codes::{Refusal, ResultCode},
         names::KeyDigest,
     },
-    dotterelshore_wire::http_server::{BodyFault, whole_body},
+    dotterelshore_wire::http_server::{BodyFault, discard_body, whole_body},
     hyper::{HeaderMap, Method, Request, body::Incoming, header},
     serde::de::DeserializeOwned,
     std::time::Duration,
@@ -15,6 +15,9 @@
 /// Longest deadline a caller may give, in seconds.
 const TIMEOUT_SECONDS_MAX: f64 = 3600.0;
 
+/// A body that is too large is read up to this many times the limit before its refusal.
+const DISCARD_FACTOR: usize = 8;
+
 /// A request read whole.
 #[derive(Debug)]
 pub(super) struct FrontRequest {
@@ -43,6 +46,7 @@
             )
         };
         if told.is_some_and(|told| told > body_bytes_max) {
+            discard_body(body, body_bytes_max.saturating_mul(DISCARD_FACTOR)).await;
             return Err(too_large());
         }
         let body = whole_body(body, body_bytes_max)
--- a/crates/load/src/deployment/running_deployment.rs
+++ b/crates/load/src/deployment/running_deployment.rs
@@ -118,6 +118,7 @@
     options: DeploymentOptions,
     host: IpAddr,
     entries: Vec<EntryProcess>,
+    #[expect(dead_code, reason = "kept to end the process when it is dropped")]
     platform: ChildProcess,
     hosts: Vec<(String, ChildProcess)>,
     peer_gates: Vec<(usize, usize, RelayGate)>,
@@ -136,12 +137,9 @@
         options: DeploymentOptions,
     ) -> Result<Self, DeploymentFault> {
         let mark: u32 = rand::random();
-        let host = IpAddr::V4(Ipv4Addr::new(
-            127,
-            1 + (mark >> 8) as u8 % 250,
-            (mark >> 16) as u8,
-            1,
-        ));
+        let [first, second, ..] = mark.to_be_bytes();
+        // Every deployment has a loopback address of its own, so that several can run at once.
+        let host = IpAddr::V4(Ipv4Addr::new(127, first.clamp(1, 250), second, 1));
         let folder =
             std::env::temp_dir().join(format!("dotterelshore-{}-{mark:08x}", std::process::id()));
         std::fs::create_dir_all(&folder).context(SystemSnafu {
@@ -197,6 +195,11 @@
         entry_address(self.host, number)
     }
 
+    /// Where other entries reach an entry.
+    pub fn peer_address(&self, number: usize) -> SocketAddr {
+        peer_address(self.host, number)
+    }
+
     /// An entry's name.
     pub fn entry_name(&self, number: usize) -> &str {
         &self.entries[number].name
--- a/crates/wire/src/http_server.rs
+++ b/crates/wire/src/http_server.rs
@@ -21,6 +21,8 @@
 pub const HEAD_BYTES_MAX: usize = 16 * 1024;
 /// Longest wait for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time that a body is read only to be thrown away.
+pub const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Wait after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -113,6 +115,21 @@
     }
 }
 
+/// Reads a body and throws it away, so that its sender reads the refusal instead of a
+/// broken connection; gives up after `limit` bytes or [`DISCARD_TIMEOUT`].
+pub async fn discard_body(mut body: Incoming, limit: usize) {
+    let discarded = tokio::time::timeout(DISCARD_TIMEOUT, async {
+        let mut read = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > limit {
+                return;
+            }
+        }
+    });
+    let _gave_up = discarded.await;
+}
+
 /// An answer with a JSON body.
 pub fn json_answer<T: serde::Serialize>(status: u16, value: &T) -> WholeAnswer {
     let body =
