--- a/crates/wire/src/declaration/sheet.rs
+++ b/crates/wire/src/declaration/sheet.rs
@@ -40,7 +40,9 @@
                 continue;
             }
         };
-        let line = record.position().map_or(0, csv::Position::line);
+        let line = record
+            .position()
+            .map_or(0, |position| row_line(text, position));
         match record.deserialize(Some(&headers)) {
             Ok(row) => rows.push(SheetRow { line, row }),
             Err(error) => faults.push(cell_fault(file, line, &headers, &record, &error)),
@@ -59,7 +61,8 @@
     let csv::ErrorKind::Deserialize { err, .. } = error.kind() else {
         return DeclarationFault::new(file, line, "", error.to_string());
     };
-    let index = err.field().and_then(|field| usize::try_from(field).ok());
+    let told = err.field().and_then(|field| usize::try_from(field).ok());
+    let index = told.or_else(|| quoted_cell(record, &err.kind().to_string()));
     let column = index
         .and_then(|index| headers.get(index))
         .unwrap_or_default();
@@ -73,3 +76,21 @@
         format!("'{cell}' does not fit: {}", err.kind()),
     )
 }
+
+/// The line of a row whose position may be that of a comment or blank line above it.
+fn row_line(text: &str, position: &csv::Position) -> u64 {
+    let offset = usize::try_from(position.byte()).unwrap_or_default();
+    let rest = text.get(offset..).unwrap_or_default().lines();
+    let passed = rest.take_while(|line| line.trim().is_empty() || line.starts_with('#'));
+    position.line() + passed.count() as u64
+}
+
+/// The cell that a message of a checked type quotes.
+fn quoted_cell(record: &csv::StringRecord, message: &str) -> Option<usize> {
+    let quotes = |cell: &str| {
+        message.contains(&format!("'{cell}'")) || message.contains(&format!("`{cell}`"))
+    };
+    record
+        .iter()
+        .position(|cell| !cell.is_empty() && quotes(cell))
+}
