Start the failure runs: load, jobs, a fault, recovery and a judgement

Cause: nothing tried the system under failure. Change: twenty-one kinds of failure over separate processes, with links that can be cut.

--- a/crates/load/src/deployment/mod.rs
+++ b/crates/load/src/deployment/mod.rs
@@ -9,5 +9,5 @@
     child_process::ChildProcess,
     deployment_shape::{DeploymentShape, ShapePool, ShapeTeam},
     link_relay::{LinkRelay, RelayGate},
-    running_deployment::{DeploymentFault, DeploymentOptions, RunningDeployment},
+    running_deployment::{DeploymentFault, DeploymentOptions, DeploymentView, RunningDeployment},
 };
--- a/crates/load/src/deployment/running_deployment.rs
+++ b/crates/load/src/deployment/running_deployment.rs
@@ -94,6 +94,28 @@
     pub reboot: Duration,
 }
 
+/// What callers see of a deployment: where its entries are, whatever becomes of them.
+#[derive(Debug, Clone)]
+pub struct DeploymentView {
+    /// What it is made of.
+    pub shape: DeploymentShape,
+    /// The driver's own events.
+    pub history: HistoryWriter,
+    host: IpAddr,
+}
+
+impl DeploymentView {
+    /// How many entries there are.
+    pub fn entry_count(&self) -> usize {
+        self.shape.entries
+    }
+
+    /// Where callers reach an entry.
+    pub fn entry_address(&self, number: usize) -> SocketAddr {
+        entry_address(self.host, number)
+    }
+}
+
 /// An entry's process and where it is.
 #[derive(Debug)]
 struct EntryProcess {
@@ -185,6 +207,20 @@
         Ok(deployment)
     }
 
+    /// What callers see of it.
+    pub fn view(&self) -> DeploymentView {
+        DeploymentView {
+            shape: self.shape.clone(),
+            history: self.history.clone(),
+            host: self.host,
+        }
+    }
+
+    /// The operators' token.
+    pub fn operator_token(&self) -> &'static str {
+        OPERATOR_TOKEN
+    }
+
     /// How many entries there are.
     pub fn entry_count(&self) -> usize {
         self.entries.len()
--- a/crates/load/src/driver/load_run.rs
+++ b/crates/load/src/driver/load_run.rs
@@ -6,7 +6,7 @@
         caller_link::{CallResult, CallerLink},
         run_report::RunReport,
     },
-    crate::deployment::RunningDeployment,
+    crate::deployment::DeploymentView,
     std::time::{Duration, Instant},
     tokio::task::JoinSet,
 };
@@ -22,7 +22,7 @@
 
 /// Sends the plan's requests and waits for what becomes of them.
 pub async fn run_load(
-    deployment: &RunningDeployment,
+    deployment: &DeploymentView,
     plan: &ArrivalPlan,
     choice: EntryChoice,
 ) -> RunReport {
@@ -53,7 +53,7 @@
 }
 
 fn choose(
-    deployment: &RunningDeployment,
+    deployment: &DeploymentView,
     planned: &PlannedRequest,
     number: usize,
     choice: EntryChoice,
--- /dev/null
+++ b/crates/load/src/runs/failures.rs
@@ -0,0 +1,385 @@
+//! The kinds of failure that are tried.
+
+use {
+    super::failure_run::{FailureCase, FailureRun, FaultFuture},
+    crate::deployment::DeploymentFault,
+    dotterelshore_domain::{names::TeamName, table::RowChange},
+    dotterelshore_standins::{
+        history::{HistoryEvent, unix_micros},
+        platform::FaultMode,
+        targets::TargetBehaviour,
+    },
+    dotterelshore_wire::operator_link::OperatorLink,
+    std::time::Duration,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const HALF_SECOND: Duration = Duration::from_millis(500);
+/// Time for a table to be in force everywhere.
+const FORCE_WAIT: Duration = Duration::from_secs(12);
+
+/// Every case, in the order of the command's list.
+pub const FAILURE_CASES: &[FailureCase] = &[
+    case("calm", calm),
+    FailureCase {
+        wrong: 0.15,
+        ..case("wrong-answers", calm)
+    },
+    case("entry-killed", entry_killed),
+    case("entry-killed-twice", entry_killed_twice),
+    case("entry-frozen", entry_frozen),
+    case("entry-ended", entry_ended),
+    case("centres-cut", centres_cut),
+    case("centre-cut-off", centre_cut_off),
+    case("platform-down", platform_down),
+    case("platform-slow", platform_slow),
+    case("answers-lost", answers_lost),
+    case("operators-race", operators_race),
+    FailureCase {
+        cancelled: 0.6,
+        ..case("cancellations", calm)
+    },
+    case("workers-fail-all", workers_fail_all),
+    case("targets-frozen", targets_frozen),
+    case("targets-leave", targets_leave),
+    FailureCase {
+        wave: true,
+        ..case("rack-lost-in-wave", rack_lost)
+    },
+    FailureCase {
+        wave: true,
+        ..case("wave-owner-killed", entry_killed)
+    },
+    FailureCase {
+        wave: true,
+        ..case("wave-while-platform-down", platform_down)
+    },
+    FailureCase {
+        wave: true,
+        ..case("killed-while-answers-lost", killed_while_answers_lost)
+    },
+    case("frozen-while-cut", frozen_while_cut),
+];
+
+const fn case(
+    name: &'static str,
+    fault: for<'a> fn(&'a mut FailureRun) -> FaultFuture<'a>,
+) -> FailureCase {
+    FailureCase {
+        name,
+        fault,
+        wrong: 0.0,
+        wave: false,
+        cancelled: 0.05,
+    }
+}
+
+fn calm(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(SECOND)).await;
+        Ok(())
+    })
+}
+
+fn entry_killed(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(SECOND)).await;
+        run.deployment.kill_entry(0, HALF_SECOND).await?;
+        tokio::time::sleep(SECOND).await;
+        run.deployment.start_entry(0).await
+    })
+}
+
+fn entry_killed_twice(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        for _ in 0..2 {
+            tokio::time::sleep(run.pause(HALF_SECOND)).await;
+            run.deployment.kill_entry(1, HALF_SECOND).await?;
+            run.deployment.start_entry(1).await?;
+        }
+        Ok(())
+    })
+}
+
+fn entry_frozen(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.deployment.set_frozen(0, true);
+        tokio::time::sleep(2 * SECOND).await;
+        run.deployment.set_frozen(0, false);
+        Ok(())
+    })
+}
+
+fn entry_ended(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(SECOND)).await;
+        run.deployment
+            .terminate_entry(2, Duration::from_secs(30))
+            .await?;
+        run.deployment.start_entry(2).await
+    })
+}
+
+/// The two data centres lose each other; both reach the platform.
+fn centres_cut(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let east = run.deployment.entries_of("east");
+        let west = run.deployment.entries_of("west");
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.deployment.set_cut(&east, &west, true);
+        tokio::time::sleep(2 * SECOND).await;
+        run.deployment.set_cut(&east, &west, false);
+        Ok(())
+    })
+}
+
+/// One data centre loses the other and the platform.
+fn centre_cut_off(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let east = run.deployment.entries_of("east");
+        let west = run.deployment.entries_of("west");
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.set_cut_off(&west, &east, true);
+        tokio::time::sleep(3 * SECOND).await;
+        run.set_cut_off(&west, &east, false);
+        Ok(())
+    })
+}
+
+fn platform_down(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.deployment
+            .set_platform_mode(FaultMode {
+                down: true,
+                ..FaultMode::default()
+            })
+            .await?;
+        tokio::time::sleep(3 * SECOND).await;
+        run.deployment.set_platform_mode(FaultMode::default()).await
+    })
+}
+
+/// Slower than calls are waited for, so that writes take effect long after they were given up.
+fn platform_slow(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.deployment
+            .set_platform_mode(FaultMode {
+                slow_ms: 1800,
+                ..FaultMode::default()
+            })
+            .await?;
+        tokio::time::sleep(3 * SECOND).await;
+        run.deployment
+            .set_platform_mode(FaultMode {
+                slow_ms: 150,
+                ..FaultMode::default()
+            })
+            .await?;
+        tokio::time::sleep(SECOND).await;
+        run.deployment.set_platform_mode(FaultMode::default()).await
+    })
+}
+
+fn answers_lost(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let mode = FaultMode {
+            lose_fraction: 0.3,
+            list_lag_ms: 400,
+            ..FaultMode::default()
+        };
+        run.deployment.set_platform_mode(mode).await?;
+        tokio::time::sleep(4 * SECOND).await;
+        run.deployment.set_platform_mode(FaultMode::default()).await
+    })
+}
+
+/// Operators at different entries change the same rows at once.
+fn operators_race(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let mut racing = tokio::task::JoinSet::new();
+        for operator in 0..4_u32 {
+            let entry = run.deployment.entry_address(operator as usize).to_string();
+            let link = OperatorLink::new(vec![entry], run.deployment.operator_token().to_owned());
+            racing.spawn(async move {
+                let mut revisions = Vec::new();
+                for turn in 0..5 {
+                    revisions.push(set_ceiling(&link, "alpha", 14 - operator - turn).await?);
+                }
+                Ok::<_, DeploymentFault>(revisions)
+            });
+        }
+        let mut revisions = Vec::new();
+        while let Some(raced) = racing.join_next().await {
+            revisions.extend(raced.map_err(|error| DeploymentFault::Late {
+                what: error.to_string(),
+            })??);
+        }
+        revisions.sort_unstable();
+        let count = revisions.len();
+        revisions.dedup();
+        if revisions.len() != count {
+            return Err(DeploymentFault::Late {
+                what: "a revision of its own for each operator".to_owned(),
+            });
+        }
+        let last = revisions.last().copied().unwrap_or_default();
+        run.await_force(last).await
+    })
+}
+
+fn workers_fail_all(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let failing = TargetBehaviour {
+            fail_all: true,
+            ..TargetBehaviour::default()
+        };
+        for pool in ["proofs-batch", "proofs"] {
+            for target in run.deployment.targets_of(pool).into_iter().take(2) {
+                run.deployment.set_behaviour(pool, &target, failing).await?;
+            }
+        }
+        tokio::time::sleep(4 * SECOND).await;
+        for pool in ["proofs-batch", "proofs"] {
+            for target in run.deployment.targets_of(pool).into_iter().take(2) {
+                run.deployment
+                    .set_behaviour(pool, &target, TargetBehaviour::default())
+                    .await?;
+            }
+        }
+        Ok(())
+    })
+}
+
+fn targets_frozen(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.deployment.set_targets_frozen("proofs", true);
+        run.deployment.set_targets_frozen("proofs-batch", true);
+        tokio::time::sleep(2 * SECOND).await;
+        run.deployment.set_targets_frozen("proofs", false);
+        run.deployment.set_targets_frozen("proofs-batch", false);
+        Ok(())
+    })
+}
+
+fn targets_leave(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let mode = FaultMode {
+            list_lag_ms: 800,
+            ..FaultMode::default()
+        };
+        run.deployment.set_platform_mode(mode).await?;
+        for pool in ["proofs-batch", "proofs"] {
+            for target in run.deployment.targets_of(pool).into_iter().take(2) {
+                run.deployment.announce_leaving(&target).await?;
+            }
+        }
+        tokio::time::sleep(2 * SECOND).await;
+        Ok(())
+    })
+}
+
+/// A rack fails while a wave runs, and comes back.
+fn rack_lost(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        for pool in ["proofs-batch", "proofs"] {
+            for target in run.deployment.targets_of(pool).into_iter().take(4) {
+                run.deployment.set_target_down(pool, &target, true).await?;
+            }
+        }
+        tokio::time::sleep(2 * SECOND).await;
+        for pool in ["proofs-batch", "proofs"] {
+            for target in run.deployment.targets_of(pool).into_iter().take(4) {
+                run.deployment.set_target_down(pool, &target, false).await?;
+            }
+        }
+        Ok(())
+    })
+}
+
+fn killed_while_answers_lost(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let mode = FaultMode {
+            lose_fraction: 0.2,
+            ..FaultMode::default()
+        };
+        run.deployment.set_platform_mode(mode).await?;
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.deployment.kill_entry(0, HALF_SECOND).await?;
+        tokio::time::sleep(SECOND).await;
+        run.deployment.start_entry(0).await?;
+        tokio::time::sleep(SECOND).await;
+        run.deployment.set_platform_mode(FaultMode::default()).await
+    })
+}
+
+fn frozen_while_cut(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let east = run.deployment.entries_of("east");
+        let west = run.deployment.entries_of("west");
+        run.set_cut_off(&west, &east, true);
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        run.deployment.set_frozen(east[0], true);
+        tokio::time::sleep(2 * SECOND).await;
+        run.set_cut_off(&west, &east, false);
+        tokio::time::sleep(HALF_SECOND).await;
+        run.deployment.set_frozen(east[0], false);
+        Ok(())
+    })
+}
+
+async fn set_ceiling(
+    link: &OperatorLink,
+    team: &str,
+    ceiling: u32,
+) -> Result<u64, DeploymentFault> {
+    let team = TeamName::try_from(team)?;
+    let revision = link
+        .change_rows("racer", |table| {
+            let mut row = table.teams[&team].clone();
+            row.ceiling = ceiling;
+            // A token weight keeps each change a change, whatever others set before.
+            row.weight = 1 + (row.weight + 1) % 5;
+            Ok(vec![RowChange::Team(team.clone(), Some(row))])
+        })
+        .await?;
+    Ok(revision.unwrap_or_default())
+}
+
+impl FailureRun {
+    /// A pause that depends on the seed, from half of `about` to one and a half of it.
+    fn pause(&self, about: Duration) -> Duration {
+        let part =
+            u32::try_from(self.seed.wrapping_mul(0x9E37_79B9) >> 7 & 0xFF).unwrap_or_default();
+        about / 2 + about * part / 255
+    }
+
+    /// Cuts some entries from the others and from the platform, or opens the links.
+    fn set_cut_off(&self, some: &[usize], others: &[usize], cut: bool) {
+        self.deployment.set_cut(some, others, cut);
+        for entry in some {
+            self.deployment.set_platform_cut(*entry, cut);
+        }
+    }
+
+    /// Waits until a revision is in force and notes it.
+    async fn await_force(&self, revision: u64) -> Result<(), DeploymentFault> {
+        let recorded_at_us = unix_micros();
+        let report = self
+            .deployment
+            .operator
+            .await_force(revision, FORCE_WAIT)
+            .await?;
+        self.deployment.history.note(HistoryEvent::TableApplied {
+            revision,
+            recorded_at_us,
+            in_force: report.awaiting.is_empty(),
+            entries: report.confirmed.iter().map(ToString::to_string).collect(),
+        });
+        Ok(())
+    }
+}
--- a/crates/load/tests/whole_path_test.rs
+++ b/crates/load/tests/whole_path_test.rs
@@ -77,7 +77,7 @@
         length: Duration::from_secs(3),
         ..ArrivalPlan::default()
     };
-    let report = run_load(&deployment, &plan, EntryChoice::InTurn).await;
+    let report = run_load(&deployment.view(), &plan, EntryChoice::InTurn).await;
     assert_eq!(
         (report.answered, report.wrong, report.lost),
         (report.sent, 0, 0)
--- a/crates/wire/tests/codec_test.rs
+++ b/crates/wire/tests/codec_test.rs
@@ -104,7 +104,7 @@
         write_frame(&mut bytes, &reply)
             .await
             .expect("it is written");
-        let back: PeerReply = read_frame(&mut &bytes[..]).await.expect("it is read");
+        let back: PeerReply = read_frame(&mut &*bytes).await.expect("it is read");
         assert_eq!(back, reply);
         let torn: Result<PeerReply, _> = read_frame(&mut &bytes[..bytes.len() - 1]).await;
         assert!(torn.is_err());
