Forward requests to idle permits, and move permits by demand

Change: entries tell each other idle permits with their demand; a request that finds no permit free is forwarded once to an entry that had one, with no store call. Permits move by demand: a peer hands over what the asker's demand entitles it to, as runs end. Each entry gives back its part when a ceiling was lowered below what is granted; before, only an entry that alone held more than the ceiling gave back.

--- a/crates/domain/src/team/team_permits.rs
+++ b/crates/domain/src/team/team_permits.rs
@@ -27,10 +27,10 @@
         self.running + self.withheld < self.held
     }
 
-    /// Keeps up to `permits` from being taken again, so that they can be handed over as
-    /// their runs end. At most half of what is held is kept back.
+    /// Keeps `permits` from being taken again, so that they can be handed over or given
+    /// back as their runs end.
     pub fn withhold(&mut self, permits: u32) {
-        self.withheld = permits.min(self.held.div_ceil(2));
+        self.withheld = permits.min(self.held);
     }
 
     /// Permits kept back.
@@ -59,6 +59,11 @@
         self.held.saturating_sub(self.running)
     }
 
+    /// Permits that could be taken.
+    pub fn free(&self) -> u32 {
+        self.idle().saturating_sub(self.withheld)
+    }
+
     /// Takes over what the store recorded, after the record was raised.
     pub fn confirm_raise(&mut self, recorded: u32) {
         self.held = self.held.max(recorded);
--- a/crates/entry/src/dispatch/demand_task.rs
+++ b/crates/entry/src/dispatch/demand_task.rs
@@ -1,14 +1,20 @@
 //! Telling other entries what this one's teams would use of each pool.
 
 use {
-    super::dispatch_desk::pump_all,
+    super::{dispatch_desk::pump_all, pool_desk::PoolDesk},
     crate::{
         node::{EntryNode, lock},
         peers,
     },
-    dotterelshore_domain::{collections::FastSet, names::PoolName},
-    dotterelshore_wire::peer_message::{PeerNotice, TeamDemand},
-    std::{sync::Arc, time::Duration},
+    dotterelshore_domain::{
+        collections::{FastMap, FastSet},
+        names::{PoolName, TeamName},
+    },
+    dotterelshore_wire::peer_message::{PeerNotice, PoolDemand},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
 };
 
 /// How often demand is told while there is any.
@@ -33,7 +39,7 @@
 /// Tells each pool's demand, and once more when it has ended.
 async fn tell_demand(node: &Arc<EntryNode>, told: &mut FastSet<PoolName>) {
     for (pool, desk) in node.desks.all() {
-        let mut teams = lock(&desk).own_demand();
+        let mut teams = demand_of(node, &desk);
         let had = told.contains(&pool);
         if teams.is_empty() && !had {
             continue;
@@ -48,7 +54,29 @@
     }
 }
 
-fn largest_first(teams: &mut Vec<TeamDemand>) {
+/// This entry's demand on a pool, and its idle permits of teams wanted elsewhere.
+fn demand_of(node: &EntryNode, desk: &Mutex<PoolDesk>) -> Vec<PoolDemand> {
+    let desk = lock(desk);
+    let mut demand: FastMap<TeamName, u32> = desk
+        .teams_elsewhere()
+        .into_iter()
+        .map(|team| (team, 0))
+        .collect();
+    demand.extend(
+        desk.own_demand()
+            .into_iter()
+            .map(|own| (own.team, own.demand)),
+    );
+    drop(desk);
+    let teams = demand.into_iter().map(|(team, demand)| PoolDemand {
+        idle: node.permits.spare(&team),
+        team,
+        demand,
+    });
+    teams.filter(|team| team.demand + team.idle > 0).collect()
+}
+
+fn largest_first(teams: &mut Vec<PoolDemand>) {
     teams.sort_by_key(|demand| std::cmp::Reverse(demand.demand));
     teams.truncate(TEAMS_PER_NOTICE);
 }
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod demand_task;
 mod dispatch_desk;
 mod pool_desk;
+mod request_forward;
 mod request_run;
 mod run_turn;
 mod target_load;
@@ -11,6 +12,10 @@
 pub(crate) use {
     dispatch_desk::DispatchDesk,
     pool_desk::TargetSeat,
+    request_forward::{
+        FORWARD_TIME_MIN, ForwardEnd, ForwardedRequest, HEADER_FORWARDED, choose_peer, forward,
+        forwarded_headers,
+    },
     request_run::{RequestCarry, carry_request},
     run_turn::RunTurn,
     target_word::{instance_quiet, running_for},
--- a/crates/entry/src/dispatch/pool_desk.rs
+++ b/crates/entry/src/dispatch/pool_desk.rs
@@ -8,13 +8,15 @@
         names::{CentreName, EntryName, InstanceName, TeamName},
         queue::{LineOrder, SplitClaim, WaitingLine, fair_split},
     },
-    dotterelshore_wire::peer_message::TeamDemand,
+    dotterelshore_wire::peer_message::{PoolDemand, TeamDemand},
     std::time::{Duration, Instant},
     tokio::sync::oneshot,
 };
 
 /// How long a peer's demand counts after it was last heard.
 const DEMAND_LIFE: Duration = Duration::from_millis(1500);
+/// How long a peer's idle permits are believed.
+const IDLE_LIFE: Duration = Duration::from_millis(600);
 /// Weight of the newest run in the pool's mean length.
 const MEAN_GAIN: f64 = 0.05;
 
@@ -36,9 +38,16 @@
 /// Where a turn is awaited.
 pub(crate) type TurnSender = oneshot::Sender<GrantedTurn>;
 
+/// A team in a peer, as it was last heard.
+#[derive(Debug, Clone, Copy)]
+struct PeerTeam {
+    demand: u32,
+    idle: u32,
+}
+
 #[derive(Debug)]
 struct PeerDemand {
-    teams: FastMap<TeamName, u32>,
+    teams: FastMap<TeamName, PeerTeam>,
     heard: Instant,
 }
 
@@ -110,11 +119,15 @@
     }
 
     /// Notes a peer's demand.
-    pub(crate) fn note_demand(&mut self, peer: EntryName, teams: Vec<TeamDemand>) {
-        let teams = teams
-            .into_iter()
-            .map(|demand| (demand.team, demand.demand))
-            .collect();
+    pub(crate) fn note_demand(&mut self, peer: EntryName, teams: Vec<PoolDemand>) {
+        let told = |told: PoolDemand| {
+            let team = PeerTeam {
+                demand: told.demand,
+                idle: told.idle,
+            };
+            (told.team, team)
+        };
+        let teams = teams.into_iter().map(told).collect();
         self.peers.insert(
             peer,
             PeerDemand {
@@ -124,6 +137,37 @@
         );
     }
 
+    /// Teams that a peer has demand of and this entry has none of.
+    pub(crate) fn teams_elsewhere(&self) -> Vec<TeamName> {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| peer.heard.elapsed() < DEMAND_LIFE);
+        let wanted = fresh
+            .flat_map(|peer| &peer.teams)
+            .filter(|(_, told)| told.demand > 0);
+        let mut teams: Vec<TeamName> = wanted.map(|(team, _)| team.clone()).collect();
+        teams.sort();
+        teams.dedup();
+        teams
+    }
+
+    /// The peer with most idle permits of a team, as last heard. Each asking counts one of
+    /// them as used until the peer is heard again.
+    pub(crate) fn idle_peer(&mut self, team: &TeamName) -> Option<EntryName> {
+        let fresh = self
+            .peers
+            .iter_mut()
+            .filter(|(_, peer)| peer.heard.elapsed() < IDLE_LIFE);
+        let told = fresh.filter_map(|(name, peer)| Some((name, peer.teams.get_mut(team)?)));
+        let (name, told) = told.max_by_key(|(_, told)| told.idle)?;
+        if told.idle == 0 {
+            return None;
+        }
+        told.idle -= 1;
+        Some(name.clone())
+    }
+
     /// This entry's demand, waiting and running.
     pub(crate) fn own_demand(&self) -> Vec<TeamDemand> {
         let mut demand: FastMap<&TeamName, u32> = FastMap::default();
@@ -252,8 +296,8 @@
             .peers
             .values()
             .filter(|peer| peer.heard.elapsed() < DEMAND_LIFE);
-        for (team, demand) in fresh.flat_map(|peer| &peer.teams) {
-            *fleet.entry(team).or_default() += demand;
+        for (team, told) in fresh.flat_map(|peer| &peer.teams) {
+            *fleet.entry(team).or_default() += told.demand;
         }
         let demand: u32 = fleet.values().sum();
         if demand <= capacity {
--- a/crates/entry/src/front/caller_front.rs
+++ b/crates/entry/src/front/caller_front.rs
@@ -3,7 +3,10 @@
 use {
     super::front_request::{FrontRequest, malformed},
     crate::{
-        dispatch::{RequestCarry, carry_request},
+        dispatch::{
+            FORWARD_TIME_MIN, ForwardEnd, ForwardedRequest, HEADER_FORWARDED, RequestCarry,
+            carry_request, choose_peer, forward, forwarded_headers,
+        },
         jobs,
         node::EntryNode,
     },
@@ -40,9 +43,13 @@
 ) -> Result<WholeAnswer, Refusal> {
     request.expect_method(&[Method::POST, Method::PUT])?;
     let checked = check(node, &request, queue, TargetKind::Executor)?;
+    let deadline = Instant::now() + checked.timeout;
+    if let Some(answer) = serve_elsewhere(node, &request, &checked, deadline).await? {
+        return Ok(passed_on(&answer));
+    }
     let id = checked.id.clone().map_or_else(fresh_id, Ok)?;
     let carry = RequestCarry {
-        deadline: Instant::now() + checked.timeout,
+        deadline,
         content_type: request
             .header("content-type")?
             .unwrap_or(DEFAULT_CONTENT_TYPE)
@@ -56,6 +63,40 @@
     Ok(passed_on(&answer))
 }
 
+/// Has another entry serve the request, if this one has no permit free and that one had.
+/// `None` if it is to be served here.
+async fn serve_elsewhere(
+    node: &Arc<EntryNode>,
+    request: &FrontRequest,
+    checked: &CallerRequest,
+    deadline: Instant,
+) -> Result<Option<HttpAnswer>, Refusal> {
+    let forwarded = request.header(HEADER_FORWARDED)?.is_some();
+    if forwarded || checked.timeout < FORWARD_TIME_MIN {
+        return Ok(None);
+    }
+    let Some(peer) = choose_peer(node, checked) else {
+        return Ok(None);
+    };
+    let onward = ForwardedRequest {
+        method: request.method.clone(),
+        path: request.path.clone(),
+        headers: forwarded_headers(&request.headers),
+        body: request.body.clone(),
+        deadline,
+    };
+    match forward(node, &peer, &onward).await? {
+        ForwardEnd::Answered(answer) => {
+            node.metrics.count_forward("answered");
+            Ok(Some(answer))
+        }
+        ForwardEnd::NotRun => {
+            node.metrics.count_forward("not-run");
+            Ok(None)
+        }
+    }
+}
+
 /// `POST /v1/queues/{queue}/jobs`.
 pub(super) async fn submit_job(
     node: &Arc<EntryNode>,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,7 @@
     registry: Registry,
     refusals: Family<RefusalLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
+    forwards: Family<ReasonLabel, Counter>,
     answers: Counter,
     peer_faults: Family<ReasonLabel, Counter>,
     peer_bytes: Counter,
@@ -50,6 +51,12 @@
         registry.register("refusals", "Refusals by reason", refusals.clone());
         let retries = Family::default();
         registry.register("retries", "Retries by reason", retries.clone());
+        let forwards = Family::default();
+        registry.register(
+            "forwards",
+            "Requests sent on to another entry, by what came of it",
+            forwards.clone(),
+        );
         let answers = Counter::default();
         registry.register("answers", "Whole answers passed on", answers.clone());
         let peer_faults = Family::default();
@@ -94,6 +101,7 @@
             registry,
             refusals,
             retries,
+            forwards,
             answers,
             peer_faults,
             peer_bytes,
@@ -124,6 +132,14 @@
             .inc();
     }
 
+    /// Counts a request sent on to another entry.
+    pub(crate) fn count_forward(&self, reason: &str) {
+        let label = ReasonLabel {
+            reason: reason.to_owned(),
+        };
+        self.forwards.get_or_create(&label).inc();
+    }
+
     /// Counts an answer passed on.
     pub(crate) fn count_answer(&self) {
         self.answers.inc();
--- a/crates/entry/src/peers/member_book.rs
+++ b/crates/entry/src/peers/member_book.rs
@@ -7,6 +7,7 @@
         names::{EntryName, EntryStamp},
     },
     std::{
+        net::SocketAddr,
         sync::Mutex,
         time::{Duration, Instant},
     },
@@ -21,6 +22,7 @@
     pub(crate) stamp: EntryStamp,
     pub(crate) table_revision: u64,
     pub(crate) leaving: bool,
+    pub(crate) front: SocketAddr,
     pub(crate) heard: Instant,
 }
 
@@ -32,16 +34,18 @@
 
 impl MemberBook {
     /// Notes a heartbeat.
-    pub(crate) fn hear(&self, stamp: EntryStamp, table_revision: u64, leaving: bool) {
-        let member = HeardMember {
-            stamp,
-            table_revision,
-            leaving,
-            heard: Instant::now(),
-        };
+    pub(crate) fn hear(&self, member: HeardMember) {
         lock(&self.members).insert(member.stamp.name.clone(), member);
     }
 
+    /// Where callers reach an entry that was heard lately and is not leaving.
+    pub(crate) fn front_of(&self, name: &EntryName) -> Option<SocketAddr> {
+        let members = lock(&self.members);
+        let member = members.get(name)?;
+        let serves = !member.leaving && member.heard.elapsed() < LIFE_AFTER_HEARD;
+        serves.then_some(member.front)
+    }
+
     /// The entries heard lately.
     pub(crate) fn live(&self) -> Vec<HeardMember> {
         let members = lock(&self.members);
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -7,7 +7,7 @@
 mod peer_notices;
 
 pub(crate) use {
-    member_book::MemberBook,
+    member_book::{HeardMember, MemberBook},
     peer_book::{PeerBook, call, start},
     peer_notices::tell_all,
 };
--- a/crates/entry/src/peers/peer_answers.rs
+++ b/crates/entry/src/peers/peer_answers.rs
@@ -92,8 +92,8 @@
                 running: node.desks.running_on(&name),
             }
         }
-        PeerCall::PermitsWanted { to, teams } => {
-            PeerReply::PermitsGiven(permits::give_permits(node, &to, teams).await)
+        PeerCall::PermitsWanted { to, wants } => {
+            PeerReply::PermitsGiven(permits::give_permits(node, &to, wants).await)
         }
         PeerCall::Usage => PeerReply::Usage(node.desks.usage(node)),
         PeerCall::JobHanded { job } => {
--- a/crates/entry/src/peers/peer_notices.rs
+++ b/crates/entry/src/peers/peer_notices.rs
@@ -1,6 +1,7 @@
 //! Datagrams between entries: heartbeats and demand.
 
 use {
+    super::HeardMember,
     crate::{
         node::{EntryNode, lock},
         table,
@@ -10,7 +11,10 @@
         peer_codec::{DATAGRAM_BYTES_MAX, decode_datagram, encode_datagram},
         peer_message::{PeerDatagram, PeerNotice},
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// How often an entry says that it lives.
@@ -33,6 +37,7 @@
             table_revision: node.table().revision,
             confirmed_age_ms: u64::try_from(node.confirmed_age().as_millis()).unwrap_or(u64::MAX),
             leaving: node.is_leaving(),
+            front: node.settings.listen,
         };
         tell_all(&node, notice).await;
         tokio::select! {
@@ -95,6 +100,7 @@
             table_revision,
             confirmed_age_ms,
             leaving,
+            front,
         } => {
             let own = node.table().revision;
             if table_revision == own {
@@ -103,7 +109,13 @@
             if table_revision > own {
                 table::catch_up(node, &datagram.from.name);
             }
-            node.members.hear(datagram.from, table_revision, leaving);
+            node.members.hear(HeardMember {
+                stamp: datagram.from,
+                table_revision,
+                leaving,
+                front,
+                heard: Instant::now(),
+            });
         }
         PeerNotice::Demand { pool, teams } => {
             if let Some(row) = node.table().pools.get(&pool) {
--- a/crates/entry/src/permits/hand_over.rs
+++ b/crates/entry/src/permits/hand_over.rs
@@ -8,26 +8,29 @@
         names::{EntryStamp, TeamName},
         team::{PermitLedger, ledger_shard},
     },
-    dotterelshore_wire::{peer_message::TeamDemand, store_link::UpdateStep},
+    dotterelshore_wire::{
+        peer_message::{PermitWant, TeamDemand},
+        store_link::UpdateStep,
+    },
 };
 
 /// Answers an entry's wish for permits: idle ones at once, others as runs end.
 pub(crate) async fn give_permits(
     node: &EntryNode,
     to: &EntryStamp,
-    wishes: Vec<TeamDemand>,
+    wants: Vec<PermitWant>,
 ) -> Vec<TeamDemand> {
     let mut given = Vec::new();
     if node.settings.fixed_permits {
         return given;
     }
-    for wish in wishes {
+    for want in wants {
         let (kept, owed) = {
             let _turn = node.permits.ledger_turn.lock().await;
-            let (kept, owed) = node.permits.give_up_for(&wish.team, wish.demand);
-            let permits = record(node, &wish.team, kept, to).await.unwrap_or_default();
+            let (kept, owed) = node.permits.give_up_for(&want);
+            let permits = record(node, &want.team, kept, to).await.unwrap_or_default();
             given.push(TeamDemand {
-                team: wish.team.clone(),
+                team: want.team.clone(),
                 demand: permits,
             });
             (kept, owed)
@@ -36,7 +39,7 @@
             owe(
                 node,
                 PermitDebt {
-                    team: wish.team,
+                    team: want.team,
                     to: to.clone(),
                     permits: owed,
                 },
@@ -61,7 +64,7 @@
     let debts = std::mem::take(&mut *lock(&node.permits.debts));
     for mut debt in debts {
         let _turn = node.permits.ledger_turn.lock().await;
-        let (kept, paid) = node.permits.pay_withheld(&debt.team, debt.permits);
+        let (kept, paid) = node.permits.pay_owed(&debt.team, debt.permits);
         if paid > 0 && record(node, &debt.team, kept, &debt.to).await.is_err() {
             node.permits.forgive(&debt.team);
             continue;
--- a/crates/entry/src/permits/permit_desk.rs
+++ b/crates/entry/src/permits/permit_desk.rs
@@ -8,6 +8,7 @@
         table::TeamRow,
         team::TeamPermits,
     },
+    dotterelshore_wire::peer_message::PermitWant,
     std::{
         sync::Mutex,
         time::{Duration, Instant},
@@ -20,8 +21,9 @@
 /// What is left of the remembered demand after each period.
 const PEAK_DECAY: f64 = 0.85;
 /// First and longest pause between tries for permits that are not to be had.
-const TRY_FIRST: Duration = Duration::from_millis(20);
-const TRY_LONGEST: Duration = Duration::from_secs(1);
+const TRY_FIRST: Duration = Duration::from_millis(10);
+const STORE_TRY_LONGEST: Duration = Duration::from_secs(1);
+const PEER_TRY_LONGEST: Duration = Duration::from_millis(160);
 
 /// One team's permits here, and what is known of its demand.
 #[derive(Debug, Default)]
@@ -29,10 +31,46 @@
     permits: TeamPermits,
     recent_peak: f64,
     waiting: u32,
-    next_try: Option<Instant>,
+    /// Owed to peers that have more demand for what they hold.
+    owed: u32,
+    /// To be given back since the ceiling was lowered.
+    over: u32,
+    /// Permits that the ledger had free when it was last read.
+    free_known: Option<u32>,
+    store_tries: TryPause,
+    peer_tries: TryPause,
+}
+
+/// When something that was not to be had may be tried again.
+#[derive(Debug, Default)]
+struct TryPause {
+    next: Option<Instant>,
     tries: u32,
 }
 
+impl TryPause {
+    fn is_over(&self) -> bool {
+        self.next.is_none_or(|at| at <= Instant::now())
+    }
+
+    fn lengthen(&mut self, longest: Duration) {
+        let pause = longest.min(TRY_FIRST * 2_u32.pow(self.tries.min(8)));
+        self.tries += 1;
+        self.next = Some(Instant::now() + pause.mul_f64(0.5 + 0.5 * rand::random::<f64>()));
+    }
+}
+
+impl PermitSeat {
+    fn demand(&self) -> u32 {
+        self.waiting + self.permits.running()
+    }
+
+    /// Keeps what is owed and what is over from being used again.
+    fn withhold(&mut self) {
+        self.permits.withhold(self.owed + self.over);
+    }
+}
+
 /// A debt to another entry, paid as runs end.
 #[derive(Debug, Clone)]
 pub(super) struct PermitDebt {
@@ -124,46 +162,63 @@
             seat.recent_peak = peak.max(seat.recent_peak * PEAK_DECAY);
         }
         let held = seat.permits.held();
-        let demand = waiting + seat.permits.running();
-        let wanted = headroom(seat.recent_peak.max(f64::from(demand)))
+        let demand = f64::from(seat.demand());
+        let wanted = headroom(seat.recent_peak.max(demand))
             .max(base)
             .min(row.ceiling);
-        let over_ceiling = held.saturating_sub(row.ceiling);
         let slack = (held / 4).max(1);
-        let surplus = if held > wanted + slack {
+        let spare = if periodic && held > wanted + slack {
             held - wanted
         } else {
-            over_ceiling
+            0
         };
         PermitWish {
             team: row.name.clone(),
             ceiling: row.ceiling,
             wanted,
-            surplus: if periodic { surplus } else { over_ceiling },
-            short: demand > held && held < row.ceiling,
+            surplus: spare.max(seat.over).max(held.saturating_sub(row.ceiling)),
+            short: seat.demand() > held && held < row.ceiling,
         }
     }
 
-    /// Whether it is time to try again for permits that were not to be had.
-    pub(super) fn may_try(&self, team: &TeamName) -> bool {
-        let now = Instant::now();
+    /// Whether the ledger is worth asking for more of a team's permits now.
+    pub(super) fn may_ask_store(&self, team: &TeamName, periodic: bool) -> bool {
+        let teams = lock(&self.teams);
+        let Some(seat) = teams.get(team) else {
+            return true;
+        };
+        (periodic || seat.free_known != Some(0)) && seat.store_tries.is_over()
+    }
+
+    /// Whether peers are worth asking for a team's permits now.
+    pub(super) fn may_ask_peers(&self, team: &TeamName) -> bool {
         lock(&self.teams)
             .get(team)
-            .is_some_and(|seat| seat.next_try.is_none_or(|at| at <= now))
+            .is_some_and(|seat| seat.peer_tries.is_over())
     }
 
-    /// Notes whether a try brought permits.
-    pub(super) fn note_try(&self, team: &TeamName, brought: bool) {
+    /// Notes whether the ledger gave permits.
+    pub(super) fn note_store_try(&self, team: &TeamName, brought: bool) {
         let mut teams = lock(&self.teams);
         let seat = teams.entry(team.clone()).or_default();
         if brought {
-            seat.tries = 0;
-            seat.next_try = None;
-            return;
+            seat.store_tries = TryPause::default();
+        } else {
+            seat.store_tries.lengthen(STORE_TRY_LONGEST);
+        }
+    }
+
+    /// Notes whether peers gave permits; if so, the ledger is worth reading at once.
+    pub(super) fn note_peer_try(&self, team: &TeamName, brought: bool) {
+        let mut teams = lock(&self.teams);
+        let seat = teams.entry(team.clone()).or_default();
+        if brought {
+            seat.peer_tries = TryPause::default();
+            seat.store_tries = TryPause::default();
+            seat.free_known = None;
+        } else {
+            seat.peer_tries.lengthen(PEER_TRY_LONGEST);
         }
-        let pause = TRY_LONGEST.min(TRY_FIRST * 2_u32.pow(seat.tries.min(8)));
-        seat.tries += 1;
-        seat.next_try = Some(Instant::now() + pause.mul_f64(0.5 + 0.5 * rand::random::<f64>()));
     }
 
     /// Takes over what the ledger records; says how many permits that brought.
@@ -175,6 +230,17 @@
         seat.permits.held() - before
     }
 
+    /// Notes what the ledger grants of a team in all, against its ceiling. Each entry gives
+    /// back its part of what is granted beyond.
+    pub(super) fn note_granted(&self, team: &TeamName, granted: u32, ceiling: u32) {
+        let mut teams = lock(&self.teams);
+        let seat = teams.entry(team.clone()).or_default();
+        let excess = granted.saturating_sub(ceiling);
+        seat.free_known = Some(ceiling.saturating_sub(granted));
+        seat.over = (excess * seat.permits.held()).div_ceil(granted.max(1));
+        seat.withhold();
+    }
+
     /// Gives up idle permits before the ledger is lowered; returns what is kept.
     pub(super) fn give_up(&self, team: &TeamName, surplus: u32) -> u32 {
         let mut teams = lock(&self.teams);
@@ -186,35 +252,52 @@
     }
 
     /// Gives up idle permits for a peer that is short of them, beyond what waits here.
-    /// Returns what is kept, and what of the peer's wish was not met.
-    pub(super) fn give_up_for(&self, team: &TeamName, lacking: u32) -> (u32, u32) {
+    /// Returns what is kept, and what is owed: as much as the peer's demand, against that
+    /// here, entitles it to.
+    pub(super) fn give_up_for(&self, want: &PermitWant) -> (u32, u32) {
         let mut teams = lock(&self.teams);
-        let seat = teams.entry(team.clone()).or_default();
-        let spare = seat.permits.idle().saturating_sub(seat.waiting);
+        let seat = teams.entry(want.team.clone()).or_default();
+        let spare = seat.permits.free().saturating_sub(seat.waiting);
         let before = seat.permits.held();
-        let kept = seat.permits.give_up(lacking.min(spare));
-        let unmet = lacking - (before - kept);
-        if unmet > 0 {
-            seat.permits.withhold(unmet);
-        }
-        (kept, unmet.min(seat.permits.withheld()))
+        let kept = seat.permits.give_up(want.lacking.min(spare));
+        let given = before - kept;
+        let demand = seat.demand() + want.demand;
+        let entitled = (before + want.held) * want.demand / demand.max(1);
+        let unmet = want.lacking - given;
+        seat.owed = entitled.saturating_sub(want.held + given).min(unmet);
+        seat.withhold();
+        (kept, seat.owed)
     }
 
-    /// Withheld permits whose runs have ended; gives them up and returns what is kept.
-    pub(super) fn pay_withheld(&self, team: &TeamName, owed: u32) -> (u32, u32) {
+    /// Gives up owed permits whose runs have ended; returns what is kept and what is paid.
+    pub(super) fn pay_owed(&self, team: &TeamName, owed: u32) -> (u32, u32) {
         let mut teams = lock(&self.teams);
         let seat = teams.entry(team.clone()).or_default();
-        let payable = owed.min(seat.permits.idle()).min(seat.permits.withheld());
-        (seat.permits.give_up(payable), payable)
+        let payable = owed.min(seat.permits.idle());
+        let before = seat.permits.held();
+        let kept = seat.permits.give_up(payable);
+        let paid = before - kept;
+        seat.owed = owed - paid;
+        seat.withhold();
+        (kept, paid)
     }
 
-    /// Lets withheld permits be used again.
+    /// Lets owed permits be used again.
     pub(super) fn forgive(&self, team: &TeamName) {
         if let Some(seat) = lock(&self.teams).get_mut(team) {
-            seat.permits.withhold(0);
+            seat.owed = 0;
+            seat.withhold();
         }
     }
 
+    /// Permits of a team that nothing uses or waits for here.
+    pub(crate) fn spare(&self, team: &TeamName) -> u32 {
+        let teams = lock(&self.teams);
+        teams
+            .get(team)
+            .map_or(0, |seat| seat.permits.free().saturating_sub(seat.waiting))
+    }
+
     /// Teams with permits here.
     pub(super) fn holding(&self) -> Vec<TeamName> {
         let teams = lock(&self.teams);
--- a/crates/entry/src/permits/permit_task.rs
+++ b/crates/entry/src/permits/permit_task.rs
@@ -9,14 +9,14 @@
     },
     dotterelshore_domain::{
         codes::{Refusal, ResultCode},
-        collections::FastMap,
+        collections::{FastMap, FastSet},
         names::{EntryStamp, TeamName},
         table::TeamRow,
         team::{LEDGER_SHARDS, PermitLedger, ledger_shard},
     },
     dotterelshore_wire::{
         log_event,
-        peer_message::{PeerCall, PeerReply, TeamDemand},
+        peer_message::{PeerCall, PeerReply, PermitWant},
         store_link::UpdateStep,
     },
     std::{sync::Arc, time::Duration},
@@ -26,8 +26,29 @@
 const BALANCE_PERIOD: Duration = Duration::from_millis(500);
 /// Shortest time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(4);
+/// Pause between two rounds while something is short.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest wait for a peer's permits.
-const GIVE_TIMEOUT: Duration = Duration::from_millis(800);
+const GIVE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A team as the ledger has it.
+struct LedgerRow {
+    team: TeamName,
+    recorded: u32,
+    granted: u32,
+    ceiling: u32,
+}
+
+/// Why a round is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RoundCause {
+    /// Somebody waits for want of permits.
+    Short,
+    /// It is time.
+    Periodic,
+    /// The table changed: every holding is checked against its ceiling.
+    TableChanged,
+}
 
 /// Starts the permit task.
 pub(crate) fn start(node: &Arc<EntryNode>) {
@@ -35,27 +56,32 @@
     tokio::spawn(async move {
         let mut feed = node.timer.every(BALANCE_PERIOD);
         let mut tables = node.tables.subscribe();
+        let mut short = false;
         loop {
-            let periodic = tokio::select! {
-                () = node.permits.short.notified() => false,
-                () = feed.next() => true,
-                _ = tables.changed() => true,
+            let cause = tokio::select! {
+                () = node.permits.short.notified() => RoundCause::Short,
+                () = feed.next() => RoundCause::Periodic,
+                _ = tables.changed() => RoundCause::TableChanged,
+                () = tokio::time::sleep(SHORT_PAUSE), if short => RoundCause::Short,
             };
             if node.is_leaving() {
                 return;
             }
             pay_debts(&node).await;
-            balance(&node, periodic).await;
+            short = balance(&node, cause).await;
             tokio::time::sleep(ROUND_PAUSE).await;
         }
     });
 }
 
 /// One round: raises what is short, gives back what is spare, asks peers for the rest.
-async fn balance(node: &Arc<EntryNode>, periodic: bool) {
+/// Says whether something is still short.
+async fn balance(node: &Arc<EntryNode>, cause: RoundCause) -> bool {
     let table = node.table();
+    let periodic = cause != RoundCause::Short;
     let entries = u32::try_from(node.peers.count() + 1).unwrap_or(u32::MAX);
     let mut shards: FastMap<u32, Vec<PermitWish>> = FastMap::default();
+    let mut short = Vec::new();
     for row in table.teams.values() {
         let wish = if node.settings.fixed_permits {
             fixed_wish(node, row, entries)
@@ -63,40 +89,42 @@
             wish(node, row, entries, periodic)
         };
         let held = node.permits.counts(&row.name).0;
-        let below =
-            wish.wanted > held && (periodic || wish.short) && node.permits.may_try(&row.name);
-        if below || wish.surplus > 0 {
+        let below = wish.wanted > held && (periodic || wish.short);
+        let worth = below && node.permits.may_ask_store(&row.name, periodic);
+        let check = cause == RoundCause::TableChanged && held > 0;
+        if wish.short {
+            short.push(wish.clone());
+        }
+        if worth || check || wish.surplus > 0 {
             shards
                 .entry(ledger_shard(&row.name))
                 .or_default()
                 .push(wish);
         }
     }
-    let mut lacking = Vec::new();
     for (shard, wishes) in shards {
-        match balance_shard(node, shard, &wishes).await {
-            Ok(()) => lacking.extend(
-                wishes
-                    .into_iter()
-                    .filter_map(|wish| still_lacking(node, wish)),
-            ),
-            Err(refusal) => {
-                log_event!(
-                    Debug,
-                    "permits-not-balanced",
-                    shard = shard,
-                    error = refusal
-                );
-                for wish in wishes {
-                    node.permits.note_try(&wish.team, false);
-                }
+        if let Err(refusal) = balance_shard(node, shard, &wishes).await {
+            log_event!(
+                Debug,
+                "permits-not-balanced",
+                shard = shard,
+                error = refusal
+            );
+            for wish in wishes {
+                node.permits.note_store_try(&wish.team, false);
             }
         }
     }
-    if !lacking.is_empty() && !node.settings.fixed_permits {
-        ask_peers(node, lacking).await;
+    let wants: Vec<PermitWant> = short
+        .iter()
+        .filter_map(|wish| still_lacking(node, wish))
+        .collect();
+    let lacking = !wants.is_empty();
+    if lacking && !node.settings.fixed_permits {
+        ask_peers(node, wants).await;
     }
     pump_all(node);
+    lacking
 }
 
 fn wish(node: &EntryNode, row: &TeamRow, entries: u32, periodic: bool) -> PermitWish {
@@ -141,36 +169,42 @@
             |ledger: Option<PermitLedger>| {
                 let before = ledger.unwrap_or_default();
                 let mut ledger = before.clone();
-                let mut held = Vec::new();
+                let mut rows = Vec::new();
                 for wish in wishes {
-                    let reached = match kept.get(&wish.team) {
+                    let recorded = match kept.get(&wish.team) {
                         Some(kept) => {
                             ledger.lower(&wish.team, &node.stamp, *kept);
                             ledger.held(&wish.team, &node.stamp)
                         }
                         None => ledger.raise(&wish.team, &node.stamp, wish.wanted, wish.ceiling),
                     };
-                    held.push((wish.team.clone(), reached));
+                    rows.push(LedgerRow {
+                        team: wish.team.clone(),
+                        recorded,
+                        granted: ledger.granted(&wish.team),
+                        ceiling: wish.ceiling,
+                    });
                 }
                 let changed = ledger != before || must_write;
                 Ok(if changed {
-                    UpdateStep::Write(ledger, held)
+                    UpdateStep::Write(ledger, rows)
                 } else {
-                    UpdateStep::Keep(held)
+                    UpdateStep::Keep(rows)
                 })
             },
         )
         .await;
     match result {
-        Ok(held) => {
+        Ok(rows) => {
             lock(&node.permits.doubtful).remove(&shard);
-            for (team, recorded) in held
-                .into_iter()
-                .filter(|(team, _)| !kept.contains_key(team))
-            {
-                let brought = node.permits.confirm(&team, recorded);
-                node.metrics.count_permits(brought);
-                node.permits.note_try(&team, brought > 0);
+            for row in rows {
+                if !kept.contains_key(&row.team) {
+                    let brought = node.permits.confirm(&row.team, row.recorded);
+                    node.metrics.count_permits(brought);
+                    node.permits.note_store_try(&row.team, brought > 0);
+                }
+                node.permits
+                    .note_granted(&row.team, row.granted, row.ceiling);
             }
             Ok(())
         }
@@ -184,47 +218,47 @@
 }
 
 /// What a team waits for that the ledger could not give.
-fn still_lacking(node: &EntryNode, wish: PermitWish) -> Option<TeamDemand> {
+fn still_lacking(node: &EntryNode, wish: &PermitWish) -> Option<PermitWant> {
     let (held, running) = node.permits.counts(&wish.team);
     let demand = running + node.desks.waiting_of(&wish.team);
     let lacking = demand.min(wish.ceiling).saturating_sub(held);
-    (wish.short && lacking > 0).then_some(TeamDemand {
-        team: wish.team,
-        demand: lacking,
+    (lacking > 0).then(|| PermitWant {
+        team: wish.team.clone(),
+        lacking,
+        held,
+        demand,
     })
 }
 
 /// Asks the other entries for permits; what they hand over shows in the ledger.
-async fn ask_peers(node: &Arc<EntryNode>, lacking: Vec<TeamDemand>) {
-    let peers = node.peers.names();
-    let share = u32::try_from(peers.len().max(1)).unwrap_or(u32::MAX);
-    let parts: Vec<TeamDemand> = lacking
-        .into_iter()
-        .map(|wish| TeamDemand {
-            team: wish.team,
-            demand: wish.demand.div_ceil(share),
-        })
-        .collect();
+async fn ask_peers(node: &Arc<EntryNode>, mut wants: Vec<PermitWant>) {
+    wants.retain(|want| node.permits.may_ask_peers(&want.team));
+    if wants.is_empty() {
+        return;
+    }
     let mut asked = tokio::task::JoinSet::new();
-    for peer in peers {
+    for peer in node.peers.names() {
         let node = Arc::clone(node);
-        let teams = parts.clone();
+        let wants = wants.clone();
         asked.spawn(async move {
             let call = PeerCall::PermitsWanted {
                 to: node.stamp.clone(),
-                teams,
+                wants,
             };
             peers::call(&node, &peer, call, GIVE_TIMEOUT).await
         });
     }
-    let mut moved = false;
+    let mut given = FastSet::default();
     while let Some(reply) = asked.join_next().await {
-        moved |= matches!(reply, Ok(Some(PeerReply::PermitsGiven(given))) if !given.is_empty());
-    }
-    if moved {
-        for part in parts {
-            node.permits.note_try(&part.team, true);
+        if let Ok(Some(PeerReply::PermitsGiven(teams))) = reply {
+            given.extend(teams.into_iter().map(|team| team.team));
         }
+    }
+    for want in &wants {
+        node.permits
+            .note_peer_try(&want.team, given.contains(&want.team));
+    }
+    if !given.is_empty() {
         node.permits.short.notify_one();
     }
 }
--- a/crates/wire/src/peer_message.rs
+++ b/crates/wire/src/peer_message.rs
@@ -19,6 +19,32 @@
     pub demand: u32,
 }
 
+/// A team's demand on a pool in one entry, and the permits to spare there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolDemand {
+    /// The team.
+    pub team: TeamName,
+    /// Waiting and running there.
+    pub demand: u32,
+    /// Permits that nothing uses there.
+    pub idle: u32,
+}
+
+/// What an entry that is short of a team's permits asks of another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PermitWant {
+    /// The team.
+    pub team: TeamName,
+    /// Permits it lacks.
+    pub lacking: u32,
+    /// Permits it holds.
+    pub held: u32,
+    /// Waiting and running there.
+    pub demand: u32,
+}
+
 /// What a team has in one entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,13 +77,15 @@
         confirmed_age_ms: u64,
         /// Whether it is shutting down.
         leaving: bool,
+        /// Where callers reach it.
+        front: std::net::SocketAddr,
     },
     /// What its teams would use of a pool.
     Demand {
         /// The pool.
         pool: PoolName,
-        /// The teams with demand.
-        teams: Vec<TeamDemand>,
+        /// The teams with demand, here or elsewhere.
+        teams: Vec<PoolDemand>,
     },
 }
 
@@ -100,8 +128,8 @@
     PermitsWanted {
         /// Who wants them.
         to: EntryStamp,
-        /// The teams, and how many permits each lacks.
-        teams: Vec<TeamDemand>,
+        /// What it is short of.
+        wants: Vec<PermitWant>,
     },
     /// Asks what each team has here.
     Usage,
--- a/crates/wire/tests/codec_test.rs
+++ b/crates/wire/tests/codec_test.rs
@@ -10,7 +10,7 @@
             DATAGRAM_BYTES_MAX, decode_datagram, decode_message, encode_datagram, read_frame,
             write_frame,
         },
-        peer_message::{PeerCall, PeerDatagram, PeerNotice, PeerReply, TeamDemand},
+        peer_message::{PeerCall, PeerDatagram, PeerNotice, PeerReply, PoolDemand},
     },
     proptest::{
         prelude::*,
@@ -31,6 +31,7 @@
             table_revision,
             confirmed_age_ms,
             leaving,
+            front: ([127, 0, 0, 1], 4000).into(),
         },
     );
     let demand = prop::collection::vec(("[a-z]{1,12}", any::<u32>()), 0..20).prop_map(|teams| {
@@ -38,9 +39,10 @@
             pool: PoolName::try_from("p").expect("a name"),
             teams: teams
                 .into_iter()
-                .map(|(team, demand)| TeamDemand {
+                .map(|(team, demand)| PoolDemand {
                     team: TeamName::try_from(team).expect("a name"),
                     demand,
+                    idle: 3,
                 })
                 .collect(),
         }
