--- a/crates/load/src/driver/caller_link.rs
+++ b/crates/load/src/driver/caller_link.rs
@@ -50,6 +50,8 @@
     Wrong,
     /// It was refused.
     Refused(ProblemDetails),
+    /// The entry could not be reached; nothing was sent.
+    Unreached,
     /// Nothing came, or what came can't be read.
     Lost,
 }
@@ -190,8 +192,10 @@
 }
 
 fn judge(answer: &Result<HttpAnswer, HttpFault>, request: &SentRequest) -> CallResult {
-    let Ok(answer) = answer else {
-        return CallResult::Lost;
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(HttpFault::NotSent { .. }) => return CallResult::Unreached,
+        Err(_) => return CallResult::Lost,
     };
     if answer.status.is_success() {
         let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
@@ -239,6 +243,6 @@
                 entry,
             }
         }
-        CallResult::Lost => HistoryEvent::Lost { id, entry },
+        CallResult::Lost | CallResult::Unreached => HistoryEvent::Lost { id, entry },
     }
 }
--- a/crates/load/src/driver/run_report.rs
+++ b/crates/load/src/driver/run_report.rs
@@ -37,6 +37,8 @@
     pub not_run: u64,
     /// Refused with the outcome unknown.
     pub unknown: u64,
+    /// Sent to an entry that could not be reached.
+    pub unreached: u64,
     /// Without any answer.
     pub lost: u64,
     /// Refusals by code.
@@ -67,6 +69,7 @@
             wrong: 0,
             not_run: 0,
             unknown: 0,
+            unreached: 0,
             lost: 0,
             codes: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -101,6 +104,7 @@
                     RunOutcome::OutcomeUnknown => self.unknown += 1,
                 }
             }
+            CallResult::Unreached => self.unreached += 1,
             CallResult::Lost => self.lost += 1,
         }
     }
@@ -150,8 +154,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "sent {}  whole {}  wrong {}  not-run {}  outcome-unknown {}  lost {}",
-            self.sent, self.answered, self.wrong, self.not_run, self.unknown, self.lost
+            "sent {}  whole {}  wrong {}  not-run {}  outcome-unknown {}  unreached {}  lost {}",
+            self.sent,
+            self.answered,
+            self.wrong,
+            self.not_run,
+            self.unknown,
+            self.unreached,
+            self.lost
         )?;
         writeln!(
             f,
--- /dev/null
+++ b/crates/load/tests/failure_test.rs
@@ -0,0 +1,63 @@
+//! Every kind of failure over separate processes, with a fixed seed: no promise breaks,
+//! every entry serves again, every accepted job ends.
+
+use {
+    dotterelshore_load::runs::{FAILURE_CASES, run_failure},
+    dotterelshore_testkit::named_cases,
+    std::time::Duration,
+};
+
+/// How long load runs in each case.
+const LOAD_LENGTH: Duration = Duration::from_secs(6);
+/// The seed of every case.
+const SEED: u64 = 1;
+
+fn holds(name: &str) {
+    let case = FAILURE_CASES.iter().find(|case| case.name == name);
+    let case = case.expect("a case of that name");
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let outcome = runtime.block_on(run_failure(*case, SEED, LOAD_LENGTH));
+    let outcome = outcome.expect("the run comes to an end");
+    assert!(outcome.report.answered > 0, "nothing was answered");
+    assert_eq!(outcome.faults(), Vec::<String>::new());
+}
+
+named_cases! { holds:
+    calm("calm");
+    wrong_answers("wrong-answers");
+    entry_killed("entry-killed");
+    entry_killed_twice("entry-killed-twice");
+    entry_frozen("entry-frozen");
+    entry_ended("entry-ended");
+    centres_cut("centres-cut");
+    centre_cut_off("centre-cut-off");
+    platform_down("platform-down");
+    platform_slow("platform-slow");
+    answers_lost("answers-lost");
+    operators_race("operators-race");
+    cancellations("cancellations");
+    workers_fail_all("workers-fail-all");
+    targets_frozen("targets-frozen");
+    targets_leave("targets-leave");
+    rack_lost_in_wave("rack-lost-in-wave");
+    wave_owner_killed("wave-owner-killed");
+    wave_while_platform_down("wave-while-platform-down");
+    killed_while_answers_lost("killed-while-answers-lost");
+    frozen_while_cut("frozen-while-cut");
+}
+
+#[test]
+fn every_case_has_a_test() {
+    let tested = include_str!("failure_test.rs");
+    for case in FAILURE_CASES {
+        assert!(
+            tested.contains(&format!("(\"{}\")", case.name)),
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/standins/src/targets/target_front.rs
+++ b/crates/standins/src/targets/target_front.rs
@@ -89,6 +89,11 @@
         self.stopped.send_replace(true);
     }
 
+    /// Whether it is stopped.
+    pub(super) fn is_stopped(&self) -> bool {
+        *self.stopped.borrow()
+    }
+
     /// Serves on the listener until it is stopped.
     pub(super) fn start(self: &Arc<Self>, listener: TcpListener) {
         self.stopped.send_replace(false);
--- a/crates/standins/src/targets/target_host.rs
+++ b/crates/standins/src/targets/target_host.rs
@@ -92,6 +92,7 @@
             target.front.stop();
             plain_answer(200, "text/plain", "")
         }
+        "start" if !target.front.is_stopped() => plain_answer(200, "text/plain", "it runs"),
         "start" => match listen(target.address) {
             Ok(listener) => {
                 target.front.start(listener);
