Try moves, a withdrawn key and a lowered ceiling under load

Cause: the failure runs had no move, no withdrawal and no lowered ceiling, and no caller sent a request again after it got no answer. Change: three cases; callers in doubt send the same request again to another entry. 'key-withdrawn' first reported a job that did not end: its own submitter could no longer read it, as the trace showed (1007 on each reading); reading with a withdrawn key now counts as such.

--- a/crates/entry/src/dispatch/request_forward.rs
+++ b/crates/entry/src/dispatch/request_forward.rs
@@ -46,8 +46,7 @@
         return None;
     }
     let desk = node.desks.desk(&request.queue.pool, TargetKind::Executor);
-    let peer = lock(&desk).idle_peer(&request.team.name);
-    peer
+    lock(&desk).idle_peer(&request.team.name)
 }
 
 /// Sends a request on to a peer.
--- a/crates/load/src/driver/arrival_plan.rs
+++ b/crates/load/src/driver/arrival_plan.rs
@@ -46,6 +46,8 @@
     pub timeout: Duration,
     /// Whether every team asks for more than its part, so that shares can be seen.
     pub even_teams: bool,
+    /// Whether a caller who got no answer sends the request again to another entry.
+    pub resubmit: bool,
     /// Queues that get requests; none for all.
     pub queues: Vec<String>,
 }
@@ -63,6 +65,7 @@
             wrong: 0.0,
             timeout: Duration::from_secs(7),
             even_teams: false,
+            resubmit: false,
             queues: Vec::new(),
         }
     }
--- a/crates/load/src/driver/load_run.rs
+++ b/crates/load/src/driver/load_run.rs
@@ -7,6 +7,7 @@
         run_report::RunReport,
     },
     crate::deployment::DeploymentView,
+    dotterelshore_domain::codes::RunOutcome,
     std::time::{Duration, Instant},
     tokio::task::JoinSet,
 };
@@ -37,10 +38,16 @@
         let entry = deployment
             .entry_address(choose(deployment, &planned, number, choice))
             .to_string();
+        let next = deployment.entry_address((number + 1) % deployment.entry_count());
+        let again = plan.resubmit.then(|| next.to_string());
         let link = link.clone();
         open.spawn(async move {
             let result = link.call(&entry, &planned.request).await;
-            (planned, result, due.elapsed())
+            let latency = due.elapsed();
+            if let Some(next) = again.filter(|_| is_in_doubt(&result)) {
+                let _judged_by_the_history = link.call(&next, &planned.request).await;
+            }
+            (planned, result, latency)
         });
         while let Some(Ok((planned, result, latency))) = open.try_join_next() {
             report.add(&planned, &result, latency);
@@ -52,6 +59,15 @@
     report
 }
 
+/// Whether a caller can't tell if the request ran.
+fn is_in_doubt(result: &CallResult) -> bool {
+    match result {
+        CallResult::Lost | CallResult::Unreached => true,
+        CallResult::Refused(problem) => problem.outcome == RunOutcome::OutcomeUnknown,
+        CallResult::Whole | CallResult::Wrong => false,
+    }
+}
+
 fn choose(
     deployment: &DeploymentView,
     planned: &PlannedRequest,
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,9 +1,6 @@
 //! The load driver and experiment tool.
 
-use {
-    dotterelshore_load::runs::{FAILURE_CASES, run_failure},
-    std::time::Duration,
-};
+use dotterelshore_load::runs::{FAILURE_CASES, run_failure};
 
 #[tokio::main]
 async fn main() {
@@ -17,7 +14,7 @@
         .filter(|case| wanted.is_empty() || case.name == wanted)
     {
         let begun = std::time::Instant::now();
-        match run_failure(*case, seed, Duration::from_secs(6)).await {
+        match run_failure(*case, seed).await {
             Ok(outcome) => {
                 println!(
                     "== {} {:.1}s recovery {:?}",
--- a/crates/load/src/runs/background_work.rs
+++ b/crates/load/src/runs/background_work.rs
@@ -5,6 +5,7 @@
         deployment::DeploymentView,
         driver::{CallerLink, SentRequest},
     },
+    dotterelshore_domain::codes::ResultCode,
     dotterelshore_standins::targets::{TargetWork, WorkAct},
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::time::Duration,
@@ -103,13 +104,18 @@
             let entry = deployment
                 .entry_address(number % deployment.entry_count())
                 .to_string();
-            let mut state = None;
+            let mut state;
             loop {
-                if let Ok(report) = link.read_job(&entry, job, request, false).await {
-                    if report.state.ended() {
-                        state = Some(format!("{:?}", report.state));
-                        break;
+                state = match link.read_job(&entry, job, request, false).await {
+                    Ok(report) if report.state.ended() => Some(format!("{:?}", report.state)),
+                    // Its team's key was withdrawn: nobody may read it any more.
+                    Err(Some(problem)) if problem.result_code() == Some(ResultCode::KeyUnknown) => {
+                        Some("unreadable".to_owned())
                     }
+                    Ok(_) | Err(_) => None,
+                };
+                if state.is_some() {
+                    break;
                 }
                 if Instant::now() >= until {
                     break;
--- a/crates/load/src/runs/failure_run.rs
+++ b/crates/load/src/runs/failure_run.rs
@@ -44,6 +44,8 @@
     pub wave: bool,
     /// Part of the jobs that is cancelled.
     pub cancelled: f64,
+    /// How long load runs.
+    pub length: Duration,
 }
 
 impl std::fmt::Debug for FailureCase {
@@ -104,6 +106,9 @@
         pool.size = 8;
         pool.max_out = 2;
     }
+    let mut second = shape.pools[0].clone();
+    "plates".clone_into(&mut second.name);
+    shape.pools.push(second);
     for (team, ceiling) in shape.teams.iter_mut().zip([14, 8, 3]) {
         team.ceiling = ceiling;
     }
@@ -115,11 +120,7 @@
 /// # Errors
 ///
 /// What did not come up, or a control call that failed.
-pub async fn run_failure(
-    case: FailureCase,
-    seed: u64,
-    length: Duration,
-) -> Result<FailureOutcome, DeploymentFault> {
+pub async fn run_failure(case: FailureCase, seed: u64) -> Result<FailureOutcome, DeploymentFault> {
     let options = DeploymentOptions {
         cuttable: true,
         reboot: REBOOT,
@@ -128,17 +129,18 @@
     let deployment = RunningDeployment::start(trial_shape(), options).await?;
     let plan = ArrivalPlan {
         seed,
-        length,
+        length: case.length,
         rate: 160.0,
         mean_work: Duration::from_millis(70),
         wrong: case.wrong,
         timeout: Duration::from_secs(4),
+        resubmit: true,
         ..ArrivalPlan::default()
     };
     let jobs = BackgroundJobs {
         seed,
         count: 24,
-        pause: length / 30,
+        pause: case.length / 30,
         mean_work: Duration::from_millis(500),
         failing: 0.1,
         cancelled: case.cancelled,
@@ -199,10 +201,10 @@
 async fn waves_done(deployment: &RunningDeployment) -> bool {
     let until = Instant::now() + WAVE_WAIT;
     while Instant::now() < until {
-        if let Ok(waves) = deployment.operator.waves().await {
-            if waves.iter().all(|wave| wave.status == WaveStatus::Done) {
-                return true;
-            }
+        let waves = deployment.operator.waves().await.unwrap_or_default();
+        let done = waves.iter().all(|wave| wave.status == WaveStatus::Done);
+        if done && !waves.is_empty() {
+            return true;
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
--- a/crates/load/src/runs/failures.rs
+++ b/crates/load/src/runs/failures.rs
@@ -3,13 +3,17 @@
 use {
     super::failure_run::{FailureCase, FailureRun, FaultFuture},
     crate::deployment::DeploymentFault,
-    dotterelshore_domain::{names::TeamName, table::RowChange},
+    dotterelshore_domain::{
+        codes::ResultCode,
+        names::{InstanceName, KeyDigest, PoolName, TeamName},
+        table::RowChange,
+    },
     dotterelshore_standins::{
         history::{HistoryEvent, unix_micros},
         platform::FaultMode,
         targets::TargetBehaviour,
     },
-    dotterelshore_wire::operator_link::OperatorLink,
+    dotterelshore_wire::{operator_link::OperatorLink, operator_message::MoveOrder},
     std::time::Duration,
 };
 
@@ -59,6 +63,15 @@
         ..case("killed-while-answers-lost", killed_while_answers_lost)
     },
     case("frozen-while-cut", frozen_while_cut),
+    case("instances-move", instances_move),
+    FailureCase {
+        length: Duration::from_secs(9),
+        ..case("key-withdrawn", key_withdrawn)
+    },
+    FailureCase {
+        length: Duration::from_secs(17),
+        ..case("ceiling-lowered", ceiling_lowered)
+    },
 ];
 
 const fn case(
@@ -71,6 +84,7 @@
         wrong: 0.0,
         wave: false,
         cancelled: 0.05,
+        length: Duration::from_secs(6),
     }
 }
 
@@ -332,6 +346,53 @@
     })
 }
 
+/// Instances change pools and come back, within the budgets.
+fn instances_move(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        for (target, pool) in [
+            ("proofs-0", "plates"),
+            ("proofs-1", "plates"),
+            ("plates-0", "proofs"),
+        ] {
+            run.move_instance(target, pool).await?;
+        }
+        tokio::time::sleep(SECOND).await;
+        run.move_instance("proofs-0", "proofs").await?;
+        tokio::time::sleep(SECOND).await;
+        Ok(())
+    })
+}
+
+fn key_withdrawn(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        let key = run.deployment.shape.teams[0].key();
+        let drop_key = RowChange::Key(KeyDigest::of(&key), None);
+        let changed = run
+            .deployment
+            .operator
+            .change_rows("failures", |_| Ok(vec![drop_key.clone()]));
+        let revision = changed.await?.unwrap_or_default();
+        run.deployment
+            .history
+            .note(HistoryEvent::KeyWithdrawn { key });
+        run.await_force(revision).await
+    })
+}
+
+/// A ceiling is lowered well below what runs.
+fn ceiling_lowered(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        tokio::time::sleep(run.pause(HALF_SECOND)).await;
+        let revision = set_ceiling(&run.deployment.operator, "alpha", 4).await?;
+        run.deployment.history.note(HistoryEvent::CeilingSet {
+            team: "alpha".to_owned(),
+            ceiling: 4,
+        });
+        run.await_force(revision).await
+    })
+}
+
 async fn set_ceiling(
     link: &OperatorLink,
     team: &str,
@@ -366,6 +427,27 @@
         }
     }
 
+    /// Moves an instance, as often as the budget refuses it for now.
+    async fn move_instance(&self, target: &str, pool: &str) -> Result<(), DeploymentFault> {
+        let name = InstanceName::try_from(target)?;
+        let order = MoveOrder {
+            pool: PoolName::try_from(pool)?,
+        };
+        for _ in 0..50 {
+            match self.deployment.operator.move_instance(&name, &order).await {
+                Err(fault)
+                    if fault.is(ResultCode::BudgetSpent) || fault.is(ResultCode::InstanceBusy) =>
+                {
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+                moved => return Ok(moved.map(drop)?),
+            }
+        }
+        Err(DeploymentFault::Late {
+            what: format!("the move of {target}"),
+        })
+    }
+
     /// Waits until a revision is in force and notes it.
     async fn await_force(&self, revision: u64) -> Result<(), DeploymentFault> {
         let recorded_at_us = unix_micros();
--- a/crates/load/tests/failure_test.rs
+++ b/crates/load/tests/failure_test.rs
@@ -4,11 +4,8 @@
 use {
     dotterelshore_load::runs::{FAILURE_CASES, run_failure},
     dotterelshore_testkit::named_cases,
-    std::time::Duration,
 };
 
-/// How long load runs in each case.
-const LOAD_LENGTH: Duration = Duration::from_secs(6);
 /// The seed of every case.
 const SEED: u64 = 1;
 
@@ -20,7 +17,7 @@
         .enable_all()
         .build()
         .expect("a runtime");
-    let outcome = runtime.block_on(run_failure(*case, SEED, LOAD_LENGTH));
+    let outcome = runtime.block_on(run_failure(*case, SEED));
     let outcome = outcome.expect("the run comes to an end");
     assert!(outcome.report.answered > 0, "nothing was answered");
     assert_eq!(outcome.faults(), Vec::<String>::new());
@@ -48,6 +45,9 @@
     wave_while_platform_down("wave-while-platform-down");
     killed_while_answers_lost("killed-while-answers-lost");
     frozen_while_cut("frozen-while-cut");
+    instances_move("instances-move");
+    key_withdrawn("key-withdrawn");
+    ceiling_lowered("ceiling-lowered");
 }
 
 #[test]
