--- a/crates/domain/src/table/fleet_table.rs
+++ b/crates/domain/src/table/fleet_table.rs
@@ -128,6 +128,9 @@
             );
             faults.push(RowFault::new(TableKind::Queues, row, "pool", problem));
         }
+        if let Some(problem) = self.spill_problem(queue) {
+            faults.push(RowFault::new(TableKind::Queues, row, "spill", problem));
+        }
         if queue.max_waiting == 0 {
             let problem = "a queue that holds nothing serves nobody; give at least 1";
             faults.push(RowFault::new(
@@ -149,6 +152,25 @@
         faults
     }
 
+    fn spill_problem(&self, queue: &QueueRow) -> Option<String> {
+        let name = queue.spill.as_ref()?;
+        if *name == queue.pool {
+            return Some("the queue's own pool is no pool to spill to; name another".to_owned());
+        }
+        let Some(pool) = self.pools.get(name) else {
+            return Some(format!(
+                "pool '{name}' is not in the table; add it or name another"
+            ));
+        };
+        let own = self.pools.get(&queue.pool)?;
+        (own.kind != pool.kind).then(|| {
+            format!(
+                "pool '{name}' has {:?}s; name one of {:?}s",
+                pool.kind, own.kind
+            )
+        })
+    }
+
     /// The team that a key was granted to.
     ///
     /// # Errors
--- a/crates/domain/src/table/rows.rs
+++ b/crates/domain/src/table/rows.rs
@@ -58,6 +58,9 @@
     pub name: QueueName,
     /// The pool that serves it.
     pub pool: PoolName,
+    /// A pool that serves it too, while its own has no room and that one has.
+    #[serde(default)]
+    pub spill: Option<PoolName>,
     /// Whether its work is urgent.
     pub class: WorkClass,
     /// Whether it takes work without a key.
--- a/crates/domain/tests/table_test.rs
+++ b/crates/domain/tests/table_test.rs
@@ -31,6 +31,7 @@
     let row = QueueRow {
         name: name.clone(),
         pool: PoolName::try_from(pool).expect("a name"),
+        spill: None,
         class: WorkClass::Urgent,
         open,
         max_waiting: 10,
@@ -39,6 +40,16 @@
     RowChange::Queue(name, Some(row))
 }
 
+fn spilling(name: &str, pool: &str, spill: &str) -> RowChange {
+    match queue(name, pool, false) {
+        RowChange::Queue(name, Some(row)) => {
+            let spill = Some(PoolName::try_from(spill).expect("a name"));
+            RowChange::Queue(name, Some(QueueRow { spill, ..row }))
+        }
+        other => other,
+    }
+}
+
 fn team(name: &str, weight: u32, ceiling: u32) -> RowChange {
     let name = TeamName::try_from(name).expect("a name");
     RowChange::Team(
@@ -102,6 +113,8 @@
     a_share_of_nought(Some(team("a", 0, 8)), &["weight"]);
     a_ceiling_of_nought(Some(team("a", 3, 0)), &["ceiling"]);
     a_queue_of_no_pool(Some(queue("q", "nowhere", false)), &["pool"]);
+    a_queue_that_spills_to_its_own_pool(Some(spilling("q", "p", "p")), &["spill"]);
+    a_queue_that_spills_nowhere(Some(spilling("q", "p", "nowhere")), &["spill"]);
     a_key_of_no_team(Some(key("other", "nobody")), &["team"]);
 }
 
--- a/crates/entry/src/cli/entry_args.rs
+++ b/crates/entry/src/cli/entry_args.rs
@@ -69,14 +69,20 @@
     #[arg(long, env = "DOTTERELSHORE_LINE_ORDER", value_enum, default_value_t = LineOrderArg::WeightedFair)]
     pub line_order: LineOrderArg,
     /// How ceilings are split among entries: on-demand or fixed.
-    #[arg(long, env = "DOTTERELSHORE_PERMIT_SPLIT", value_enum, default_value_t = PermitSplitArg::OnDemand)]
-    pub permit_split: PermitSplitArg,
+    #[arg(long, env = "DOTTERELSHORE_PERMIT_SPLIT", value_enum, default_value_t = PermitSplit::OnDemand)]
+    pub permit_split: PermitSplit,
     /// How targets are chosen: least-busy or round-robin.
-    #[arg(long, env = "DOTTERELSHORE_TARGET_CHOICE", value_enum, default_value_t = TargetChoiceArg::LeastBusy)]
-    pub target_choice: TargetChoiceArg,
+    #[arg(long, env = "DOTTERELSHORE_TARGET_CHOICE", value_enum, default_value_t = TargetChoice::LeastBusy)]
+    pub target_choice: TargetChoice,
     /// Whether a request that can't start before its deadline is refused at once.
     #[arg(long, env = "DOTTERELSHORE_EARLY_REFUSAL", default_value_t = true, action = clap::ArgAction::Set)]
     pub early_refusal: bool,
+    /// Whether queues spill to the pool that their row names.
+    #[arg(long, env = "DOTTERELSHORE_SPILL", default_value_t = true, action = clap::ArgAction::Set)]
+    pub spill: bool,
+    /// Whether a request that finds no permit free is forwarded to an entry that has some.
+    #[arg(long, env = "DOTTERELSHORE_FORWARD", default_value_t = true, action = clap::ArgAction::Set)]
+    pub forward: bool,
     /// Least severe events logged: error, warn, info, debug.
     #[arg(long, env = "DOTTERELSHORE_LOG", default_value = "info")]
     pub log: log::LevelFilter,
@@ -93,7 +99,7 @@
 
 /// How ceilings are split among entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub(crate) enum PermitSplitArg {
+pub(crate) enum PermitSplit {
     /// Permits move to where they are wanted.
     OnDemand,
     /// Every entry keeps an equal part.
@@ -102,7 +108,7 @@
 
 /// How targets are chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub(crate) enum TargetChoiceArg {
+pub(crate) enum TargetChoice {
     /// The one with fewest busy slots, near ones first.
     LeastBusy,
     /// Each in turn.
--- a/crates/entry/src/cli/entry_settings.rs
+++ b/crates/entry/src/cli/entry_settings.rs
@@ -1,7 +1,7 @@
 //! Checked settings.
 
 use {
-    super::entry_args::{EntryArgs, LineOrderArg, PermitSplitArg, TargetChoiceArg},
+    super::entry_args::{EntryArgs, LineOrderArg, PermitSplit, TargetChoice},
     dotterelshore_domain::{
         names::{CentreName, EntryName},
         queue::LineOrder,
@@ -43,9 +43,11 @@
     pub key_trust: Option<Duration>,
     pub shutdown: Duration,
     pub line_order: LineOrder,
-    pub fixed_permits: bool,
-    pub round_robin: bool,
+    pub permit_split: PermitSplit,
+    pub target_choice: TargetChoice,
     pub early_refusal: bool,
+    pub spill: bool,
+    pub forward: bool,
 }
 
 impl fmt::Debug for EntrySettings {
@@ -57,6 +59,13 @@
     }
 }
 
+impl EntrySettings {
+    /// Whether every entry keeps an equal part of each ceiling.
+    pub(crate) fn has_fixed_permits(&self) -> bool {
+        self.permit_split == PermitSplit::Fixed
+    }
+}
+
 impl TryFrom<EntryArgs> for EntrySettings {
     type Error = SettingsFault;
 
@@ -103,9 +112,11 @@
                 LineOrderArg::WeightedFair => LineOrder::WeightedFair,
                 LineOrderArg::FirstCome => LineOrder::FirstCome,
             },
-            fixed_permits: args.permit_split == PermitSplitArg::Fixed,
-            round_robin: args.target_choice == TargetChoiceArg::RoundRobin,
+            permit_split: args.permit_split,
+            target_choice: args.target_choice,
             early_refusal: args.early_refusal,
+            spill: args.spill,
+            forward: args.forward,
         })
     }
 }
--- a/crates/entry/src/cli/mod.rs
+++ b/crates/entry/src/cli/mod.rs
@@ -4,4 +4,4 @@
 mod entry_settings;
 mod launch;
 
-pub(crate) use {entry_settings::EntrySettings, launch::run};
+pub(crate) use {entry_args::TargetChoice, entry_settings::EntrySettings, launch::run};
--- a/crates/entry/src/dispatch/dispatch_desk.rs
+++ b/crates/entry/src/dispatch/dispatch_desk.rs
@@ -51,7 +51,7 @@
     pub(crate) fn new(settings: &EntrySettings) -> Self {
         let policy = |slots| DeskPolicy {
             order: settings.line_order,
-            round_robin: settings.round_robin,
+            choice: settings.target_choice,
             centre: settings.centre.clone(),
             slots,
         };
@@ -216,17 +216,35 @@
     }
 }
 
-/// Waits in the queue's line for a turn, no longer than until `deadline`.
+/// The pool whose line work of a queue joins: its own, or the one it spills to while its
+/// own has no room and that one has.
+pub(crate) fn choose_pool<'a>(
+    node: &EntryNode,
+    queue: &'a QueueRow,
+    kind: TargetKind,
+) -> &'a PoolName {
+    let Some(spill) = queue.spill.as_ref().filter(|_| node.settings.spill) else {
+        return &queue.pool;
+    };
+    let own_room = lock(&node.desks.desk(&queue.pool, kind)).has_room();
+    if !own_room && lock(&node.desks.desk(spill, kind)).has_room() {
+        return spill;
+    }
+    &queue.pool
+}
+
+/// Waits in a line of the queue for a turn, no longer than until `deadline`.
 ///
 /// A job passes `None` for the deadline and waits as long as it takes.
 pub(crate) async fn await_turn(
     node: &Arc<EntryNode>,
     queue: &QueueRow,
+    pool: &PoolName,
     team: &TeamRow,
     kind: TargetKind,
     deadline: Option<Instant>,
 ) -> Result<RunTurn, Refusal> {
-    let desk = node.desks.desk(&queue.pool, kind);
+    let desk = node.desks.desk(pool, kind);
     let (waiter, granted) = oneshot::channel();
     let number = join_line(node, &desk, queue, team, deadline, waiter)?;
     let _seat = LineSeat {
@@ -236,14 +254,14 @@
     };
     node.permits
         .note_demand(&team.name, node.desks.waiting_of(&team.name));
-    pump(node, &queue.pool);
+    pump(node, pool);
     node.desks.demand_changed.notify_one();
     let granted = match deadline {
         Some(deadline) => tokio::time::timeout_at(deadline.into(), granted).await,
         None => Ok(granted.await),
     };
     match granted {
-        Ok(Ok(turn)) => Ok(RunTurn::new(node, queue.pool.clone(), turn)),
+        Ok(Ok(turn)) => Ok(RunTurn::new(node, pool.clone(), turn)),
         Ok(Err(_)) | Err(_) => Err(late_refusal(node, &desk, &team.name)),
     }
 }
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -23,6 +23,6 @@
 
 pub(crate) use {
     demand_task::start,
-    dispatch_desk::{await_turn, pump_all},
+    dispatch_desk::{await_turn, choose_pool, pump_all},
     target_load::TargetResult,
 };
--- a/crates/entry/src/dispatch/pool_desk.rs
+++ b/crates/entry/src/dispatch/pool_desk.rs
@@ -2,7 +2,7 @@
 
 use {
     super::target_load::{TargetLoad, TargetResult},
-    crate::permits::PermitDesk,
+    crate::{cli::TargetChoice, permits::PermitDesk},
     dotterelshore_domain::{
         collections::FastMap,
         names::{CentreName, EntryName, InstanceName, TeamName},
@@ -55,7 +55,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct DeskPolicy {
     pub(crate) order: LineOrder,
-    pub(crate) round_robin: bool,
+    pub(crate) choice: TargetChoice,
     pub(crate) centre: CentreName,
     pub(crate) slots: u32,
 }
@@ -228,6 +228,13 @@
         }
     }
 
+    /// Whether work that joins now would go at once, as far as targets are concerned.
+    pub(crate) fn has_room(&mut self) -> bool {
+        self.line.waiting() == 0
+            && self.running_total < self.allotment().total
+            && self.choose_seat(None).is_some()
+    }
+
     /// Another target for a turn that its target refused.
     pub(crate) fn reseat(&mut self, refused: &TargetSeat) -> Option<TargetSeat> {
         let seat = self.choose_seat(Some(&refused.name))?;
@@ -349,7 +356,7 @@
         let mut open = turned.filter(|seat| {
             Some(&seat.name) != but && load(seat).takes_work(self.policy.slots, now)
         });
-        if self.policy.round_robin {
+        if self.policy.choice == TargetChoice::RoundRobin {
             return open.next().cloned();
         }
         open.min_by_key(|seat| (seat.centre != self.policy.centre, load(seat).busy(now)))
--- a/crates/entry/src/dispatch/request_forward.rs
+++ b/crates/entry/src/dispatch/request_forward.rs
@@ -42,7 +42,7 @@
 
 /// The entry to forward a request to: this one has no permit free, and that one had.
 pub(crate) fn choose_peer(node: &EntryNode, request: &CallerRequest) -> Option<EntryName> {
-    if node.settings.fixed_permits || node.permits.spare(&request.team.name) > 0 {
+    if !node.settings.forward || node.permits.spare(&request.team.name) > 0 {
         return None;
     }
     let desk = node.desks.desk(&request.queue.pool, TargetKind::Executor);
--- a/crates/entry/src/dispatch/request_run.rs
+++ b/crates/entry/src/dispatch/request_run.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        dispatch_desk::await_turn, run_turn::RunTurn, target_load::TargetResult,
+        dispatch_desk::{await_turn, choose_pool},
+        run_turn::RunTurn,
+        target_load::TargetResult,
         target_word::settle_run,
     },
     crate::{
@@ -80,9 +82,11 @@
 async fn carry_tries(node: &Arc<EntryNode>, carry: &RequestCarry) -> Result<HttpAnswer, Refusal> {
     let mut ran = false;
     loop {
+        let pool = choose_pool(node, &carry.request.queue, TargetKind::Executor);
         let turn = await_turn(
             node,
             &carry.request.queue,
+            pool,
             &carry.request.team,
             TargetKind::Executor,
             Some(carry.deadline),
--- a/crates/entry/src/jobs/job_run.rs
+++ b/crates/entry/src/jobs/job_run.rs
@@ -6,7 +6,7 @@
         worker_link::{StartResult, WorkerRun},
     },
     crate::{
-        dispatch::{RunTurn, TargetResult, await_turn},
+        dispatch::{RunTurn, TargetResult, await_turn, choose_pool},
         node::EntryNode,
         peers,
     },
@@ -96,7 +96,8 @@
         )
     };
     let team = table.teams.get(&record.team).ok_or_else(no_team)?;
-    await_turn(node, queue, team, TargetKind::Worker, None).await
+    let pool = choose_pool(node, queue, TargetKind::Worker);
+    await_turn(node, queue, pool, team, TargetKind::Worker, None).await
 }
 
 /// Starts the next epoch on the turn's worker and sees it through.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,7 @@
     peer_bytes: Counter,
     permits_moved: Counter,
     store_calls: Gauge,
+    store_bytes: Gauge,
     running: Gauge,
     waiting: Gauge,
     table_revision: Gauge,
@@ -83,6 +84,12 @@
             "Calls to the platform's store",
             store_calls.clone(),
         );
+        let store_bytes = Gauge::default();
+        registry.register(
+            "store_bytes",
+            "Bytes of bodies sent to and read from the platform's store",
+            store_bytes.clone(),
+        );
         let running = Gauge::default();
         registry.register("running", "Runs that have not ended", running.clone());
         let waiting = Gauge::default();
@@ -107,6 +114,7 @@
             peer_bytes,
             permits_moved,
             store_calls,
+            store_bytes,
             running,
             waiting,
             table_revision,
@@ -185,6 +193,9 @@
             metrics
                 .store_calls
                 .set(i64::try_from(node.store.calls()).unwrap_or(i64::MAX));
+            metrics
+                .store_bytes
+                .set(i64::try_from(node.store.bytes()).unwrap_or(i64::MAX));
             metrics.running.set(i64::from(node.desks.running()));
             metrics.waiting.set(i64::from(node.desks.waiting()));
             metrics
--- a/crates/entry/src/peers/peer_answers.rs
+++ b/crates/entry/src/peers/peer_answers.rs
@@ -66,7 +66,8 @@
     loop {
         let call: PeerCall = read_frame(stream).await?;
         let reply = answer(node, call).await;
-        write_frame(stream, &reply).await?;
+        node.metrics
+            .count_peer_bytes(write_frame(stream, &reply).await?);
     }
 }
 
--- a/crates/entry/src/peers/peer_link.rs
+++ b/crates/entry/src/peers/peer_link.rs
@@ -46,7 +46,7 @@
         let Some(open) = stream.as_mut() else {
             continue;
         };
-        match tokio::time::timeout(queued.timeout, exchange(open, &queued.call)).await {
+        match tokio::time::timeout(queued.timeout, exchange(&node, open, &queued.call)).await {
             Ok(Ok(reply)) => {
                 let _gave_up = queued.reply.send(reply);
             }
@@ -74,7 +74,7 @@
             cluster: node.settings.cluster,
             from: node.stamp.clone(),
         };
-        let reply = exchange(&mut stream, &hello).await?;
+        let reply = exchange(node, &mut stream, &hello).await?;
         Ok::<_, PeerFault>((stream, reply))
     });
     match opened.await {
@@ -97,9 +97,11 @@
 }
 
 async fn exchange(
+    node: &EntryNode,
     stream: &mut BufStream<TcpStream>,
     call: &PeerCall,
 ) -> Result<PeerReply, PeerFault> {
-    write_frame(stream, call).await?;
+    node.metrics
+        .count_peer_bytes(write_frame(stream, call).await?);
     read_frame(stream).await
 }
--- a/crates/entry/src/permits/hand_over.rs
+++ b/crates/entry/src/permits/hand_over.rs
@@ -21,7 +21,7 @@
     wants: Vec<PermitWant>,
 ) -> Vec<TeamDemand> {
     let mut given = Vec::new();
-    if node.settings.fixed_permits {
+    if node.settings.has_fixed_permits() {
         return given;
     }
     for want in wants {
--- a/crates/entry/src/permits/permit_task.rs
+++ b/crates/entry/src/permits/permit_task.rs
@@ -83,7 +83,7 @@
     let mut shards: FastMap<u32, Vec<PermitWish>> = FastMap::default();
     let mut short = Vec::new();
     for row in table.teams.values() {
-        let wish = if node.settings.fixed_permits {
+        let wish = if node.settings.has_fixed_permits() {
             fixed_wish(node, row, entries)
         } else {
             wish(node, row, entries, periodic)
@@ -120,7 +120,7 @@
         .filter_map(|wish| still_lacking(node, wish))
         .collect();
     let lacking = !wants.is_empty();
-    if lacking && !node.settings.fixed_permits {
+    if lacking && !node.settings.has_fixed_permits() {
         ask_peers(node, wants).await;
     }
     pump_all(node);
--- a/crates/load/src/deployment/child_process.rs
+++ b/crates/load/src/deployment/child_process.rs
@@ -5,6 +5,7 @@
         sys::signal::{Signal, kill},
         unistd::Pid,
     },
+    serde::Serialize,
     std::{
         ffi::OsStr,
         fs::OpenOptions,
@@ -20,6 +21,44 @@
     child: Child,
 }
 
+/// What a process has used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct ProcessUsage {
+    /// Processor time, in seconds.
+    pub cpu_seconds: f64,
+    /// Resident memory, in megabytes.
+    pub resident_mb: f64,
+}
+
+impl ProcessUsage {
+    /// Reads what the system counts for a process; nought for one that is gone.
+    fn of(id: u32) -> Self {
+        /// Ticks a second in the system's counts of processor time.
+        const TICKS_PER_SECOND: f64 = 100.0;
+        /// Bytes in a page of memory.
+        const PAGE_BYTES: f64 = 4096.0;
+        let number = |text: Option<&str>| {
+            text.and_then(|text| text.parse::<f64>().ok())
+                .unwrap_or_default()
+        };
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        // The name in parentheses may hold spaces; the fields after it do not.
+        let fields: Vec<&str> = stat
+            .rsplit(')')
+            .next()
+            .unwrap_or_default()
+            .split_whitespace()
+            .collect();
+        let ticks = number(fields.get(11).copied()) + number(fields.get(12).copied());
+        let statm = std::fs::read_to_string(format!("/proc/{id}/statm")).unwrap_or_default();
+        let pages = number(statm.split_whitespace().nth(1));
+        Self {
+            cpu_seconds: ticks / TICKS_PER_SECOND,
+            resident_mb: pages * PAGE_BYTES / 1e6,
+        }
+    }
+}
+
 /// The folder of the programs: where this one is, or the one above for tests.
 pub fn program_folder() -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
@@ -57,6 +96,11 @@
         self.child.id()
     }
 
+    /// What it has used so far, as the system counts.
+    pub fn usage(&self) -> ProcessUsage {
+        ProcessUsage::of(self.child.id())
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         let Ok(id) = i32::try_from(self.child.id()) else {
--- a/crates/load/src/deployment/deployment_shape.rs
+++ b/crates/load/src/deployment/deployment_shape.rs
@@ -25,6 +25,8 @@
     pub size: usize,
     /// The availability budget.
     pub max_out: u32,
+    /// The pool that its queue spills to.
+    pub spill: Option<String>,
     /// Whether its queue is urgent.
     pub class: WorkClass,
     /// Longest wait of work that names no deadline.
@@ -79,6 +81,7 @@
         kind: TargetKind::Executor,
         size,
         max_out,
+        spill: None,
         class: WorkClass::Urgent,
         patience: Duration::from_secs(7),
     };
@@ -92,6 +95,27 @@
     [executors, workers]
 }
 
+/// Several services; all but the spare one spill to it.
+fn services(names: &[&str], spare: &str, size: usize, max_out: u32) -> Vec<ShapePool> {
+    let mut pools: Vec<ShapePool> = names
+        .iter()
+        .chain([&spare])
+        .flat_map(|name| service(name, size, max_out))
+        .collect();
+    for pool in pools
+        .iter_mut()
+        .filter(|pool| !pool.name.starts_with(spare))
+    {
+        let batch = pool.kind == TargetKind::Worker;
+        pool.spill = Some(if batch {
+            format!("{spare}-batch")
+        } else {
+            spare.to_owned()
+        });
+    }
+    pools
+}
+
 impl DeploymentShape {
     /// A few processes: for tests and a first look.
     pub fn small() -> Self {
@@ -114,10 +138,12 @@
             region: "luzon".to_owned(),
             centres: ["pasig", "makati", "caloocan"].map(str::to_owned).into(),
             entries: 9,
-            pools: ["proofdesk", "cutroom", "kernline", "aislemap", "backoffice"]
-                .into_iter()
-                .flat_map(|name| service(name, 10, 3))
-                .collect(),
+            pools: services(
+                &["proofdesk", "cutroom", "kernline", "aislemap"],
+                "backoffice",
+                10,
+                3,
+            ),
             teams: vec![
                 team("cebu", 8, 160),
                 team("davao", 6, 160),
@@ -137,10 +163,12 @@
                 .map(str::to_owned)
                 .into(),
             entries: 9,
-            pools: ["quotes", "tenders", "reserve", "certs", "backoffice"]
-                .into_iter()
-                .flat_map(|name| service(name, 10, 2))
-                .collect(),
+            pools: services(
+                &["quotes", "tenders", "reserve", "certs"],
+                "backoffice",
+                10,
+                2,
+            ),
             teams: vec![
                 team("municipal", 8, 160),
                 team("contractors", 6, 160),
@@ -221,6 +249,7 @@
     let queue_row = QueueRow {
         name: queue.clone(),
         pool: name.clone(),
+        spill: pool.spill.as_deref().map(PoolName::try_from).transpose()?,
         class: pool.class,
         open: false,
         max_waiting: 2000,
--- a/crates/load/src/deployment/running_deployment.rs
+++ b/crates/load/src/deployment/running_deployment.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        child_process::ChildProcess,
+        child_process::{ChildProcess, ProcessUsage},
         deployment_shape::{DeploymentShape, RACK_SIZE},
         link_relay::{LinkRelay, RelayGate},
     },
@@ -90,6 +90,8 @@
     pub entry_flags: Vec<String>,
     /// Whether links between entries, and to the platform, can be cut.
     pub cuttable: bool,
+    /// Whether pools stay without targets, as where only the cost of control is measured.
+    pub without_targets: bool,
     /// How long a reboot takes; nought for the stand-in's own default.
     pub reboot: Duration,
 }
@@ -199,7 +201,9 @@
         if deployment.options.cuttable {
             deployment.start_relays().await?;
         }
-        deployment.start_targets().await?;
+        if !deployment.options.without_targets {
+            deployment.start_targets().await?;
+        }
         for number in 0..deployment.entries.len() {
             deployment.start_entry(number).await?;
         }
@@ -241,9 +245,26 @@
         &self.entries[number].name
     }
 
-    /// The process id of an entry that runs.
-    pub fn entry_id(&self, number: usize) -> Option<u32> {
-        self.entries[number].process.as_ref().map(ChildProcess::id)
+    /// What an entry has used so far; nought for one that does not run.
+    pub fn entry_usage(&self, number: usize) -> ProcessUsage {
+        let process = self.entries[number].process.as_ref();
+        process.map(ChildProcess::usage).unwrap_or_default()
+    }
+
+    /// A figure that an entry counts, by its name in the metrics.
+    ///
+    /// # Errors
+    ///
+    /// The entry did not answer.
+    pub async fn entry_metric(&self, number: usize, name: &str) -> Result<f64, DeploymentFault> {
+        let authority = entry_address(self.host, number).to_string();
+        let request = request_to(Method::GET, &authority, "/metrics", &[], Bytes::new())?;
+        let answer = self.control.send(request, CONTROL_TIMEOUT).await?;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let lines = text
+            .lines()
+            .filter_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        Ok(lines.filter_map(|value| value.parse::<f64>().ok()).sum())
     }
 
     /// The entries of a data centre.
@@ -639,6 +660,9 @@
             });
         }
         self.note_table(revision, recorded_at_us);
+        if self.options.without_targets {
+            return Ok(());
+        }
         self.operator.add_instances(&self.new_instances()?).await?;
         for number in 0..self.entries.len() {
             self.await_instances(number).await?;
@@ -669,6 +693,12 @@
             });
         }
         for pool in &self.shape.pools {
+            if let Some(spill) = &pool.spill {
+                self.history.note(HistoryEvent::SpillSet {
+                    queue: pool.name.clone(),
+                    pool: spill.clone(),
+                });
+            }
             self.history.note(HistoryEvent::BudgetSet {
                 pool: pool.name.clone(),
                 max_out: pool.max_out,
--- a/crates/load/src/driver/arrival_plan.rs
+++ b/crates/load/src/driver/arrival_plan.rs
@@ -30,6 +30,8 @@
     pub seed: u64,
     /// How long requests arrive.
     pub length: Duration,
+    /// From when on work is counted for shares and goodput.
+    pub counted_from: Duration,
     /// Requests a second over all queues, in the mean.
     pub rate: f64,
     /// Mean time that a request runs.
@@ -57,6 +59,7 @@
         Self {
             seed: 1,
             length: Duration::from_secs(5),
+            counted_from: Duration::ZERO,
             rate: 200.0,
             mean_work: Duration::from_millis(20),
             peaks: false,
--- a/crates/load/src/driver/load_run.rs
+++ b/crates/load/src/driver/load_run.rs
@@ -29,7 +29,7 @@
 ) -> RunReport {
     let planned = plan.draw(&deployment.shape);
     let link = CallerLink::new(deployment.history.clone());
-    let mut report = RunReport::new(plan.length);
+    let mut report = RunReport::new(plan.length, plan.counted_from);
     let mut open: JoinSet<(PlannedRequest, CallResult, Duration)> = JoinSet::new();
     let start = Instant::now();
     for (number, planned) in planned.into_iter().enumerate() {
--- a/crates/load/src/driver/run_report.rs
+++ b/crates/load/src/driver/run_report.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{arrival_plan::PlannedRequest, caller_link::CallResult},
-    dotterelshore_domain::{codes::RunOutcome, collections::FastMap},
+    crate::deployment::ShapeTeam,
+    dotterelshore_domain::codes::RunOutcome,
     hdrhistogram::Histogram,
     serde::Serialize,
     std::{collections::BTreeMap, fmt, time::Duration},
@@ -27,6 +28,8 @@
 pub struct RunReport {
     /// How long requests were sent.
     pub length: Duration,
+    /// From when on work is counted for shares and goodput; until the end of sending.
+    pub counted_from: Duration,
     /// Requests sent.
     pub sent: u64,
     /// Whole answers.
@@ -57,13 +60,14 @@
     /// # Panics
     ///
     /// Never: the histogram's bounds are constants that fit.
-    pub fn new(length: Duration) -> Self {
+    pub fn new(length: Duration, counted_from: Duration) -> Self {
         let histogram = || {
             Histogram::new_with_bounds(1, LATENCY_MAX_US, 3)
                 .unwrap_or_else(|_| unreachable!("constant bounds"))
         };
         Self {
             length,
+            counted_from,
             sent: 0,
             answered: 0,
             wrong: 0,
@@ -80,6 +84,7 @@
 
     /// Adds what became of one request.
     pub fn add(&mut self, planned: &PlannedRequest, result: &CallResult, latency: Duration) {
+        let counted = (self.counted_from..self.length).contains(&(planned.at + latency));
         self.sent += 1;
         let team = self.teams.entry(planned.request.team.clone()).or_default();
         team.sent += 1;
@@ -87,7 +92,9 @@
             CallResult::Whole => {
                 self.answered += 1;
                 team.answered += 1;
-                team.work_seconds += planned.request.work.length().as_secs_f64();
+                if counted {
+                    team.work_seconds += planned.request.work.length().as_secs_f64();
+                }
                 self.latency.saturating_record(micros(latency));
                 self.overhead.saturating_record(micros(
                     latency.saturating_sub(planned.request.work.length()),
@@ -110,25 +117,26 @@
     }
 
     /// The largest distance of a team's part of the work from its part of the weights, in
-    /// percent of the whole.
-    pub fn share_error_percent(&self, weights: &FastMap<String, u32>) -> f64 {
+    /// percent of the latter.
+    pub fn share_error_percent(&self, teams: &[ShapeTeam]) -> f64 {
         let work: f64 = self.teams.values().map(|team| team.work_seconds).sum();
-        let total: u32 = weights.values().sum();
-        let error = |(name, team): (&String, &TeamReport)| {
-            let due =
-                f64::from(weights.get(name).copied().unwrap_or_default()) / f64::from(total.max(1));
-            100.0 * (team.work_seconds / work.max(f64::MIN_POSITIVE) - due).abs()
+        let total: u32 = teams.iter().map(|team| team.weight).sum();
+        let error = |team: &ShapeTeam| {
+            let due = f64::from(team.weight) / f64::from(total.max(1));
+            let got = self
+                .teams
+                .get(&team.name)
+                .map_or(0.0, |team| team.work_seconds);
+            100.0 * (got / work.max(f64::MIN_POSITIVE) / due - 1.0).abs()
         };
-        self.teams.iter().map(error).fold(0.0, f64::max)
+        teams.iter().map(error).fold(0.0, f64::max)
     }
 
-    /// Seconds of slots that the answered requests were worth, for each second of the run.
+    /// Seconds of slots that the answered requests were worth, for each second counted.
     pub fn goodput(&self) -> f64 {
-        self.teams
-            .values()
-            .map(|team| team.work_seconds)
-            .sum::<f64>()
-            / self.length.as_secs_f64()
+        let counted = self.length.saturating_sub(self.counted_from);
+        let work: f64 = self.teams.values().map(|team| team.work_seconds).sum();
+        work / counted.as_secs_f64()
     }
 
     /// A percentile of the latency in milliseconds.
--- a/crates/load/src/runs/failure_run.rs
+++ b/crates/load/src/runs/failure_run.rs
@@ -123,6 +123,7 @@
 pub async fn run_failure(case: FailureCase, seed: u64) -> Result<FailureOutcome, DeploymentFault> {
     let options = DeploymentOptions {
         cuttable: true,
+        without_targets: false,
         reboot: REBOOT,
         entry_flags: vec!["--task-lease-ms".to_owned(), "3000".to_owned()],
     };
--- /dev/null
+++ b/crates/load/src/runs/overhead_run.rs
@@ -0,0 +1,103 @@
+//! What an entry adds below saturation, against the same request sent to a target.
+
+use {
+    crate::{
+        deployment::{DeploymentFault, DeploymentOptions, DeploymentShape, RunningDeployment},
+        driver::{ArrivalPlan, EntryChoice, run_load},
+    },
+    bytes::Bytes,
+    dotterelshore_wire::{
+        http_link::{HttpLink, request_to},
+        target_message::{HEADER_REQUEST_ID, HEADER_RUN, HEADER_TEAM},
+    },
+    hdrhistogram::Histogram,
+    hyper::Method,
+    serde::Serialize,
+    std::time::{Duration, Instant},
+};
+
+/// Requests a second, well below saturation.
+const RATE: f64 = 100.0;
+/// How long each way is measured.
+const LENGTH: Duration = Duration::from_secs(10);
+/// Requests sent to targets directly.
+const DIRECT_REQUESTS: u32 = 1000;
+
+/// Time beyond the work itself, in milliseconds.
+#[derive(Debug, Clone, Serialize)]
+pub struct OverheadMeasure {
+    /// Which way.
+    pub way: &'static str,
+    /// Half take at most this.
+    pub p50_ms: f64,
+    /// All but one in a hundred take at most this.
+    pub p99_ms: f64,
+}
+
+/// Measures each way on a small deployment.
+///
+/// # Errors
+///
+/// What did not come up, or a call that failed.
+pub async fn measure_overhead() -> Result<Vec<OverheadMeasure>, DeploymentFault> {
+    let deployment =
+        RunningDeployment::start(DeploymentShape::small(), DeploymentOptions::default()).await?;
+    let mut measures = vec![direct(&deployment).await?];
+    for (way, non_idempotent) in [
+        ("through an entry, idempotent", 0.0),
+        ("through an entry, with a claim", 1.0),
+    ] {
+        let plan = ArrivalPlan {
+            length: LENGTH,
+            rate: RATE,
+            mean_work: Duration::ZERO,
+            non_idempotent,
+            ..ArrivalPlan::default()
+        };
+        let report = run_load(&deployment.view(), &plan, EntryChoice::InTurn).await;
+        measures.push(OverheadMeasure {
+            way,
+            p50_ms: report.overhead_ms(50.0),
+            p99_ms: report.overhead_ms(99.0),
+        });
+    }
+    Ok(measures)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "microseconds shown as milliseconds"
+)]
+async fn direct(deployment: &RunningDeployment) -> Result<OverheadMeasure, DeploymentFault> {
+    let http = HttpLink::new(8, 1024 * 1024);
+    let mut latency = Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!("constant bounds"));
+    for number in 0..DIRECT_REQUESTS {
+        let target = deployment
+            .target_address(0, (number % 4) as usize)
+            .to_string();
+        let run = format!("direct-{number}");
+        let headers = [
+            (HEADER_REQUEST_ID, run.as_str()),
+            (HEADER_RUN, run.as_str()),
+            (HEADER_TEAM, "direct"),
+        ];
+        let request = request_to(
+            Method::POST,
+            &target,
+            "/run",
+            &headers,
+            Bytes::from_static(b"{}"),
+        )?;
+        let begun = Instant::now();
+        http.send(request, Duration::from_secs(5)).await?;
+        latency.saturating_record(u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX));
+        tokio::time::sleep(Duration::from_secs_f64(1.0 / RATE).saturating_sub(begun.elapsed()))
+            .await;
+    }
+    let at = |percentile| latency.value_at_percentile(percentile) as f64 / 1000.0;
+    Ok(OverheadMeasure {
+        way: "to a target directly",
+        p50_ms: at(50.0),
+        p99_ms: at(99.0),
+    })
+}
--- a/crates/standins/src/history.rs
+++ b/crates/standins/src/history.rs
@@ -103,6 +103,8 @@
     CeilingSet { team: String, ceiling: u32 },
     /// What the revision says of a pool's budget.
     BudgetSet { pool: String, max_out: u32 },
+    /// What the revision says of a queue that may spill to another pool.
+    SpillSet { queue: String, pool: String },
     /// A key was granted to a team.
     KeyGranted { key: String, team: String },
     /// A key was withdrawn, and the withdrawal was recorded.
--- a/crates/wire/src/peer_codec.rs
+++ b/crates/wire/src/peer_codec.rs
@@ -66,7 +66,8 @@
     Ok(datagram)
 }
 
-/// Writes one message as a frame: its length in four bytes, then postcard.
+/// Writes one message as a frame: its length in four bytes, then postcard. Returns the
+/// bytes written.
 ///
 /// # Errors
 ///
@@ -74,7 +75,7 @@
 pub async fn write_frame<T: Serialize>(
     stream: &mut (impl AsyncWriteExt + Unpin),
     message: &T,
-) -> Result<(), PeerFault> {
+) -> Result<usize, PeerFault> {
     let bytes = postcard::to_allocvec(message).map_err(foreign)?;
     let length = u32::try_from(bytes.len())
         .ok()
@@ -92,7 +93,8 @@
     stream
         .flush()
         .await
-        .map_err(|source| PeerFault::Connection { source })
+        .map_err(|source| PeerFault::Connection { source })?;
+    Ok(frame.len())
 }
 
 /// Reads one frame.
--- a/crates/wire/src/store_link.rs
+++ b/crates/wire/src/store_link.rs
@@ -122,6 +122,7 @@
     authority: String,
     timeout: Duration,
     calls: Arc<AtomicU64>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl StoreLink {
@@ -134,6 +135,7 @@
             authority,
             timeout,
             calls: Arc::new(AtomicU64::new(0)),
+            bytes: Arc::new(AtomicU64::new(0)),
         }
     }
 
@@ -142,6 +144,15 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Bytes of bodies sent and read so far, heads not counted.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    fn count_bytes(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     /// Reads a record.
     ///
     /// # Errors
@@ -316,6 +327,7 @@
             .send(request, wait + self.timeout)
             .await
             .map_err(down)?;
+        self.count_bytes(answer.body.len());
         read_list(prefix, &answer)
     }
 
@@ -401,16 +413,17 @@
         body: Bytes,
     ) -> Result<HttpAnswer, StoreFault> {
         self.calls.fetch_add(1, Ordering::Relaxed);
+        self.count_bytes(body.len());
         let request = request_to(method, &self.authority, path, headers, body).map_err(down)?;
-        self.http
-            .send(request, self.timeout)
-            .await
-            .map_err(|fault| match fault {
-                HttpFault::NotSent { detail } => StoreFault::Down { detail },
-                fault => StoreFault::Unsure {
-                    detail: fault.to_string(),
-                },
-            })
+        let answer = self.http.send(request, self.timeout).await;
+        let answer = answer.map_err(|fault| match fault {
+            HttpFault::NotSent { detail } => StoreFault::Down { detail },
+            fault => StoreFault::Unsure {
+                detail: fault.to_string(),
+            },
+        })?;
+        self.count_bytes(answer.body.len());
+        Ok(answer)
     }
 }
 
