Keep permits for what can run: shares, goodput and deadlines under overload

Cause: with two pools full, shares were off by 9.7 points of a hundred, 15.0 with skewed arrivals, and by 0.7 and 1.1 with ceilings ten times higher: entries held permits for all that waited, far beyond the slots they could use, and refused others with 2008. A third of the work done at twice the load was thrown away: runs began so late that their deadline cut them. Change: permits are wished for at most the entry's part of the pool; a request is refused early when its wait takes more than half of its time, and gets no turn that leaves less than two mean runs. Shares are measured from the targets' side.

--- a/crates/entry/src/dispatch/dispatch_desk.rs
+++ b/crates/entry/src/dispatch/dispatch_desk.rs
@@ -23,6 +23,9 @@
     tokio::sync::{Notify, oneshot},
 };
 
+/// Part of the time until its deadline that a request may be expected to wait; the rest is
+/// for its run.
+const WAIT_PART_MAX: f64 = 0.5;
 /// When to try again after a refusal for want of room.
 const ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// How often the end of all runs is looked for on shutdown.
@@ -135,6 +138,17 @@
             .sum()
     }
 
+    /// How many of each team wait and could go at once if permits were no matter.
+    pub(crate) fn useful_waiting(&self) -> FastMap<TeamName, u32> {
+        let mut teams: FastMap<TeamName, u32> = FastMap::default();
+        for (_, desk) in self.all() {
+            for (team, waiting) in lock(&desk).useful_waiting() {
+                *teams.entry(team).or_default() += waiting;
+            }
+        }
+        teams
+    }
+
     /// Resolves when nothing runs any more.
     pub(crate) async fn all_ended(&self) {
         while self.running() > 0 {
@@ -252,12 +266,15 @@
         team: &team.name,
         number,
     };
-    node.permits
-        .note_demand(&team.name, node.desks.waiting_of(&team.name));
+    node.permits.note_arrival(&team.name);
     pump(node, pool);
     node.desks.demand_changed.notify_one();
     let granted = match deadline {
-        Some(deadline) => tokio::time::timeout_at(deadline.into(), granted).await,
+        Some(deadline) => {
+            // A turn so late that the run would be cut off helps nobody.
+            let latest = lock(&desk).latest_start(deadline);
+            tokio::time::timeout_at(latest.into(), granted).await
+        }
         None => Ok(granted.await),
     };
     match granted {
@@ -279,7 +296,7 @@
     if let Some(deadline) = deadline.filter(|_| node.settings.early_refusal) {
         let left = deadline.saturating_duration_since(Instant::now());
         let wait = desk.expected_wait(&team.name);
-        if wait > left {
+        if wait > left.mul_f64(WAIT_PART_MAX) {
             node.desks.note_late(&team.name);
             let detail = format!(
                 "about {} ms of waiting are ahead, and {} ms are left",
--- a/crates/entry/src/dispatch/pool_desk.rs
+++ b/crates/entry/src/dispatch/pool_desk.rs
@@ -17,6 +17,8 @@
 const DEMAND_LIFE: Duration = Duration::from_millis(1500);
 /// How long a peer's idle permits are believed.
 const IDLE_LIFE: Duration = Duration::from_millis(600);
+/// How many mean runs must fit between a start and the deadline.
+const RUN_MEANS_KEPT: f64 = 2.0;
 /// Weight of the newest run in the pool's mean length.
 const MEAN_GAIN: f64 = 0.05;
 
@@ -196,6 +198,25 @@
         self.running_total
     }
 
+    /// How many of each waiting team could go at once if permits were no matter: no more
+    /// than this entry's part of the pool lets run.
+    pub(crate) fn useful_waiting(&self) -> Vec<(TeamName, u32)> {
+        let allotment = self.allotment();
+        let useful = |team: &TeamName, waiting: u32| {
+            let running = self.running.get(team).copied().unwrap_or_default();
+            let part = allotment.teams.get(team).copied().unwrap_or(1);
+            if allotment.contended {
+                waiting.min(part.saturating_sub(running))
+            } else {
+                waiting
+            }
+        };
+        let waiting = self.line.teams_waiting();
+        waiting
+            .map(|(team, waiting)| (team.clone(), useful(team, waiting)))
+            .collect()
+    }
+
     /// Grants the next turn, if somebody may go and a target takes work.
     pub(crate) fn grant(&mut self, permits: &PermitDesk) -> Option<(TurnSender, GrantedTurn)> {
         let allotment = self.allotment();
@@ -288,6 +309,13 @@
         Duration::from_secs_f64((f64::from(ahead) / lanes * self.mean_seconds.max(0.0)).min(3600.0))
     }
 
+    /// The latest start that leaves time for a run of usual length.
+    pub(crate) fn latest_start(&self, deadline: Instant) -> Instant {
+        let usual =
+            Duration::from_secs_f64((RUN_MEANS_KEPT * self.mean_seconds).clamp(0.0, 3600.0));
+        deadline.checked_sub(usual).unwrap_or(deadline)
+    }
+
     /// This entry's part of the pool: the pool is split among teams by weight and
     /// demand, and a team's part among entries by demand.
     fn allotment(&self) -> EntryAllotment {
--- a/crates/entry/src/permits/permit_desk.rs
+++ b/crates/entry/src/permits/permit_desk.rs
@@ -123,7 +123,6 @@
     pub(crate) fn end_run(&self, team: &TeamName) {
         if let Some(seat) = lock(&self.teams).get_mut(team) {
             seat.permits.end_run();
-            seat.waiting = seat.waiting.saturating_sub(1);
         }
     }
 
@@ -134,13 +133,13 @@
             .map_or((0, 0), |seat| (seat.permits.held(), seat.permits.running()))
     }
 
-    /// Notes how many of a team wait; wakes the permit task when permits are short.
-    pub(crate) fn note_demand(&self, team: &TeamName, waiting: u32) {
+    /// Notes that one more of a team waits; wakes the permit task when no permit is free.
+    pub(crate) fn note_arrival(&self, team: &TeamName) {
         let mut teams = lock(&self.teams);
         let seat = teams.entry(team.clone()).or_default();
-        seat.waiting = waiting;
-        seat.permits.note_demand(waiting);
-        if waiting + seat.permits.running() > seat.permits.held() {
+        if seat.permits.has_free() {
+            seat.permits.note_demand(1);
+        } else {
             self.short.notify_one();
         }
     }
--- a/crates/entry/src/permits/permit_task.rs
+++ b/crates/entry/src/permits/permit_task.rs
@@ -82,11 +82,13 @@
     let entries = u32::try_from(node.peers.count() + 1).unwrap_or(u32::MAX);
     let mut shards: FastMap<u32, Vec<PermitWish>> = FastMap::default();
     let mut short = Vec::new();
+    let waiting = node.desks.useful_waiting();
+    let waiting_of = |team: &TeamName| waiting.get(team).copied().unwrap_or_default();
     for row in table.teams.values() {
         let wish = if node.settings.has_fixed_permits() {
             fixed_wish(node, row, entries)
         } else {
-            wish(node, row, entries, periodic)
+            wish(node, row, entries, waiting_of(&row.name), periodic)
         };
         let held = node.permits.counts(&row.name).0;
         let below = wish.wanted > held && (periodic || wish.short);
@@ -117,7 +119,7 @@
     }
     let wants: Vec<PermitWant> = short
         .iter()
-        .filter_map(|wish| still_lacking(node, wish))
+        .filter_map(|wish| still_lacking(node, wish, waiting_of(&wish.team)))
         .collect();
     let lacking = !wants.is_empty();
     if lacking && !node.settings.has_fixed_permits() {
@@ -127,10 +129,9 @@
     lacking
 }
 
-fn wish(node: &EntryNode, row: &TeamRow, entries: u32, periodic: bool) -> PermitWish {
+fn wish(node: &EntryNode, row: &TeamRow, entries: u32, waiting: u32, periodic: bool) -> PermitWish {
     let base = (row.ceiling / (2 * entries)).max(u32::from(row.ceiling >= entries));
-    node.permits
-        .wish(row, base, node.desks.waiting_of(&row.name), periodic)
+    node.permits.wish(row, base, waiting, periodic)
 }
 
 /// The baseline: every entry keeps an equal part.
@@ -218,9 +219,9 @@
 }
 
 /// What a team waits for that the ledger could not give.
-fn still_lacking(node: &EntryNode, wish: &PermitWish) -> Option<PermitWant> {
+fn still_lacking(node: &EntryNode, wish: &PermitWish, waiting: u32) -> Option<PermitWant> {
     let (held, running) = node.permits.counts(&wish.team);
-    let demand = running + node.desks.waiting_of(&wish.team);
+    let demand = running + waiting;
     let lacking = demand.min(wish.ceiling).saturating_sub(held);
     (lacking > 0).then(|| PermitWant {
         team: wish.team.clone(),
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -276,10 +276,10 @@
     };
     if !json {
         println!(
-            "{:<18} {:>8} {:>8} {:>8} {:>10} {:>9} {:>9} {:>8} {:>6} {:>7}",
+            "{:<18} {:>8} {:>9} {:>8} {:>10} {:>9} {:>9} {:>8} {:>6} {:>7}",
             "policy",
-            "share %",
-            "skewed %",
+            "share pt",
+            "skewed pt",
             "good %",
             "wait ms",
             "refused %",
@@ -307,10 +307,10 @@
 
 fn print_measures(measures: &PolicyMeasures) {
     println!(
-        "{:<18} {:>8.1} {:>8.1} {:>8.1} {:>10.1} {:>9.2} {:>8.1}s {:>8.2} {:>6} {:>7}",
+        "{:<18} {:>8.1} {:>9.1} {:>8.1} {:>10.1} {:>9.2} {:>8.1}s {:>8.2} {:>6} {:>7}",
         measures.policy,
-        measures.share_error_percent,
-        measures.skewed_share_error_percent,
+        measures.share_error_points,
+        measures.skewed_share_error_points,
         measures.goodput_percent,
         measures.urgent_wait_ms,
         measures.refused_percent,
--- a/crates/load/src/driver/run_report.rs
+++ b/crates/load/src/driver/run_report.rs
@@ -2,7 +2,6 @@
 
 use {
     super::{arrival_plan::PlannedRequest, caller_link::CallResult},
-    crate::deployment::ShapeTeam,
     dotterelshore_domain::codes::RunOutcome,
     hdrhistogram::Histogram,
     serde::Serialize,
@@ -116,22 +115,6 @@
         }
     }
 
-    /// The largest distance of a team's part of the work from its part of the weights, in
-    /// percent of the latter.
-    pub fn share_error_percent(&self, teams: &[ShapeTeam]) -> f64 {
-        let work: f64 = self.teams.values().map(|team| team.work_seconds).sum();
-        let total: u32 = teams.iter().map(|team| team.weight).sum();
-        let error = |team: &ShapeTeam| {
-            let due = f64::from(team.weight) / f64::from(total.max(1));
-            let got = self
-                .teams
-                .get(&team.name)
-                .map_or(0.0, |team| team.work_seconds);
-            100.0 * (got / work.max(f64::MIN_POSITIVE) / due - 1.0).abs()
-        };
-        teams.iter().map(error).fold(0.0, f64::max)
-    }
-
     /// Seconds of slots that the answered requests were worth, for each second counted.
     pub fn goodput(&self) -> f64 {
         let counted = self.length.saturating_sub(self.counted_from);
--- a/crates/load/src/runs/policy_run.rs
+++ b/crates/load/src/runs/policy_run.rs
@@ -4,7 +4,9 @@
     super::policy_variant::PolicyVariant,
     crate::{
         checker::{check_history, read_folder},
-        deployment::{DeploymentFault, DeploymentOptions, DeploymentShape, RunningDeployment},
+        deployment::{
+            DeploymentFault, DeploymentOptions, DeploymentShape, RunningDeployment, ShapeTeam,
+        },
         driver::{ArrivalPlan, EntryChoice, RunReport, run_load},
     },
     dotterelshore_domain::{
@@ -13,7 +15,7 @@
         table::TargetKind,
         wave::{WaveRecord, WaveStatus},
     },
-    dotterelshore_standins::history::{HistoryEvent, HistoryLine},
+    dotterelshore_standins::history::{HistoryEvent, HistoryLine, unix_micros},
     dotterelshore_wire::operator_message::WaveOrderForm,
     serde::Serialize,
     std::time::Duration,
@@ -24,8 +26,11 @@
 const EXECUTOR_SLOTS: f64 = 8.0;
 /// Mean length of a request in these runs.
 const MEAN_WORK: Duration = Duration::from_millis(250);
+/// Mean length of a request, and its deadline, while a pool is full.
+const FULL_MEAN_WORK: Duration = Duration::from_millis(400);
+const FULL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a full pool is loaded, and from when on shares are counted.
-const FULL_LENGTH: Duration = Duration::from_secs(14);
+const FULL_LENGTH: Duration = Duration::from_secs(18);
 const FULL_COUNTED_FROM: Duration = Duration::from_secs(3);
 /// How long the peaks go on.
 const PEAK_LENGTH: Duration = Duration::from_secs(20);
@@ -41,11 +46,11 @@
 pub struct PolicyMeasures {
     /// The policy.
     pub policy: String,
-    /// Largest distance of a team's share from the table while full, in percent of the
-    /// share, when requests go to each entry in turn.
-    pub share_error_percent: f64,
+    /// Largest distance of a team's part of a full pool's slots from the table, in points of
+    /// a hundred, when requests go to each entry in turn.
+    pub share_error_points: f64,
     /// The same when each team's requests go mostly to an entry of its own.
-    pub skewed_share_error_percent: f64,
+    pub skewed_share_error_points: f64,
     /// Work done under twice the load that can be carried, in percent of the capacity.
     pub goodput_percent: f64,
     /// Wait of urgent requests beyond their own work while queues peak and waves run, at
@@ -83,10 +88,10 @@
         ..DeploymentOptions::default()
     };
     let deployment = RunningDeployment::start(shape.clone(), options).await?;
-    let even = run_full(&deployment, seed, 4.0, EntryChoice::InTurn).await;
-    let skewed = run_full(&deployment, seed + 1, 4.0, EntryChoice::ByTeam).await;
-    let twice = run_full(&deployment, seed + 2, 2.0, EntryChoice::InTurn).await;
-    let begun = dotterelshore_standins::history::unix_micros();
+    let even = run_full(&deployment, seed, 4.0, EntryChoice::InTurn).await?;
+    let skewed = run_full(&deployment, seed + 1, 4.0, EntryChoice::ByTeam).await?;
+    let twice = run_full(&deployment, seed + 2, 2.0, EntryChoice::InTurn).await?;
+    let begun = unix_micros();
     start_waves(&deployment, variant).await?;
     let peaks = run_load(
         &deployment.view(),
@@ -95,15 +100,12 @@
     )
     .await;
     let waves = await_waves(&deployment).await?;
-    let lines = read_folder(&deployment.folder).map_err(|source| DeploymentFault::System {
-        what: "reading the history".to_owned(),
-        source,
-    })?;
+    let lines = read_lines(&deployment)?;
     Ok(PolicyMeasures {
         policy: variant.name.to_owned(),
-        share_error_percent: even.share_error_percent(&shape.teams),
-        skewed_share_error_percent: skewed.share_error_percent(&shape.teams),
-        goodput_percent: 100.0 * twice.goodput() / pool_slots(shape),
+        share_error_points: even.share_error_points,
+        skewed_share_error_points: skewed.share_error_points,
+        goodput_percent: twice.goodput_percent,
         urgent_wait_ms: peaks.overhead_ms(99.9),
         refused_percent: refused_percent(&peaks),
         roll_out_seconds: waves.iter().map(roll_out).fold(0.0, f64::max),
@@ -124,29 +126,99 @@
     })
 }
 
-/// Fills one pool with `load` times what it and the pool it spills to can carry; the
-/// spare pool is filled by its own queue, so that nothing spills.
+/// What a full pool came to.
+#[derive(Debug, Clone, Copy)]
+struct FullPool {
+    share_error_points: f64,
+    goodput_percent: f64,
+}
+
+/// Loads a pool, and the spare one that it spills to, with `load` times what they carry.
 async fn run_full(
     deployment: &RunningDeployment,
     seed: u64,
     load: f64,
     choice: EntryChoice,
-) -> RunReport {
+) -> Result<FullPool, DeploymentFault> {
     let shape = &deployment.shape;
     let filled = &shape.pools[0];
+    let queues: Vec<String> = [Some(filled.name.clone()), filled.spill.clone()]
+        .into_iter()
+        .flatten()
+        .collect();
+    let slots = pool_slots(shape) * f64::from(u32::try_from(queues.len()).unwrap_or_default());
     let plan = ArrivalPlan {
         seed,
         length: FULL_LENGTH,
         counted_from: FULL_COUNTED_FROM,
-        rate: load * pool_slots(shape) / MEAN_WORK.as_secs_f64(),
-        mean_work: MEAN_WORK,
-        timeout: Duration::from_secs(3),
+        rate: load * slots / FULL_MEAN_WORK.as_secs_f64(),
+        mean_work: FULL_MEAN_WORK,
+        timeout: FULL_TIMEOUT,
         non_idempotent: 0.0,
         even_teams: true,
-        queues: vec![filled.name.clone()],
+        queues,
         ..ArrivalPlan::default()
     };
-    run_load(&deployment.view(), &plan, choice).await
+    let begun = unix_micros();
+    let report = run_load(&deployment.view(), &plan, choice).await;
+    let lines = read_lines(deployment)?;
+    let from = begun + micros(FULL_COUNTED_FROM);
+    let used = slot_seconds(&lines, &filled.name, from, begun + micros(FULL_LENGTH));
+    Ok(FullPool {
+        share_error_points: share_error_points(&used, &shape.teams),
+        goodput_percent: 100.0 * report.goodput() / slots,
+    })
+}
+
+fn micros(length: Duration) -> u64 {
+    u64::try_from(length.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn read_lines(deployment: &RunningDeployment) -> Result<Vec<HistoryLine>, DeploymentFault> {
+    let what = || "reading the history".to_owned();
+    read_folder(&deployment.folder).map_err(|source| DeploymentFault::System {
+        what: what(),
+        source,
+    })
+}
+
+/// Seconds of a pool's slots that each team used between two times, by the targets' word.
+#[expect(clippy::cast_precision_loss, reason = "microseconds shown as seconds")]
+fn slot_seconds(lines: &[HistoryLine], pool: &str, from: u64, to: u64) -> FastMap<String, f64> {
+    let mut begun: FastMap<&str, u64> = FastMap::default();
+    let mut used: FastMap<String, f64> = FastMap::default();
+    let of_pool = |target: &str| {
+        target
+            .rsplit_once('-')
+            .is_some_and(|(name, _)| name == pool)
+    };
+    for line in lines {
+        match &line.event {
+            HistoryEvent::RunBegun { target, run, .. } if of_pool(target) => {
+                begun.insert(run, line.at_us);
+            }
+            HistoryEvent::RunEnded { run, team, .. } => {
+                let Some(since) = begun.remove(run.as_str()) else {
+                    continue;
+                };
+                let length = line.at_us.min(to).saturating_sub(since.max(from));
+                *used.entry(team.clone()).or_default() += length as f64 / 1e6;
+            }
+            _ => {}
+        }
+    }
+    used
+}
+
+/// The largest distance of a team's part from its part of the weights, in points of a hundred.
+fn share_error_points(used: &FastMap<String, f64>, teams: &[ShapeTeam]) -> f64 {
+    let total: f64 = used.values().sum();
+    let weights: u32 = teams.iter().map(|team| team.weight).sum();
+    let distance = |team: &ShapeTeam| {
+        let got = used.get(&team.name).copied().unwrap_or_default() / total.max(f64::MIN_POSITIVE);
+        100.0 * (got - f64::from(team.weight) / f64::from(weights.max(1))).abs()
+    };
+    teams.iter().map(distance).fold(0.0, f64::max)
 }
 
 fn peak_plan(shape: &DeploymentShape, seed: u64) -> ArrivalPlan {
