Give back a turn that its caller no longer takes

A turn was granted as plain data; when its caller hung up between the grant and the taking, nobody ended it: a slot and a permit were lost for good. Ruled out: runs whose outcome is unknown (the targets said they had ended), and the accounting of a changed target. Change: the turn itself, which gives back when dropped, goes through the channel.

--- a/crates/entry/src/dispatch/dispatch_desk.rs
+++ b/crates/entry/src/dispatch/dispatch_desk.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        pool_desk::{DeskPolicy, PoolDesk, TargetSeat},
+        pool_desk::{DeskPolicy, PoolDesk, TargetSeat, TurnSender},
         run_turn::RunTurn,
     },
     crate::{
@@ -203,10 +203,9 @@
         let Some((waiter, turn)) = granted else {
             return;
         };
-        // A turn that nobody takes any more ends at once.
-        if let Err(turn) = waiter.send(turn) {
-            drop(RunTurn::new(node, pool.clone(), turn));
-        }
+        let turn = RunTurn::new(node, pool.clone(), turn);
+        // One that nobody takes any more is dropped here, and so given back.
+        drop(waiter.send(turn));
     }
 }
 
@@ -278,7 +277,7 @@
         None => Ok(granted.await),
     };
     match granted {
-        Ok(Ok(turn)) => Ok(RunTurn::new(node, pool.clone(), turn)),
+        Ok(Ok(turn)) => Ok(turn),
         Ok(Err(_)) | Err(_) => Err(late_refusal(node, &desk, &team.name)),
     }
 }
@@ -289,7 +288,7 @@
     queue: &QueueRow,
     team: &TeamRow,
     deadline: Option<Instant>,
-    waiter: oneshot::Sender<super::pool_desk::GrantedTurn>,
+    waiter: TurnSender,
 ) -> Result<u64, Refusal> {
     let mut desk = lock(desk);
     desk.set_weight(&team.name, team.weight);
--- a/crates/entry/src/dispatch/pool_desk.rs
+++ b/crates/entry/src/dispatch/pool_desk.rs
@@ -1,7 +1,10 @@
 //! One pool in one entry: who waits, which targets there are, and who goes next.
 
 use {
-    super::target_load::{TargetLoad, TargetResult},
+    super::{
+        run_turn::RunTurn,
+        target_load::{TargetLoad, TargetResult},
+    },
     crate::{cli::TargetChoice, permits::PermitDesk},
     dotterelshore_domain::{
         collections::FastMap,
@@ -37,8 +40,9 @@
     pub(crate) seat: TargetSeat,
 }
 
-/// Where a turn is awaited.
-pub(crate) type TurnSender = oneshot::Sender<GrantedTurn>;
+/// Where a turn is awaited. The turn itself goes through it, so that one nobody takes any
+/// more gives its permit and slot back.
+pub(crate) type TurnSender = oneshot::Sender<RunTurn>;
 
 /// A team in a peer, as it was last heard.
 #[derive(Debug, Clone, Copy)]
--- a/crates/load/tests/whole_path_test.rs
+++ b/crates/load/tests/whole_path_test.rs
@@ -369,3 +369,59 @@
         .await;
     assert_eq!(result, CallResult::Whole);
 }
+
+/// Waits until an entry says that nothing runs for it any more.
+async fn await_nothing_running(deployment: &RunningDeployment, entry: usize) {
+    let until = tokio::time::Instant::now() + Duration::from_secs(10);
+    loop {
+        let running = deployment
+            .entry_metric(entry, "dotterelshore_running")
+            .await;
+        let running = running.expect("the entry tells its metrics");
+        if running == 0.0 {
+            return;
+        }
+        let late = tokio::time::Instant::now() >= until;
+        assert!(!late, "{running} runs of entry {entry} never end");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// Requests whose callers hang up soon.
+const HASTY_REQUESTS: u64 = 12_000;
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_who_hang_up_leave_no_slot_taken() {
+    let deployment = start().await;
+    let link = CallerLink::new(deployment.history.clone());
+    let mut open = tokio::task::JoinSet::new();
+    for number in 0..HASTY_REQUESTS {
+        let entry = usize::try_from(number).unwrap_or_default() % deployment.entry_count();
+        let address = deployment.entry_address(entry).to_string();
+        let link = link.clone();
+        let mut hasty = request(&format!("hasty-{number}"), "proofs");
+        hasty.idempotent = true;
+        hasty.work.work_ms = number % 12;
+        let patience = Duration::from_micros(500 + number * 7919 % 60_000);
+        open.spawn(async move {
+            tokio::time::timeout(patience, link.call(&address, &hasty))
+                .await
+                .is_ok()
+        });
+        if number % 8 == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    let answered = open
+        .join_all()
+        .await
+        .into_iter()
+        .filter(|whole| *whole)
+        .count();
+    assert!(answered > 0, "nobody was answered");
+    for entry in 0..deployment.entry_count() {
+        await_nothing_running(&deployment, entry).await;
+    }
+    assert_no_breach(&deployment);
+}
