--- a/crates/entry/src/cli/launch.rs
+++ b/crates/entry/src/cli/launch.rs
@@ -5,7 +5,7 @@
         entry_args::EntryArgs,
         entry_settings::{EntrySettings, SettingsFault},
     },
-    crate::{fleet, front, jobs, metrics, node::EntryNode, peers, permits, table, takeover, waves},
+    crate::{fleet, front, jobs, metrics, node::EntryNode, peers, permits, table, takeover},
     clap::Parser,
     dotterelshore_wire::{http_server::serve, log_event},
     snafu::{ResultExt, Snafu},
@@ -81,7 +81,6 @@
     fleet::start(&node);
     permits::start(&node);
     jobs::start(&node);
-    waves::start(&node);
     takeover::start(&node);
     metrics::start_gauges(&node);
 
--- a/crates/entry/src/waves/wave_run.rs
+++ b/crates/entry/src/waves/wave_run.rs
@@ -27,11 +27,6 @@
     format!("wave/{wave}")
 }
 
-/// Takes up the waves whose record names this life; there are none after a fresh start.
-pub(crate) fn start(node: &Arc<EntryNode>) {
-    log_event!(Debug, "waves-ready", entry = node.stamp);
-}
-
 /// Starts a wave through a pool; this entry carries it out.
 pub(crate) async fn start_wave(
     node: &Arc<EntryNode>,
--- a/crates/load/src/checker/budget_check.rs
+++ b/crates/load/src/checker/budget_check.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 struct InstanceSeen {
     pool: String,
+    /// Requests and tasks that run on it.
+    running: u32,
     /// Since when its record has it out of service.
     out_since: Option<u64>,
     /// Since when the platform announced that it leaves.
@@ -93,20 +95,17 @@
             }
             HistoryEvent::RunBegun { target, queue, .. } => {
                 self.check_pool(now, target, queue);
-                self.check_closed(now, target);
+                self.begin(now, target);
             }
-            HistoryEvent::TaskBegun { target, .. } => self.check_closed(now, target),
-            HistoryEvent::RunEnded {
-                target, cut: true, ..
-            }
-            | HistoryEvent::TaskEnded {
-                target, cut: true, ..
-            } => self.check_cut(now, target),
+            HistoryEvent::TaskBegun { target, .. } => self.begin(now, target),
+            HistoryEvent::RunEnded { target, cut, .. }
+            | HistoryEvent::TaskEnded { target, cut, .. } => self.end(now, target, *cut),
             _ => {}
         }
     }
 
     fn see_record(&mut self, now: u64, instance: &str, pool: &str, state: &str) {
+        self.check_move(now, instance, pool);
         let seen = self.instances.entry(instance.to_owned()).or_default();
         pool.clone_into(&mut seen.pool);
         if state == "in-service" {
@@ -117,6 +116,20 @@
         }
     }
 
+    fn check_move(&mut self, now: u64, instance: &str, pool: &str) {
+        let Some(seen) = self.instances.get(instance) else {
+            return;
+        };
+        let moved = !seen.pool.is_empty() && seen.pool != pool;
+        if moved && seen.running > 0 {
+            let detail = format!(
+                "{instance} moved to pool {pool} with {} running",
+                seen.running
+            );
+            self.breach(Promise::OnePool, now, detail);
+        }
+    }
+
     fn check_budget(&mut self, now: u64, instance: &str) {
         let Some(pool) = self.instances.get(instance).map(|seen| seen.pool.clone()) else {
             return;
@@ -154,6 +167,19 @@
         }
     }
 
+    fn begin(&mut self, now: u64, target: &str) {
+        self.check_closed(now, target);
+        self.instances.entry(target.to_owned()).or_default().running += 1;
+    }
+
+    fn end(&mut self, now: u64, target: &str, cut: bool) {
+        let seen = self.instances.entry(target.to_owned()).or_default();
+        seen.running = seen.running.saturating_sub(1);
+        if cut {
+            self.check_cut(now, target);
+        }
+    }
+
     fn check_cut(&mut self, now: u64, target: &str) {
         let stop = self.instances.get(target).and_then(|seen| seen.stopped);
         if stop.is_some_and(|stop| stop.planned) {
--- a/crates/load/src/runs/failure_run.rs
+++ b/crates/load/src/runs/failure_run.rs
@@ -46,6 +46,10 @@
     pub cancelled: f64,
     /// How long load runs.
     pub length: Duration,
+    /// Requests a second.
+    pub rate: f64,
+    /// Mean length of a request.
+    pub mean_work: Duration,
 }
 
 impl std::fmt::Debug for FailureCase {
@@ -131,8 +135,8 @@
     let plan = ArrivalPlan {
         seed,
         length: case.length,
-        rate: 160.0,
-        mean_work: Duration::from_millis(70),
+        rate: case.rate,
+        mean_work: case.mean_work,
         wrong: case.wrong,
         timeout: Duration::from_secs(4),
         resubmit: true,
--- a/crates/load/src/runs/failures.rs
+++ b/crates/load/src/runs/failures.rs
@@ -5,15 +5,19 @@
     crate::deployment::DeploymentFault,
     dotterelshore_domain::{
         codes::ResultCode,
-        names::{InstanceName, KeyDigest, PoolName, TeamName},
+        names::{InstanceName, KeyDigest, PoolName, TeamName, WaveName},
         table::RowChange,
+        wave::{WaveOrder, WavePlan},
     },
     dotterelshore_standins::{
         history::{HistoryEvent, unix_micros},
         platform::FaultMode,
         targets::TargetBehaviour,
     },
-    dotterelshore_wire::{operator_link::OperatorLink, operator_message::MoveOrder},
+    dotterelshore_wire::{
+        operator_link::OperatorLink,
+        operator_message::{MoveOrder, WaveOrderForm},
+    },
     std::time::Duration,
 };
 
@@ -63,6 +67,15 @@
         ..case("killed-while-answers-lost", killed_while_answers_lost)
     },
     case("frozen-while-cut", frozen_while_cut),
+    FailureCase {
+        rate: 14.0,
+        mean_work: Duration::from_millis(900),
+        ..case("killed-under-long-work", killed_under_long_work)
+    },
+    FailureCase {
+        wave: true,
+        ..case("waves-race", waves_race)
+    },
     case("instances-move", instances_move),
     FailureCase {
         length: Duration::from_secs(9),
@@ -85,6 +98,8 @@
         wave: false,
         cancelled: 0.05,
         length: Duration::from_secs(6),
+        rate: 160.0,
+        mean_work: Duration::from_millis(70),
     }
 }
 
@@ -272,7 +287,7 @@
         tokio::time::sleep(run.pause(HALF_SECOND)).await;
         run.deployment.set_targets_frozen("proofs", true);
         run.deployment.set_targets_frozen("proofs-batch", true);
-        tokio::time::sleep(2 * SECOND).await;
+        tokio::time::sleep(4 * SECOND + HALF_SECOND).await;
         run.deployment.set_targets_frozen("proofs", false);
         run.deployment.set_targets_frozen("proofs-batch", false);
         Ok(())
@@ -346,6 +361,56 @@
     })
 }
 
+/// An entry is killed and at once listed as gone while its work goes on at the targets.
+fn killed_under_long_work(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        for entry in [1, 2] {
+            tokio::time::sleep(run.pause(SECOND)).await;
+            run.deployment.kill_entry(entry, Duration::ZERO).await?;
+        }
+        run.deployment.start_entry(1).await?;
+        run.deployment.start_entry(2).await
+    })
+}
+
+/// Operators start waves through the same pools at several entries, and drain by hand.
+fn waves_race(run: &mut FailureRun) -> FaultFuture<'_> {
+    Box::pin(async move {
+        let mut racing = tokio::task::JoinSet::new();
+        for number in 1..run.deployment.entry_count() {
+            let entry = run.deployment.entry_address(number).to_string();
+            let link = OperatorLink::new(vec![entry], run.deployment.operator_token().to_owned());
+            racing.spawn(async move {
+                for pool in ["proofs", "plates"] {
+                    let form = WaveOrderForm {
+                        name: WaveName::try_from(format!("race-{number}-{pool}"))?,
+                        pool: PoolName::try_from(pool)?,
+                        plan: WavePlan {
+                            order: WaveOrder::RackTogether,
+                            buffer: 0,
+                        },
+                    };
+                    link.start_wave(&form).await?;
+                }
+                for turn in 0..10 {
+                    let name = InstanceName::try_from(format!("proofs-{}", (number + turn) % 8))?;
+                    if link.set_drained(&name, true).await.is_ok() {
+                        tokio::time::sleep(Duration::from_millis(30)).await;
+                        link.set_drained(&name, false).await?;
+                    }
+                }
+                Ok::<_, DeploymentFault>(())
+            });
+        }
+        while let Some(raced) = racing.join_next().await {
+            raced.map_err(|error| DeploymentFault::Late {
+                what: error.to_string(),
+            })??;
+        }
+        Ok(())
+    })
+}
+
 /// Instances change pools and come back, within the budgets.
 fn instances_move(run: &mut FailureRun) -> FaultFuture<'_> {
     Box::pin(async move {
--- a/crates/load/src/runs/overhead_run.rs
+++ b/crates/load/src/runs/overhead_run.rs
@@ -71,6 +71,7 @@
 async fn direct(deployment: &RunningDeployment) -> Result<OverheadMeasure, DeploymentFault> {
     let http = HttpLink::new(8, 1024 * 1024);
     let mut latency = Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!("constant bounds"));
+    let start = Instant::now();
     for number in 0..DIRECT_REQUESTS {
         let target = deployment
             .target_address(0, (number % 4) as usize)
@@ -88,11 +89,11 @@
             &headers,
             Bytes::from_static(b"{}"),
         )?;
-        let begun = Instant::now();
+        // As for the other ways, latency counts from the intended send time.
+        let due = start + Duration::from_secs_f64(f64::from(number) / RATE);
+        tokio::time::sleep_until(due.into()).await;
         http.send(request, Duration::from_secs(5)).await?;
-        latency.saturating_record(u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX));
-        tokio::time::sleep(Duration::from_secs_f64(1.0 / RATE).saturating_sub(begun.elapsed()))
-            .await;
+        latency.saturating_record(u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX));
     }
     let at = |percentile| latency.value_at_percentile(percentile) as f64 / 1000.0;
     Ok(OverheadMeasure {
--- a/crates/load/tests/checker_test.rs
+++ b/crates/load/tests/checker_test.rs
@@ -159,6 +159,9 @@
     work_of_a_pool_that_the_instance_left(1, vec![
         written("t0", "renders", "in-service"), begun("a", "t0", "alpha", "proofs"),
     ], &[Promise::OnePool]);
+    a_move_with_work_under_way(1, vec![
+        sent("a", "k", true), begun("a", "t0", "alpha", "proofs"), written("t0", "renders", "in-service"),
+    ], &[Promise::OnePool]);
     work_for_another_team_than_the_keys(1, vec![
         sent("a", "k", true), begun("a", "t0", "beta", "proofs"),
     ], &[Promise::Keys]);
--- a/crates/load/tests/failure_test.rs
+++ b/crates/load/tests/failure_test.rs
@@ -45,6 +45,8 @@
     wave_while_platform_down("wave-while-platform-down");
     killed_while_answers_lost("killed-while-answers-lost");
     frozen_while_cut("frozen-while-cut");
+    killed_under_long_work("killed-under-long-work");
+    waves_race("waves-race");
     instances_move("instances-move");
     key_withdrawn("key-withdrawn");
     ceiling_lowered("ceiling-lowered");
