Close the port first when an entry leaves, and lose no caller's answer

A request on its way on a kept-open connection met its close. Change: connections made before the port closes are taken, then the listener is dropped; open ones linger 300 ms; answers of a leaving entry close their connection.

--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -14,7 +14,11 @@
         problem_details::refusal_answer,
     },
     front_request::FrontRequest,
-    hyper::{Request, body::Incoming, header::HeaderValue},
+    hyper::{
+        Request,
+        body::Incoming,
+        header::{self, HeaderValue},
+    },
     std::sync::Arc,
 };
 
@@ -26,9 +30,12 @@
     };
     let mut answer = result.unwrap_or_else(|refusal| refuse(&node, &refusal));
     let revision = node.table().revision;
-    answer
-        .headers_mut()
-        .insert(HEADER_REVISION, HeaderValue::from(revision));
+    let headers = answer.headers_mut();
+    headers.insert(HEADER_REVISION, HeaderValue::from(revision));
+    if node.is_leaving() {
+        // The caller opens no further request on a connection that is about to close.
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     answer
 }
 
--- a/crates/load/src/deployment/mod.rs
+++ b/crates/load/src/deployment/mod.rs
@@ -11,7 +11,7 @@
 mod running_deployment;
 
 pub use {
-    child_process::{ChildProcess, ProcessUsage},
+    child_process::{ChildProcess, ProcessUsage, program_folder},
     deployment_fault::DeploymentFault,
     deployment_shape::{DeploymentShape, ShapePool, ShapeTeam},
     link_relay::{LinkRelay, RelayGate},
--- a/crates/load/src/runs/failure_run.rs
+++ b/crates/load/src/runs/failure_run.rs
@@ -50,6 +50,8 @@
     pub rate: f64,
     /// Mean length of a request.
     pub mean_work: Duration,
+    /// Whether callers may lose answers, as when an entry is killed.
+    pub loses_answers: bool,
 }
 
 impl std::fmt::Debug for FailureCase {
@@ -82,6 +84,8 @@
     pub wave_done: bool,
     /// Time until every entry served again.
     pub recovery: Duration,
+    /// Whether callers may lose answers.
+    pub loses_answers: bool,
 }
 
 impl FailureOutcome {
@@ -95,6 +99,9 @@
         );
         let open = self.jobs.iter().filter(|end| end.state.is_none());
         faults.extend(open.map(|end| format!("job {} did not end", end.job)));
+        if self.report.lost > 0 && !self.loses_answers {
+            faults.push(format!("{} callers lost their answers", self.report.lost));
+        }
         if !self.wave_done {
             faults.push("the wave was not done".to_owned());
         }
@@ -185,6 +192,7 @@
         not_recovered,
         wave_done,
         recovery,
+        loses_answers: case.loses_answers,
     })
 }
 
--- a/crates/load/src/runs/failures.rs
+++ b/crates/load/src/runs/failures.rs
@@ -33,8 +33,14 @@
         wrong: 0.15,
         ..case("wrong-answers", calm)
     },
-    case("entry-killed", entry_killed),
-    case("entry-killed-twice", entry_killed_twice),
+    FailureCase {
+        loses_answers: true,
+        ..case("entry-killed", entry_killed)
+    },
+    FailureCase {
+        loses_answers: true,
+        ..case("entry-killed-twice", entry_killed_twice)
+    },
     case("entry-frozen", entry_frozen),
     case("entry-ended", entry_ended),
     case("centres-cut", centres_cut),
@@ -56,6 +62,7 @@
     },
     FailureCase {
         wave: true,
+        loses_answers: true,
         ..case("wave-owner-killed", entry_killed)
     },
     FailureCase {
@@ -64,12 +71,14 @@
     },
     FailureCase {
         wave: true,
+        loses_answers: true,
         ..case("killed-while-answers-lost", killed_while_answers_lost)
     },
     case("frozen-while-cut", frozen_while_cut),
     FailureCase {
         rate: 14.0,
         mean_work: Duration::from_millis(900),
+        loses_answers: true,
         ..case("killed-under-long-work", killed_under_long_work)
     },
     FailureCase {
@@ -100,6 +109,7 @@
         length: Duration::from_secs(6),
         rate: 160.0,
         mean_work: Duration::from_millis(70),
+        loses_answers: false,
     }
 }
 
--- a/crates/load/tests/whole_path_test.rs
+++ b/crates/load/tests/whole_path_test.rs
@@ -425,3 +425,46 @@
     }
     assert_no_breach(&deployment);
 }
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn records_that_are_not_ours_are_refused_and_stop_nothing() {
+    let deployment = start().await;
+    let http = HttpLink::new(2, 1024 * 1024);
+    let platform = deployment.platform_address().to_string();
+    for key in ["instance/stranger", "job/alpha:stranger"] {
+        let path = format!("/kv/{key}");
+        let garbage = Bytes::from_static(b"{\"not\": \"ours\"}");
+        let put = request_to(
+            Method::PUT,
+            &platform,
+            &path,
+            &[("if-none-match", "*")],
+            garbage,
+        );
+        let answer = http
+            .send(put.expect("a request"), Duration::from_secs(5))
+            .await;
+        assert_eq!(answer.expect("it is stored").status.as_u16(), 200);
+    }
+    let link = CallerLink::new(deployment.history.clone());
+    let entry = deployment.entry_address(0).to_string();
+    let read = link
+        .read_job(
+            &entry,
+            "alpha:stranger",
+            &request("any", "proofs-batch"),
+            false,
+        )
+        .await;
+    let problem = read.expect_err("it can't be read").expect("a refusal");
+    assert_eq!(problem.code, 4003);
+    assert_eq!(
+        link.call(&entry, &request("after", "proofs")).await,
+        CallResult::Whole
+    );
+    let job = link
+        .submit(&entry, &request("job-after", "proofs-batch"))
+        .await;
+    assert!(job.is_ok(), "{job:?}");
+}
--- a/crates/wire/src/http_server.rs
+++ b/crates/wire/src/http_server.rs
@@ -13,7 +13,7 @@
     std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{mpsc, watch},
     },
 };
 
@@ -21,6 +21,8 @@
 pub const HEAD_BYTES_MAX: usize = 16 * 1024;
 /// Longest wait for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a connection is kept open for a request on its way when serving ends.
+const CLOSE_LINGER: Duration = Duration::from_millis(300);
 /// Longest time that a body is read only to be thrown away.
 pub const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Wait after a failed accept, as when file descriptors run out.
@@ -43,7 +45,7 @@
 {
     let answer = Arc::new(answer);
     let mut closing = leaving.clone();
-    let (open, mut all_closed) = tokio::sync::mpsc::channel::<()>(1);
+    let (open, mut all_closed) = mpsc::channel::<()>(1);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -53,18 +55,37 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let answer = Arc::clone(&answer);
-        let leaving = leaving.clone();
-        let open = open.clone();
-        tokio::spawn(async move {
-            serve_connection(stream, answer, leaving).await;
-            drop(open);
-        });
+        spawn_connection(stream, &answer, &leaving, &open);
     }
+    // Who connected before the port closes is still served.
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        spawn_connection(stream, &answer, &leaving, &open);
+    }
+    drop(listener);
     drop(open);
     let _none = all_closed.recv().await;
 }
 
+fn spawn_connection<F, A, B>(
+    stream: TcpStream,
+    answer: &Arc<F>,
+    leaving: &watch::Receiver<bool>,
+    open: &mpsc::Sender<()>,
+) where
+    F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BodyError>,
+{
+    let answer = Arc::clone(answer);
+    let leaving = leaving.clone();
+    let open = open.clone();
+    tokio::spawn(async move {
+        serve_connection(stream, answer, leaving).await;
+        drop(open);
+    });
+}
+
 async fn serve_connection<F, A, B>(
     stream: TcpStream,
     answer: Arc<F>,
@@ -88,7 +109,12 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = leaving.wait_for(|leaving| *leaving) => connection.as_mut().graceful_shutdown(),
+        _ = leaving.wait_for(|leaving| *leaving) => {}
+    }
+    // A request that is on its way when the port closes is still taken.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = tokio::time::sleep(CLOSE_LINGER) => connection.as_mut().graceful_shutdown(),
     }
     let _ended = connection.await;
 }
