--- a/crates/domain/src/job/job_record.rs
+++ b/crates/domain/src/job/job_record.rs
@@ -66,6 +66,9 @@
     pub cancel_asked: bool,
     /// Where it stands.
     pub state: JobState,
+    /// Milliseconds since the Unix epoch when its end was recorded, to sweep it out later.
+    #[serde(default)]
+    pub ended_at_ms: Option<u64>,
 }
 
 impl JobRecord {
@@ -87,6 +90,7 @@
             attempts: 0,
             cancel_asked: false,
             state: JobState::Waiting,
+            ended_at_ms: None,
         }
     }
 
@@ -168,6 +172,19 @@
         }
     }
 
+    /// Notes when its end was recorded, once.
+    pub fn note_end(&mut self, now_ms: u64) {
+        if self.state.ended() && self.ended_at_ms.is_none() {
+            self.ended_at_ms = Some(now_ms);
+        }
+    }
+
+    /// Whether it ended more than `retention_ms` ago.
+    pub fn is_old(&self, now_ms: u64, retention_ms: u64) -> bool {
+        self.ended_at_ms
+            .is_some_and(|at| at.saturating_add(retention_ms) < now_ms)
+    }
+
     /// Hands the job to another entry, after its home is known to be gone or gave it up.
     /// A run under way stays on the permit of the entry that started it.
     ///
--- a/crates/entry/src/cli/entry_args.rs
+++ b/crates/entry/src/cli/entry_args.rs
@@ -55,6 +55,9 @@
     /// How long identifiers of non-idempotent requests are kept, in seconds.
     #[arg(long, env = "DOTTERELSHORE_CLAIM_RETENTION_S", default_value_t = 3600)]
     pub claim_retention_s: u64,
+    /// How long the record of a job that ended is kept, in seconds.
+    #[arg(long, env = "DOTTERELSHORE_JOB_RETENTION_S", default_value_t = 86_400)]
+    pub job_retention_s: u64,
     /// How long a task's lease lasts without renewal, in milliseconds.
     #[arg(long, env = "DOTTERELSHORE_TASK_LEASE_MS", default_value_t = 10_000)]
     pub task_lease_ms: u64,
--- a/crates/entry/src/cli/entry_settings.rs
+++ b/crates/entry/src/cli/entry_settings.rs
@@ -39,6 +39,7 @@
     pub store_timeout: Duration,
     pub retry_ratio: f64,
     pub claim_retention: Duration,
+    pub job_retention: Duration,
     pub task_lease: Duration,
     pub key_trust: Option<Duration>,
     pub shutdown: Duration,
@@ -105,6 +106,7 @@
             store_timeout: Duration::from_millis(args.store_timeout_ms),
             retry_ratio: args.retry_ratio,
             claim_retention: Duration::from_secs(args.claim_retention_s),
+            job_retention: Duration::from_secs(args.job_retention_s),
             task_lease: Duration::from_millis(args.task_lease_ms),
             key_trust: (args.key_trust_s > 0).then(|| Duration::from_secs(args.key_trust_s)),
             shutdown: Duration::from_secs(args.shutdown_s),
@@ -129,6 +131,7 @@
         ("--answer-bytes-max", args.answer_bytes_max as u64),
         ("--store-timeout-ms", args.store_timeout_ms),
         ("--claim-retention-s", args.claim_retention_s),
+        ("--job-retention-s", args.job_retention_s),
         ("--task-lease-ms", args.task_lease_ms),
     ];
     for (flag, _) in positive.iter().filter(|(_, value)| *value == 0) {
--- a/crates/entry/src/dispatch/demand_task.rs
+++ b/crates/entry/src/dispatch/demand_task.rs
@@ -17,8 +17,8 @@
     },
 };
 
-/// How often demand is told while there is any.
-const DEMAND_PERIOD: Duration = Duration::from_millis(250);
+/// How often demand is told while it is wanted.
+const DEMAND_PERIOD: Duration = Duration::from_millis(300);
 /// Most teams told in one datagram.
 const TEAMS_PER_NOTICE: usize = 40;
 
@@ -36,21 +36,33 @@
     });
 }
 
-/// Tells each pool's demand, and once more when it has ended.
+/// Tells the demand on each pool that is busy here, or that another entry asks about, and
+/// once more when it has ended. A pool with slots to spare needs no telling.
 async fn tell_demand(node: &Arc<EntryNode>, told: &mut FastSet<PoolName>) {
+    let entries = u32::try_from(node.peers.count() + 1).unwrap_or(u32::MAX);
     for (pool, desk) in node.desks.all() {
-        let mut teams = demand_of(node, &desk);
-        let had = told.contains(&pool);
-        if teams.is_empty() && !had {
+        let (wanted, asked) = {
+            let desk = lock(&desk);
+            (desk.wants_demand(entries), desk.is_wanted())
+        };
+        let had = told.remove(&pool);
+        if !wanted && !asked && !had {
             continue;
         }
-        if teams.is_empty() {
-            told.remove(&pool);
-        } else {
+        if wanted || asked {
             told.insert(pool.clone());
         }
+        let mut teams = demand_of(node, &desk);
         largest_first(&mut teams);
-        peers::tell_all(node, PeerNotice::Demand { pool, teams }).await;
+        peers::tell_all(
+            node,
+            PeerNotice::Demand {
+                pool,
+                wanted,
+                teams,
+            },
+        )
+        .await;
     }
 }
 
--- a/crates/entry/src/dispatch/pool_desk.rs
+++ b/crates/entry/src/dispatch/pool_desk.rs
@@ -54,6 +54,8 @@
 #[derive(Debug)]
 struct PeerDemand {
     teams: FastMap<TeamName, PeerTeam>,
+    /// Whether it wants the others' demand.
+    wants: bool,
     heard: Instant,
 }
 
@@ -125,7 +127,7 @@
     }
 
     /// Notes a peer's demand.
-    pub(crate) fn note_demand(&mut self, peer: EntryName, teams: Vec<PoolDemand>) {
+    pub(crate) fn note_demand(&mut self, peer: EntryName, wants: bool, teams: Vec<PoolDemand>) {
         let told = |told: PoolDemand| {
             let team = PeerTeam {
                 demand: told.demand,
@@ -138,11 +140,28 @@
             peer,
             PeerDemand {
                 teams,
+                wants,
                 heard: Instant::now(),
             },
         );
     }
 
+    /// Whether this entry wants the others' demand: somebody waits, or more runs here than
+    /// half of an equal part of the pool among `entries`.
+    pub(crate) fn wants_demand(&self, entries: u32) -> bool {
+        let slots = u32::try_from(self.seats.len())
+            .unwrap_or(u32::MAX)
+            .saturating_mul(self.policy.slots);
+        self.line.waiting() > 0 || self.running_total > slots / (2 * entries.max(1))
+    }
+
+    /// Whether another entry wants this one's demand.
+    pub(crate) fn is_wanted(&self) -> bool {
+        self.peers
+            .values()
+            .any(|peer| peer.wants && peer.heard.elapsed() < DEMAND_LIFE)
+    }
+
     /// Teams that a peer has demand of and this entry has none of.
     pub(crate) fn teams_elsewhere(&self) -> Vec<TeamName> {
         let fresh = self
--- a/crates/entry/src/jobs/job_desk.rs
+++ b/crates/entry/src/jobs/job_desk.rs
@@ -2,14 +2,17 @@
 
 use {
     super::{job_key, job_run::run_job},
-    crate::node::{EntryNode, lock},
+    crate::{
+        node::{EntryNode, lock},
+        table::expected_entries,
+    },
     dotterelshore_domain::{
         codes::{Refusal, ResultCode},
         collections::FastMap,
         job::JobRecord,
         names::{EntryStamp, JobName},
     },
-    dotterelshore_wire::{log_event, store_link::UpdateStep},
+    dotterelshore_wire::{event_log::unix_millis, log_event, store_link::UpdateStep},
     std::{
         sync::{Arc, Mutex},
         time::Duration,
@@ -19,7 +22,7 @@
 
 /// How often the end of all job tasks is looked for on shutdown.
 const END_CHECK_PERIOD: Duration = Duration::from_millis(20);
-/// How often job records that ended are looked through for old ones.
+/// How often job records are looked through for old ones.
 const SWEEP_PERIOD: Duration = Duration::from_secs(600);
 
 /// The jobs that have a task here, each with its bell for cancellation.
@@ -69,18 +72,20 @@
     });
 }
 
-/// Deletes the records of this entry's jobs that had ended by the sweep before.
+/// Deletes the records of jobs that ended long ago: this entry's own, and those whose home
+/// is no longer there.
 async fn sweep(node: &EntryNode) -> Result<(), Refusal> {
+    let retention = node.settings.job_retention.as_millis();
+    let retention_ms = u64::try_from(retention).unwrap_or(u64::MAX);
     let list = node.store.list::<JobRecord>("job/").await?;
-    let old_revision = list
-        .revision
-        .saturating_sub(node.settings.claim_retention.as_secs().saturating_mul(100));
+    let others: Vec<EntryStamp> = expected_entries(node)
+        .into_iter()
+        .filter(|stamp| *stamp != node.stamp)
+        .collect();
     for (key, record) in list.records {
         let Some(record) = record else { continue };
-        if record.value.home == node.stamp
-            && record.value.state.ended()
-            && record.version < old_revision
-        {
+        let looked_after = others.contains(&record.value.home);
+        if record.value.is_old(unix_millis(), retention_ms) && !looked_after {
             node.store.delete(&key, record.version).await?;
         }
     }
--- a/crates/entry/src/jobs/job_front.rs
+++ b/crates/entry/src/jobs/job_front.rs
@@ -9,7 +9,7 @@
         names::{JobName, TeamName},
         request::CallerRequest,
     },
-    dotterelshore_wire::{peer_message::PeerCall, store_link::UpdateStep},
+    dotterelshore_wire::{event_log::unix_millis, peer_message::PeerCall, store_link::UpdateStep},
     std::{sync::Arc, time::Duration},
 };
 
@@ -73,6 +73,7 @@
                 .filter(|record| record.team == *team)
                 .ok_or_else(|| unknown(job))?;
             record.cancel()?;
+            record.note_end(unix_millis());
             Ok(UpdateStep::Write(record.clone(), record))
         })
         .await?;
--- a/crates/entry/src/jobs/job_run.rs
+++ b/crates/entry/src/jobs/job_run.rs
@@ -17,6 +17,7 @@
         table::TargetKind,
     },
     dotterelshore_wire::{
+        event_log::unix_millis,
         log_event,
         peer_message::PeerCall,
         store_link::UpdateStep,
@@ -274,6 +275,7 @@
         .update(&job_key(&record.name), |read: Option<JobRecord>| {
             let mut next = read.ok_or_else(lost)?;
             change(&mut next)?;
+            next.note_end(unix_millis());
             Ok(UpdateStep::Write(next.clone(), next))
         })
         .await
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,7 +20,7 @@
     },
     dotterelshore_wire::{http_link::HttpLink, platform_link::PlatformLink, store_link::StoreLink},
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
         time::{Duration, Instant},
     },
     tokio::sync::watch,
@@ -37,6 +37,8 @@
     pub(crate) started: Instant,
     pub(crate) tables: watch::Sender<Arc<FleetTable>>,
     pub(crate) confirmed: Mutex<Option<Instant>>,
+    /// Whether a peer's newer table is being waited for.
+    pub(crate) catching_up: AtomicBool,
     pub(crate) fleet: FleetView,
     pub(crate) members: MemberBook,
     pub(crate) peers: PeerBook,
@@ -64,6 +66,7 @@
             tables: watch::Sender::new(Arc::new(FleetTable::default())),
             started: Instant::now(),
             confirmed: Mutex::new(None),
+            catching_up: AtomicBool::new(false),
             fleet: FleetView::default(),
             members: MemberBook::default(),
             peers: PeerBook::default(),
--- a/crates/entry/src/peers/peer_notices.rs
+++ b/crates/entry/src/peers/peer_notices.rs
@@ -107,7 +107,7 @@
                 node.confirm_table(Duration::from_millis(confirmed_age_ms));
             }
             if table_revision > own {
-                table::catch_up(node, &datagram.from.name);
+                table::catch_up(node, &datagram.from.name, table_revision);
             }
             node.members.hear(HeardMember {
                 stamp: datagram.from,
@@ -117,10 +117,14 @@
                 heard: Instant::now(),
             });
         }
-        PeerNotice::Demand { pool, teams } => {
+        PeerNotice::Demand {
+            pool,
+            wanted,
+            teams,
+        } => {
             if let Some(row) = node.table().pools.get(&pool) {
                 let desk = node.desks.desk(&pool, row.kind);
-                lock(&desk).note_demand(datagram.from.name, teams);
+                lock(&desk).note_demand(datagram.from.name, wanted, teams);
             }
         }
     }
--- a/crates/entry/src/table/table_follow.rs
+++ b/crates/entry/src/table/table_follow.rs
@@ -13,13 +13,18 @@
         peer_message::{PeerCall, PeerReply},
         store_link::StoreFault,
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
 /// How long one watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// First pause after a watch failed.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
+/// How long, in the mean, the store is given to bring a newer table before a peer is asked.
+const STORE_FIRST: Duration = Duration::from_secs(1);
 /// Longest wait for a peer's table.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -98,27 +103,39 @@
     Ok(head.advance(&snapshot)?.ok_or_else(missing)?)
 }
 
-/// Asks a peer for its newer table.
-pub(crate) fn catch_up(node: &Arc<EntryNode>, peer: &EntryName) {
+/// Asks a peer for its newer table, unless the store brings it first. One such wait is
+/// enough at a time.
+pub(crate) fn catch_up(node: &Arc<EntryNode>, peer: &EntryName, revision: u64) {
+    if node.catching_up.swap(true, Ordering::Relaxed) {
+        return;
+    }
     let node = Arc::clone(node);
     let peer = peer.clone();
     tokio::spawn(async move {
-        let call = PeerCall::TableAfter {
-            revision: node.table().revision,
-        };
-        if let Some(PeerReply::Table(table)) =
-            peers::call(&node, &peer, call, HAND_OVER_TIMEOUT).await
-        {
-            let revision = table.revision;
-            if node.adopt_table(*table) {
-                log_event!(
-                    Info,
-                    "table-in-force",
-                    entry = node.stamp.name,
-                    revision = revision,
-                    from = peer
-                );
-            }
+        tokio::time::sleep(STORE_FIRST.mul_f64(0.5 + rand::random::<f64>())).await;
+        if node.table().revision < revision {
+            ask_for_table(&node, &peer).await;
         }
+        node.catching_up.store(false, Ordering::Relaxed);
     });
 }
+
+async fn ask_for_table(node: &Arc<EntryNode>, peer: &EntryName) {
+    let call = PeerCall::TableAfter {
+        revision: node.table().revision,
+    };
+    let reply = peers::call(node, peer, call, HAND_OVER_TIMEOUT).await;
+    let Some(PeerReply::Table(table)) = reply else {
+        return;
+    };
+    let revision = table.revision;
+    if node.adopt_table(*table) {
+        log_event!(
+            Info,
+            "table-in-force",
+            entry = node.stamp.name,
+            revision = revision,
+            from = peer
+        );
+    }
+}
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -276,7 +276,7 @@
     };
     if !json {
         println!(
-            "{:<18} {:>8} {:>9} {:>8} {:>10} {:>9} {:>9} {:>8} {:>6} {:>7}",
+            "{:<18} {:>8} {:>9} {:>8} {:>10} {:>9} {:>9} {:>8} {:>6} {:>9} {:>7}",
             "policy",
             "share pt",
             "skewed pt",
@@ -286,6 +286,7 @@
             "roll-out",
             "buffer %",
             "moves",
+            "peer B/s",
             "broken"
         );
     }
@@ -307,7 +308,7 @@
 
 fn print_measures(measures: &PolicyMeasures) {
     println!(
-        "{:<18} {:>8.1} {:>9.1} {:>8.1} {:>10.1} {:>9.2} {:>8.1}s {:>8.2} {:>6} {:>7}",
+        "{:<18} {:>8.1} {:>9.1} {:>8.1} {:>10.1} {:>9.2} {:>8.1}s {:>8.2} {:>6} {:>9.0} {:>7}",
         measures.policy,
         measures.share_error_points,
         measures.skewed_share_error_points,
@@ -317,6 +318,7 @@
         measures.roll_out_seconds,
         measures.buffer_percent,
         measures.moves,
+        measures.peer_bytes,
         measures.breaches
     );
 }
--- a/crates/load/src/runs/policy_run.rs
+++ b/crates/load/src/runs/policy_run.rs
@@ -64,6 +64,8 @@
     pub buffer_percent: f64,
     /// Instances that changed pools.
     pub moves: usize,
+    /// Bytes a second that an entry sent to the others while queues peaked, in the mean.
+    pub peer_bytes: f64,
     /// Promises broken.
     pub breaches: usize,
 }
@@ -93,12 +95,14 @@
     let twice = run_full(&deployment, seed + 2, 2.0, EntryChoice::InTurn).await?;
     let begun = unix_micros();
     start_waves(&deployment, variant).await?;
+    let peer_bytes = total_peer_bytes(&deployment).await?;
     let peaks = run_load(
         &deployment.view(),
         &peak_plan(shape, seed + 3),
         EntryChoice::InTurn,
     )
     .await;
+    let peer_bytes = total_peer_bytes(&deployment).await? - peer_bytes;
     let waves = await_waves(&deployment).await?;
     let lines = read_lines(&deployment)?;
     Ok(PolicyMeasures {
@@ -111,10 +115,26 @@
         roll_out_seconds: waves.iter().map(roll_out).fold(0.0, f64::max),
         buffer_percent: buffer_percent(&lines, begun),
         moves: count_moves(&lines),
+        peer_bytes: peer_bytes / PEAK_LENGTH.as_secs_f64() / entries_of(shape),
         breaches: check_history(&lines).len(),
     })
 }
 
+fn entries_of(shape: &DeploymentShape) -> f64 {
+    f64::from(u32::try_from(shape.entries.max(1)).unwrap_or(u32::MAX))
+}
+
+/// Bytes that all entries have sent to each other.
+async fn total_peer_bytes(deployment: &RunningDeployment) -> Result<f64, DeploymentFault> {
+    let mut total = 0.0;
+    for entry in 0..deployment.entry_count() {
+        total += deployment
+            .entry_metric(entry, "dotterelshore_peer_bytes_total")
+            .await?;
+    }
+    Ok(total)
+}
+
 /// The slots of the first pool of executors, which is the one that is filled.
 fn pool_slots(shape: &DeploymentShape) -> f64 {
     let pool = shape
--- a/crates/wire/src/peer_message.rs
+++ b/crates/wire/src/peer_message.rs
@@ -84,6 +84,8 @@
     Demand {
         /// The pool.
         pool: PoolName,
+        /// Whether the pool is busy enough there that the others should tell theirs.
+        wanted: bool,
         /// The teams with demand, here or elsewhere.
         teams: Vec<PoolDemand>,
     },
--- a/crates/wire/tests/codec_test.rs
+++ b/crates/wire/tests/codec_test.rs
@@ -37,6 +37,7 @@
     let demand = prop::collection::vec(("[a-z]{1,12}", any::<u32>()), 0..20).prop_map(|teams| {
         PeerNotice::Demand {
             pool: PoolName::try_from("p").expect("a name"),
+            wanted: true,
             teams: teams
                 .into_iter()
                 .map(|(team, demand)| PoolDemand {
