--- a/crates/entry/src/waves/drain_steps.rs
+++ b/crates/entry/src/waves/drain_steps.rs
@@ -24,12 +24,13 @@
 
 /// Longest wait for a peer's confirmation.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
-/// Pause between askings.
+/// First and longest pause between askings whether an instance is quiet; it doubles.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
+const ASK_PAUSE_LONGEST: Duration = Duration::from_millis(400);
 /// Pause between tries of a step that the store or the platform did not take.
 const STEP_PAUSE: Duration = Duration::from_millis(300);
 /// How often a wait for the same entry is logged, in askings.
-const LOG_EVERY: u32 = 40;
+const LOG_EVERY: u32 = 10;
 
 /// Takes leave from the pool's budget to drain an instance.
 pub(super) async fn take_token(
@@ -116,6 +117,7 @@
 /// Waits until every entry that may still act says that it sends the instance nothing
 /// and has nothing running there, and the instance says the same.
 pub(super) async fn await_quiet(node: &Arc<EntryNode>, known: &KnownInstance) {
+    let mut pause = ASK_PAUSE;
     for asked in 0_u32.. {
         let busy = busy_entries(node, known).await;
         let quiet = busy.is_empty()
@@ -132,7 +134,8 @@
                 entries = busy.join(",")
             );
         }
-        tokio::time::sleep(ASK_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = ASK_PAUSE_LONGEST.min(pause * 2);
     }
 }
 
