Settle a run whose answer was another request's; tell demand a little less often

Cause: an answer that belonged to another request was taken as the end of this run, so its permit came back without the target's word. The stand-ins answer crossed only after the run, so no test shows it; found by reading. Change: such a run is fenced and settled; demand is told every 0.4 s.

--- a/crates/entry/src/dispatch/demand_task.rs
+++ b/crates/entry/src/dispatch/demand_task.rs
@@ -18,7 +18,7 @@
 };
 
 /// How often demand is told while it is wanted.
-const DEMAND_PERIOD: Duration = Duration::from_millis(300);
+const DEMAND_PERIOD: Duration = Duration::from_millis(400);
 /// Most teams told in one datagram.
 const TEAMS_PER_NOTICE: usize = 40;
 
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -10,7 +10,8 @@
 mod target_word;
 
 pub(crate) use {
-    dispatch_desk::DispatchDesk,
+    demand_task::start,
+    dispatch_desk::{DispatchDesk, await_turn, choose_pool, pump_all},
     pool_desk::TargetSeat,
     request_forward::{
         FORWARD_TIME_MIN, ForwardEnd, ForwardedRequest, HEADER_FORWARDED, choose_peer, forward,
@@ -18,11 +19,6 @@
     },
     request_run::{RequestCarry, carry_request},
     run_turn::RunTurn,
-    target_word::{instance_quiet, running_for},
-};
-
-pub(crate) use {
-    demand_task::start,
-    dispatch_desk::{await_turn, choose_pool, pump_all},
     target_load::TargetResult,
+    target_word::{instance_quiet, running_for},
 };
--- a/crates/entry/src/dispatch/request_run.rs
+++ b/crates/entry/src/dispatch/request_run.rs
@@ -147,7 +147,7 @@
             }
             TryEnd::Answered(answer) => return TryEnd::Answered(answer),
             TryEnd::Unknown(refusal) => {
-                if ended_whole(&answer) {
+                if shows_end(&answer, &refusal) {
                     drop(turn);
                 } else {
                     tokio::spawn(settle_run(Arc::clone(&node), turn, run));
@@ -184,9 +184,10 @@
     node.targets.send(request, left).await
 }
 
-/// Whether the target answered whole, so that its run surely ended.
-fn ended_whole(answer: &Result<HttpAnswer, HttpFault>) -> bool {
-    answer.is_ok()
+/// Whether the target's answer shows that this run ended: it came whole and was not
+/// another request's.
+fn shows_end(answer: &Result<HttpAnswer, HttpFault>, refusal: &Refusal) -> bool {
+    answer.is_ok() && refusal.code != ResultCode::AnswerCrossed
 }
 
 fn judge(answer: &Result<HttpAnswer, HttpFault>, carry: &RequestCarry) -> TryEnd {
