Test a crossed answer that comes while the run goes on

Change: a stand-in may send another request's answer at once and run on; the run with wrong answers draws it too.

--- a/crates/load/src/driver/arrival_plan.rs
+++ b/crates/load/src/driver/arrival_plan.rs
@@ -157,7 +157,13 @@
         if rng.random::<f64>() >= self.wrong {
             return WorkAct::Well;
         }
-        [WorkAct::Fail, WorkAct::Truncate, WorkAct::Cross][rng.random_range(0..3)]
+        let wrong = [
+            WorkAct::Fail,
+            WorkAct::Truncate,
+            WorkAct::Cross,
+            WorkAct::CrossEarly,
+        ];
+        wrong[rng.random_range(0..wrong.len())]
     }
 
     /// A few teams are large: teams ask by their weight, or all alike.
--- a/crates/standins/src/targets/executor_target.rs
+++ b/crates/standins/src/targets/executor_target.rs
@@ -138,8 +138,13 @@
         team: identity.team.clone(),
         queue: identity.queue.clone(),
     });
+    let early = TargetWork::of(&body).act == WorkAct::CrossEarly;
     // The run goes on in its own task: a connection that closes does not end it.
+    let target_name = target.name.clone();
     let ended = tokio::spawn(async move { carry_out(&target, &identity, &body).await });
+    if early {
+        return crossed(&target_name);
+    }
     ended.await.unwrap_or_else(|_| broken())
 }
 
@@ -164,23 +169,23 @@
     if work.act == WorkAct::Fail || target.behaviour().fail_all {
         return whole(plain_answer(500, "text/plain", "failed"));
     }
-    let told = if work.act == WorkAct::Cross {
-        "another-request"
-    } else {
-        identity.id.as_str()
-    };
-    let nonce = if work.act == WorkAct::Cross {
-        "another"
-    } else {
-        work.nonce.as_str()
-    };
-    let mut answer = json_answer(
-        200,
-        &serde_json::json!({ "id": told, "nonce": nonce, "target": target.name }),
-    );
+    if work.act == WorkAct::Cross {
+        return crossed(&target.name);
+    }
+    answered(&identity.id, &work.nonce, &target.name, still_busy)
+}
+
+/// An answer that belongs to another request.
+fn crossed(target: &str) -> TargetAnswer {
+    answered("another-request", "another", target, 0)
+}
+
+fn answered(id: &str, nonce: &str, target: &str, busy: u32) -> TargetAnswer {
+    let body = serde_json::json!({ "id": id, "nonce": nonce, "target": target });
+    let mut answer = json_answer(200, &body);
     for (name, value) in [
-        (HEADER_REQUEST_ID, told.to_owned()),
-        (HEADER_BUSY, still_busy.to_string()),
+        (HEADER_REQUEST_ID, id.to_owned()),
+        (HEADER_BUSY, busy.to_string()),
     ] {
         if let Ok(value) = value.parse() {
             answer.headers_mut().insert(name, value);
--- a/crates/standins/src/targets/target_work.rs
+++ b/crates/standins/src/targets/target_work.rs
@@ -18,6 +18,8 @@
     Truncate,
     /// Its answer is another request's.
     Cross,
+    /// Another request's answer comes at once, and it runs on.
+    CrossEarly,
 }
 
 /// The body of a request or task.
