Await a wave's last tasks; keep orders for an instance apart

The token of the last instance of a finished wave stayed in the pool's ledger: the wave's task noted the instance as done, the wave saw that it was done and ended, and its open tasks were dropped before the token came back. Found beside it by reading: all operators' drains shared one holder, so one could resume what another had drained or what a wave had stopped, and a stop that was not recorded was still followed by the reboot. Ruled out: instances left out of service (all were in service), entries waited for (no such line in the logs). Change: a wave awaits its open tasks; an order is refused while another is under way for the instance; only what an order drained is resumed; no reboot without its recorded stop. The cause is not shown; the harness now sends the signal to go on three times.

--- a/crates/domain/src/fleet/pool_ledger.rs
+++ b/crates/domain/src/fleet/pool_ledger.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Who has leave to keep an instance out.
+    pub fn holder_of(&self, instance: &InstanceName) -> Option<&WaveName> {
+        self.tokens.get(instance).map(|token| &token.holder)
+    }
+
     /// The instances out by plan.
     pub fn out(&self) -> impl Iterator<Item = &InstanceName> {
         self.tokens.keys()
--- a/crates/entry/src/waves/drain_steps.rs
+++ b/crates/entry/src/waves/drain_steps.rs
@@ -50,6 +50,21 @@
         .await
 }
 
+/// Whether the leave to keep an instance out is this holder's.
+pub(super) async fn holds_token(
+    node: &EntryNode,
+    pool: &PoolName,
+    instance: &InstanceName,
+    holder: &WaveName,
+) -> Result<bool, Refusal> {
+    let ledger = node
+        .store
+        .get::<PoolLedger>(&format!("pool/{pool}"))
+        .await?;
+    let ledger = ledger.map(|ledger| ledger.value).unwrap_or_default();
+    Ok(ledger.holder_of(instance) == Some(holder))
+}
+
 /// Gives the leave back, however long the store is away.
 pub(super) async fn return_token(
     node: &EntryNode,
@@ -175,7 +190,7 @@
 ) {
     let name = &known.record.name;
     let boots = node.fleet.boots(name);
-    insist(|| async {
+    let stopped = insist(|| async {
         change_instance(node, name, |record| match record.state {
             ServiceState::Stopped => Ok(()),
             _ => record.stop(boots),
@@ -183,6 +198,10 @@
         .await
     })
     .await;
+    if stopped.is_none() {
+        // Its record says something else by now: it is not ours to stop.
+        return;
+    }
     let boots = node
         .fleet
         .instance(name)
--- a/crates/entry/src/waves/instance_orders.rs
+++ b/crates/entry/src/waves/instance_orders.rs
@@ -1,8 +1,10 @@
 //! Single orders of operators for instances.
 
 use {
-    super::drain_steps::{await_quiet, change_instance, mark_draining, return_token, take_token},
-    crate::node::EntryNode,
+    super::drain_steps::{
+        await_quiet, change_instance, holds_token, mark_draining, return_token, take_token,
+    },
+    crate::{fleet::KnownInstance, node::EntryNode},
     dotterelshore_domain::{
         codes::{Refusal, ResultCode},
         fleet::{InstanceRecord, ServiceState},
@@ -63,30 +65,54 @@
     Ok(count)
 }
 
+/// Takes the leave for an order and marks the instance; gives the leave back if the mark
+/// can't be set. An order under way for the instance refuses a second one.
+async fn begin_order(
+    node: &Arc<EntryNode>,
+    pool: &PoolName,
+    instance: &InstanceName,
+    holder: &WaveName,
+) -> Result<KnownInstance, Refusal> {
+    if holds_token(node, pool, instance, holder).await? {
+        let detail = format!("an order for instance '{instance}' is under way");
+        return Err(Refusal::not_run(ResultCode::InstanceBusy, detail));
+    }
+    take_token(node, pool, instance, holder).await?;
+    let marked = mark_draining(node, instance).await;
+    if marked.is_err() {
+        return_token(node, pool, instance, holder).await;
+    }
+    marked
+}
+
 /// Drains an instance and keeps it out until it is resumed.
 pub(crate) async fn drain_instance(
     node: &Arc<EntryNode>,
     instance: &InstanceName,
 ) -> Result<(), Refusal> {
     let pool = pool_of(node, instance)?;
-    take_token(node, &pool, instance, &order_holder(instance)?).await?;
-    mark_draining(node, instance).await?;
+    begin_order(node, &pool, instance, &order_holder(instance)?).await?;
     log_event!(Info, "drain-ordered", instance = instance, pool = pool);
     Ok(())
 }
 
-/// Puts a drained instance back into service.
+/// Puts an instance back into service that was drained by order.
 pub(crate) async fn resume_instance(
     node: &Arc<EntryNode>,
     instance: &InstanceName,
 ) -> Result<(), Refusal> {
     let pool = pool_of(node, instance)?;
+    let holder = order_holder(instance)?;
+    if !holds_token(node, &pool, instance, &holder).await? {
+        let detail = format!("instance '{instance}' was not drained by order");
+        return Err(Refusal::not_run(ResultCode::InstanceBusy, detail));
+    }
     change_instance(node, instance, |record| {
         record.resume();
         Ok(())
     })
     .await?;
-    return_token(node, &pool, instance, &order_holder(instance)?).await;
+    return_token(node, &pool, instance, &holder).await;
     log_event!(Info, "instance-resumed", instance = instance, pool = pool);
     Ok(())
 }
@@ -107,8 +133,7 @@
         return Ok(());
     }
     let holder = order_holder(instance)?;
-    take_token(node, &from, instance, &holder).await?;
-    let known = mark_draining(node, instance).await?;
+    let known = begin_order(node, &from, instance, &holder).await?;
     let node = Arc::clone(node);
     let instance = instance.clone();
     let to = to.clone();
--- a/crates/entry/src/waves/wave_run.rs
+++ b/crates/entry/src/waves/wave_run.rs
@@ -167,6 +167,8 @@
             wave = read.value;
         }
     }
+    // The last instance is noted as done before its token is given back.
+    while open.join_next().await.is_some() {}
     log_event!(
         Info,
         "wave-ended",
--- a/crates/load/src/deployment/child_process.rs
+++ b/crates/load/src/deployment/child_process.rs
@@ -15,6 +15,10 @@
     },
 };
 
+/// How often, and how far apart, a process is told to go on.
+const THAW_SIGNALS: u32 = 3;
+const THAW_PAUSE: Duration = Duration::from_millis(30);
+
 /// A process of the deployment. It is killed when it is dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -116,9 +120,13 @@
         self.signal(Signal::SIGSTOP);
     }
 
-    /// Lets it go on.
+    /// Lets it go on. The signal is sent again, as one sent to a busy machine may find the
+    /// process not wholly stopped yet.
     pub fn thaw(&self) {
-        self.signal(Signal::SIGCONT);
+        for _ in 0..THAW_SIGNALS {
+            self.signal(Signal::SIGCONT);
+            std::thread::sleep(THAW_PAUSE);
+        }
     }
 
     /// Asks it to end and waits for that.
