Draw pauses between tries in one place; drop calls that nothing used

The same draw from half of a pause to all of it stood five times; three methods of the permit ledger and two of the harness had no caller. Change: spread_pause beside the timer's own jitter; the unused methods are gone. Behaviour is as it was.

--- a/crates/domain/src/team/permit_ledger.rs
+++ b/crates/domain/src/team/permit_ledger.rs
@@ -70,24 +70,6 @@
         held - kept
     }
 
-    /// Permits granted beyond the ceiling, as after the ceiling was lowered.
-    pub fn excess(&self, team: &TeamName, ceiling: u32) -> u32 {
-        self.granted(team).saturating_sub(ceiling)
-    }
-
-    /// Every life of an entry that holds permits.
-    pub fn holders(&self) -> Vec<EntryStamp> {
-        let mut holders: Vec<EntryStamp> = self
-            .teams
-            .values()
-            .flatten()
-            .map(|holding| holding.entry.clone())
-            .collect();
-        holders.sort();
-        holders.dedup();
-        holders
-    }
-
     /// Takes everything from a holder that is gone and whose work has ended.
     pub fn forget(&mut self, entry: &EntryStamp) -> u32 {
         let mut freed = 0;
@@ -103,15 +85,6 @@
         freed
     }
 
-    /// Permits that an entry holds, for all teams in this record.
-    pub fn holdings_of(&self, entry: &EntryStamp) -> Vec<(TeamName, u32)> {
-        let held = self
-            .teams
-            .keys()
-            .map(|team| (team.clone(), self.held(team, entry)));
-        held.filter(|(_, permits)| *permits > 0).collect()
-    }
-
     fn set(&mut self, team: &TeamName, entry: &EntryStamp, permits: u32) {
         let holdings = self.teams.entry(team.clone()).or_default();
         holdings.retain(|holding| holding.entry != *entry);
--- a/crates/entry/src/fleet/fleet_watch.rs
+++ b/crates/entry/src/fleet/fleet_watch.rs
@@ -5,6 +5,7 @@
     crate::{
         dispatch::{TargetSeat, start as start_demand},
         node::EntryNode,
+        timer_hub::spread_pause,
     },
     dotterelshore_domain::{fleet::InstanceRecord, table::PoolRow},
     dotterelshore_wire::{log_event, store_link::RecordList},
@@ -123,6 +124,6 @@
 
 /// Sleeps a random part of the pause, and returns the next one.
 pub(crate) async fn pause_and_double(pause: Duration) -> Duration {
-    tokio::time::sleep(pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
+    tokio::time::sleep(spread_pause(pause)).await;
     PAUSE_LONGEST.min(pause * 2)
 }
--- a/crates/entry/src/jobs/job_run.rs
+++ b/crates/entry/src/jobs/job_run.rs
@@ -9,6 +9,7 @@
         dispatch::{RunTurn, TargetResult, await_turn, choose_pool},
         node::EntryNode,
         peers,
+        timer_hub::spread_pause,
     },
     dotterelshore_domain::{
         codes::{Refusal, ResultCode},
@@ -251,7 +252,7 @@
                     ResultCode::StoreDown | ResultCode::StoreUnsure
                 ) =>
             {
-                tokio::time::sleep(pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
+                tokio::time::sleep(spread_pause(pause)).await;
                 pause = RECORD_LONGEST.min(pause * 2);
             }
             recorded => return recorded,
@@ -302,7 +303,7 @@
                 return Some(read.value);
             }
             Ok(_) => return None,
-            Err(_) => tokio::time::sleep(pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await,
+            Err(_) => tokio::time::sleep(spread_pause(pause)).await,
         }
         pause = RECORD_LONGEST.min(pause * 2);
     }
--- a/crates/entry/src/peers/peer_link.rs
+++ b/crates/entry/src/peers/peer_link.rs
@@ -2,7 +2,7 @@
 
 use {
     super::peer_book::QueuedCall,
-    crate::node::EntryNode,
+    crate::{node::EntryNode, timer_hub::spread_pause},
     dotterelshore_wire::{
         log_event,
         peer_codec::{PeerFault, read_frame, write_frame},
@@ -41,7 +41,7 @@
             } else {
                 PAUSE_LONGEST.min(pause * 2)
             };
-            not_before = Instant::now() + pause.mul_f64(0.5 + 0.5 * rand::random::<f64>());
+            not_before = Instant::now() + spread_pause(pause);
         }
         let Some(open) = stream.as_mut() else {
             continue;
--- a/crates/entry/src/permits/permit_desk.rs
+++ b/crates/entry/src/permits/permit_desk.rs
@@ -1,7 +1,7 @@
 //! The permits of all teams in this entry.
 
 use {
-    crate::node::lock,
+    crate::{node::lock, timer_hub::spread_pause},
     dotterelshore_domain::{
         collections::{FastMap, FastSet},
         names::{EntryStamp, TeamName},
@@ -56,7 +56,7 @@
     fn lengthen(&mut self, longest: Duration) {
         let pause = longest.min(TRY_FIRST * 2_u32.pow(self.tries.min(8)));
         self.tries += 1;
-        self.next = Some(Instant::now() + pause.mul_f64(0.5 + 0.5 * rand::random::<f64>()));
+        self.next = Some(Instant::now() + spread_pause(pause));
     }
 }
 
--- a/crates/entry/src/timer_hub.rs
+++ b/crates/entry/src/timer_hub.rs
@@ -91,3 +91,8 @@
 pub(crate) fn jittered(period: Duration) -> Duration {
     period.mul_f64(1.0 + JITTER_FRACTION * (2.0 * rand::random::<f64>() - 1.0))
 }
+
+/// A pause between tries, drawn from half of the given one to all of it.
+pub(crate) fn spread_pause(pause: Duration) -> Duration {
+    pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())
+}
--- a/crates/load/src/deployment/fault_hooks.rs
+++ b/crates/load/src/deployment/fault_hooks.rs
@@ -156,21 +156,6 @@
             .await
     }
 
-    /// Calls that the platform counted, by kind.
-    ///
-    /// # Errors
-    ///
-    /// The stand-in did not answer.
-    pub async fn platform_counts(
-        &self,
-    ) -> Result<std::collections::BTreeMap<String, u64>, DeploymentFault> {
-        let answer = self
-            .control
-            .read(self.plan.platform(), "/control/counts")
-            .await?;
-        Ok(serde_json::from_slice(&answer.body).unwrap_or_default())
-    }
-
     async fn list_gone(&self, number: usize) -> Result<(), DeploymentFault> {
         let Some(stamp) = &self.entries[number].stamp else {
             return Ok(());
--- a/crates/load/src/deployment/running_deployment.rs
+++ b/crates/load/src/deployment/running_deployment.rs
@@ -308,17 +308,6 @@
             .await
     }
 
-    /// Waits until an entry says that it has a table.
-    ///
-    /// # Errors
-    ///
-    /// It does not in time.
-    pub async fn await_ready(&self, number: usize) -> Result<(), DeploymentFault> {
-        self.control
-            .await_answer(self.plan.entry(number), "/readyz")
-            .await
-    }
-
     async fn read_stamp(&self, log: &std::path::Path) -> Result<EntryStamp, DeploymentFault> {
         let until = tokio::time::Instant::now() + START_WAIT;
         while tokio::time::Instant::now() < until {
