Move instances with the demand and maintain them in waves

Change: InstancePlan decides moves and maintenance from what pools' work asks, idle workers, and the tasks that last; the instance task orders it.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -86,6 +86,19 @@
     }
 }
 
+/// What a pool's work asks of its workers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolLoad {
+    /// Thousandths of a core that runs reserve.
+    pub reserved_milli: u64,
+    /// Thousandths of a core that ready tasks ask for.
+    pub waiting_milli: u64,
+    /// Thousandths of a core that one worker has.
+    pub worker_milli: u64,
+    /// Workers over which the tasks of one step have to be spread.
+    pub spread: usize,
+}
+
 /// Progress to be recorded, with the ends that it covers.
 #[derive(Debug, Clone, Default)]
 pub struct ProgressBatch {
@@ -129,7 +142,7 @@
 
     /// Takes in a worker's listing. A new life of it, or of its instance, ends all that
     /// ran before.
-    pub fn upsert_worker(&mut self, listed: ListedWorker, now_ms: u64) {
+    pub fn upsert_worker(&mut self, listed: ListedWorker) {
         let replaced: Vec<_> = self
             .workers
             .values()
@@ -144,7 +157,7 @@
             .map(|seat| seat.listed.name.clone())
             .collect();
         for name in replaced {
-            self.release_all(&name, now_ms);
+            self.release_all(&name);
             self.workers.remove(&name);
         }
         let unseen_until = self.unseen_until_ms;
@@ -193,12 +206,113 @@
         }
     }
 
-    /// Grants a worker another lease; returns the highest end that may be acknowledged.
-    pub fn grant(&mut self, name: &WorkerName, now_ms: u64) -> Option<u64> {
+    /// Grants a worker another lease if its last call was answered; tells whether it did.
+    /// A worker that does not answer gets none, so that what it ran surely ends.
+    pub fn grant(&mut self, name: &WorkerName, now_ms: u64) -> bool {
         let lease = self.lease_ms + self.lease_ms * CLOCK_SLOW_PERCENT / 100 + LEASE_SLACK_MS;
-        let seat = self.workers.get_mut(name)?;
+        let Some(seat) = self.workers.get_mut(name).filter(|seat| seat.reachable) else {
+            return false;
+        };
         seat.lease_until_ms = seat.lease_until_ms.max(now_ms + lease);
-        Some(seat.recorded_end)
+        true
+    }
+
+    /// Keeps new tasks away from a worker, or no longer.
+    pub fn set_cordon(&mut self, name: &WorkerName, cordoned: bool) {
+        if let Some(seat) = self.workers.get_mut(name) {
+            seat.cordoned = cordoned;
+        }
+    }
+
+    /// Takes note that an order ended a worker's life and all that ran there.
+    pub fn worker_ended(&mut self, name: &WorkerName) {
+        self.release_all(name);
+        self.workers.remove(name);
+    }
+
+    /// Whether nothing but tasks that last runs on a worker.
+    pub fn runs_only_lasting(&self, name: &WorkerName) -> bool {
+        let lasting = |task: &TaskName| {
+            self.jobs
+                .get(&task.job)
+                .is_some_and(|job| job.record.plan.steps[usize::from(task.step)].long_running)
+        };
+        self.workers
+            .get(name)
+            .is_none_or(|seat| seat.runs.keys().all(lasting))
+    }
+
+    /// Whether a worker's instance may be taken down: every step that lasts misses no more
+    /// tasks then than it may, those that are not at work for any cause counted.
+    pub fn may_take_down(&self, name: &WorkerName) -> bool {
+        let Some(seat) = self.workers.get(name) else {
+            return true;
+        };
+        seat.runs.keys().all(|task| {
+            let Some(job) = self.jobs.get(&task.job) else {
+                return true;
+            };
+            let plan = &job.record.plan.steps[usize::from(task.step)];
+            let Some(may_miss) = plan.may_miss.filter(|_| plan.long_running) else {
+                return true;
+            };
+            let Some(step) = job
+                .occurrences
+                .get(&task.occurrence)
+                .and_then(|steps| steps.get(usize::from(task.step)))
+            else {
+                return true;
+            };
+            let away_or_here = |task: &&super::live_job::TaskState| {
+                !task
+                    .runs
+                    .iter()
+                    .any(|run| run.at_work() && run.worker != *name)
+            };
+            step.tasks.iter().filter(away_or_here).count() <= may_miss as usize
+        })
+    }
+
+    /// Takes note that a worker's instance is about to be taken down: its tasks count as
+    /// not at work from now on.
+    pub fn note_taken_down(&mut self, name: &WorkerName) {
+        self.set_cordon(name, true);
+        let Some(seat) = self.workers.get(name) else {
+            return;
+        };
+        let runs: Vec<_> = seat.runs.keys().cloned().collect();
+        for task in runs {
+            if let Some(state) = self
+                .jobs
+                .get_mut(&task.job)
+                .and_then(|job| job.task_mut(&task))
+            {
+                for run in state.runs.iter_mut().filter(|run| run.worker == *name) {
+                    run.percent = 0.0;
+                }
+            }
+        }
+    }
+
+    /// What each pool's work asks of its workers.
+    pub fn pool_loads(&self) -> FastMap<PoolName, PoolLoad> {
+        let mut loads: FastMap<PoolName, PoolLoad> = FastMap::default();
+        for seat in self.workers.values() {
+            let load = loads.entry(seat.listed.pool.clone()).or_default();
+            load.reserved_milli += seat.used.cpu_milli;
+            load.worker_milli = load.worker_milli.max(seat.listed.capacity.cpu_milli);
+        }
+        for (pool, names) in &self.active {
+            let load = loads.entry(pool.clone()).or_default();
+            for job in names.iter().filter_map(|name| self.jobs.get(name)) {
+                job.add_load(load);
+            }
+        }
+        let usual = loads.values().map(|load| load.worker_milli).max();
+        for load in loads.values_mut().filter(|load| load.worker_milli == 0) {
+            load.worker_milli = usual.unwrap_or_default();
+        }
+        loads
     }
 
     /// Takes in a job. `run_base` is above any run that an earlier owner may have
@@ -365,7 +479,7 @@
     }
 
     /// Ends all runs on a worker whose life is over.
-    pub(super) fn release_all(&mut self, name: &WorkerName, _now_ms: u64) {
+    pub(super) fn release_all(&mut self, name: &WorkerName) {
         let Some(seat) = self.workers.get(name) else {
             return;
         };
--- /dev/null
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -0,0 +1,460 @@
+//! Which instances move between pools, and which are taken down for maintenance.
+
+use {
+    super::fleet_schedule::{FleetSchedule, PoolLoad},
+    crate::{
+        collections::{FastMap, FastSet},
+        names::{InstanceName, PoolName, WorkerName},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// How long a pool keeps instances for demand that it had, in milliseconds. About half of
+/// the users' peaks of some four seconds: a lull within a peak empties no pool.
+const DEMAND_MEMORY_MS: u64 = 2_000;
+/// How long a worker has nothing to do before its instance may leave, in milliseconds.
+const IDLE_MS: u64 = 700;
+/// Instances that a pool has beyond those that its present work fills, in hundredths of
+/// these: the room for work that comes while an instance is under way.
+const HEADROOM_PERCENT: u64 = 15;
+/// Fewest instances of a pool that is in use, so that one crash leaves room.
+const POOL_MIN: usize = 3;
+/// How long a due instance waits for its running tasks to end before they are cut off, in
+/// milliseconds. Longer than most tasks of the users, some two seconds.
+const CORDON_MS: u64 = 2_500;
+/// How long an order for an instance stands before the platform's list is believed over
+/// it, in milliseconds. Longer than the list lags and a move takes.
+const ORDER_MEMORY_MS: u64 = 3_000;
+
+/// What an instance is doing, as the platform lists it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InstanceActivity {
+    /// It works, or stands by in the spare pool.
+    Up,
+    /// It moves, is maintained, or is down.
+    Away,
+}
+
+/// An instance as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// What it is doing.
+    pub activity: InstanceActivity,
+}
+
+/// A wave of maintenance and how far it is, as recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WaveProgress {
+    /// The wave's number.
+    pub number: u64,
+    /// Instances whose maintenance has begun.
+    pub begun: Vec<InstanceName>,
+    /// Whether all of it is done.
+    pub completed: bool,
+}
+
+/// An order for an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum InstanceOrder {
+    /// Move it to a pool.
+    Move {
+        /// The instance.
+        instance: InstanceName,
+        /// Where it goes.
+        pool: PoolName,
+    },
+    /// Take it down for a wave.
+    Maintain {
+        /// The instance.
+        instance: InstanceName,
+        /// The wave.
+        wave: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct InstanceSeat {
+    pool: PoolName,
+    up: bool,
+    worker: Option<WorkerName>,
+    idle_since_ms: Option<u64>,
+    ordered_ms: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct WaveState {
+    number: u64,
+    at_once: usize,
+    due: Vec<InstanceName>,
+    begun: FastMap<InstanceName, u64>,
+    back: FastSet<InstanceName>,
+    cordoned: FastMap<InstanceName, u64>,
+    completed: bool,
+}
+
+/// Instances, their waves, and what pools need.
+#[derive(Debug, Default)]
+pub struct InstancePlan {
+    instances: FastMap<InstanceName, InstanceSeat>,
+    waves: Vec<WaveState>,
+    spare: Option<PoolName>,
+    wanted: FastMap<PoolName, (usize, u64)>,
+    upkeep_ms: u64,
+}
+
+impl InstancePlan {
+    /// A plan that knows no instance; maintenance takes `upkeep_ms`.
+    pub fn new(upkeep_ms: u64) -> Self {
+        Self {
+            upkeep_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the pool whose instances are switched off.
+    pub fn set_spare(&mut self, spare: Option<PoolName>) {
+        self.spare = spare;
+    }
+
+    /// Takes in the platform's list. What was ordered lately is believed over it.
+    pub fn take_list(&mut self, list: Vec<ListedInstance>, now_ms: u64) {
+        let listed: FastSet<_> = list.iter().map(|row| row.name.clone()).collect();
+        self.instances.retain(|name, _| listed.contains(name));
+        for row in list {
+            let up = row.activity == InstanceActivity::Up;
+            let seat = self
+                .instances
+                .entry(row.name)
+                .or_insert_with(|| InstanceSeat {
+                    pool: row.pool.clone(),
+                    up,
+                    worker: None,
+                    idle_since_ms: None,
+                    ordered_ms: None,
+                });
+            if seat
+                .ordered_ms
+                .is_some_and(|at| now_ms < at + ORDER_MEMORY_MS && row.pool != seat.pool)
+            {
+                continue;
+            }
+            seat.pool = row.pool;
+            seat.up = up;
+        }
+        for wave in &mut self.waves {
+            for (name, begun_ms) in &wave.begun {
+                let up = self.instances.get(name).is_none_or(|seat| seat.up);
+                if up && now_ms >= begun_ms + self.upkeep_ms {
+                    wave.back.insert(name.clone());
+                }
+            }
+        }
+    }
+
+    /// Takes in an order for a wave, and what is recorded of it.
+    pub fn take_wave(
+        &mut self,
+        number: u64,
+        due: Vec<InstanceName>,
+        at_once: usize,
+        recorded: Option<&WaveProgress>,
+        now_ms: u64,
+    ) {
+        if self.waves.iter().any(|wave| wave.number == number) {
+            return;
+        }
+        let begun = recorded.map(|progress| progress.begun.clone());
+        let begun = begun.unwrap_or_default().into_iter();
+        self.waves.push(WaveState {
+            number,
+            at_once,
+            due,
+            begun: begun.map(|name| (name, now_ms)).collect(),
+            back: FastSet::default(),
+            cordoned: FastMap::default(),
+            completed: recorded.is_some_and(|progress| progress.completed),
+        });
+    }
+
+    /// Takes note that an instance's maintenance began, or may have begun.
+    pub fn maintenance_begun(&mut self, instance: &InstanceName, number: u64, now_ms: u64) {
+        if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
+            wave.begun.insert(instance.clone(), now_ms);
+            wave.cordoned.remove(instance);
+        }
+        if let Some(seat) = self.instances.get_mut(instance) {
+            seat.up = false;
+            seat.worker = None;
+            seat.ordered_ms = Some(now_ms);
+        }
+    }
+
+    /// Takes note that an instance's maintenance surely did not begin, and is due later.
+    pub fn maintenance_refused(&mut self, instance: &InstanceName, number: u64, gone: bool) {
+        if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
+            wave.begun.remove(instance);
+            if gone {
+                wave.due.retain(|due| due != instance);
+            }
+        }
+    }
+
+    /// Takes note that an instance was ordered, or may have been ordered, to a pool.
+    pub fn moved(&mut self, instance: &InstanceName, pool: &PoolName, now_ms: u64) {
+        if let Some(seat) = self.instances.get_mut(instance) {
+            seat.pool = pool.clone();
+            seat.up = false;
+            seat.worker = None;
+            seat.idle_since_ms = None;
+            seat.ordered_ms = Some(now_ms);
+        }
+    }
+
+    /// The worker's life on an instance.
+    pub fn worker_of(&self, instance: &InstanceName) -> Option<&WorkerName> {
+        self.instances.get(instance)?.worker.as_ref()
+    }
+
+    /// How far a wave is.
+    pub fn progress(&self, number: u64) -> Option<WaveProgress> {
+        let wave = self.waves.iter().find(|wave| wave.number == number)?;
+        Some(WaveProgress {
+            number,
+            begun: wave.begun.keys().cloned().collect(),
+            completed: wave.completed,
+        })
+    }
+
+    /// Waves that have come to their end since the last call.
+    pub fn newly_completed(&mut self) -> Vec<u64> {
+        let mut ended = Vec::new();
+        for wave in &mut self.waves {
+            let done = wave.due.iter().all(|name| wave.back.contains(name));
+            if done && !wave.completed {
+                wave.completed = true;
+                ended.push(wave.number);
+            }
+        }
+        ended
+    }
+
+    /// What to order next. Cordons and frees workers in the schedule on the way.
+    pub fn plan(&mut self, schedule: &mut FleetSchedule, now_ms: u64) -> Vec<InstanceOrder> {
+        self.note_idle(schedule, now_ms);
+        let mut orders = self.plan_maintenance(schedule, now_ms);
+        let taken: FastSet<InstanceName> = orders
+            .iter()
+            .map(|order| match order {
+                InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. } => {
+                    instance.clone()
+                }
+            })
+            .collect();
+        orders.extend(self.plan_moves(schedule, &taken, now_ms));
+        orders
+    }
+
+    fn note_idle(&mut self, schedule: &FleetSchedule, now_ms: u64) {
+        let mut lives: FastMap<InstanceName, (u64, WorkerName, PoolName)> = FastMap::default();
+        for seat in schedule.workers() {
+            let Some(instance) = &seat.listed.instance else {
+                continue;
+            };
+            let own = &seat.listed;
+            if lives
+                .get(instance)
+                .is_none_or(|(born, ..)| *born < own.born_ms)
+            {
+                let life = (own.born_ms, own.name.clone(), own.pool.clone());
+                lives.insert(instance.clone(), life);
+            }
+        }
+        for (name, seat) in &mut self.instances {
+            seat.worker = lives.get(name).map(|(_, worker, _)| worker.clone());
+            // A worker that is heard is a newer sign than the list.
+            seat.up |= lives.get(name).is_some_and(|(_, worker, pool)| {
+                *pool == seat.pool && schedule.worker(worker).is_some_and(|seat| seat.heard)
+            });
+            let idle = seat.up
+                && seat.worker.as_ref().is_some_and(|worker| {
+                    schedule
+                        .worker(worker)
+                        .is_some_and(|seat| seat.heard && seat.reachable && seat.runs.is_empty())
+                });
+            if idle {
+                seat.idle_since_ms.get_or_insert(now_ms);
+            } else {
+                seat.idle_since_ms = None;
+            }
+        }
+    }
+
+    fn plan_maintenance(
+        &mut self,
+        schedule: &mut FleetSchedule,
+        now_ms: u64,
+    ) -> Vec<InstanceOrder> {
+        let mut orders = Vec::new();
+        for wave in &mut self.waves {
+            if wave.completed {
+                continue;
+            }
+            let down = wave.begun.len() - wave.back.len();
+            let mut room = wave.at_once.saturating_sub(down);
+            let mut due: Vec<_> = wave
+                .due
+                .iter()
+                .filter(|name| !wave.begun.contains_key(*name))
+                .filter_map(|name| {
+                    let seat = self.instances.get(name).filter(|seat| seat.up)?;
+                    let runs = seat
+                        .worker
+                        .as_ref()
+                        .and_then(|worker| schedule.worker(worker));
+                    let runs = runs.map_or(0, |seat| seat.runs.len());
+                    Some((runs, name.clone(), seat.worker.clone()))
+                })
+                .collect();
+            due.sort();
+            for (runs, name, worker) in due {
+                if room == 0 {
+                    break;
+                }
+                let ready = match &worker {
+                    None => Some(&name).filter(|_| runs == 0).is_some(),
+                    Some(worker) => {
+                        let seat = schedule.worker(worker);
+                        let lasting_only = schedule.runs_only_lasting(worker);
+                        let waited = wave
+                            .cordoned
+                            .get(&name)
+                            .is_some_and(|since| now_ms > since + CORDON_MS);
+                        seat.is_none_or(|seat| seat.reachable)
+                            && schedule.may_take_down(worker)
+                            && (lasting_only || waited)
+                    }
+                };
+                if ready {
+                    room -= 1;
+                    if let Some(worker) = &worker {
+                        schedule.note_taken_down(worker);
+                    }
+                    orders.push(InstanceOrder::Maintain {
+                        instance: name,
+                        wave: wave.number,
+                    });
+                } else if let Some(worker) = &worker
+                    && wave.cordoned.len() < wave.at_once.max(1)
+                    && !wave.cordoned.contains_key(&name)
+                    && schedule.may_take_down(worker)
+                {
+                    wave.cordoned.insert(name, now_ms);
+                    schedule.set_cordon(worker, true);
+                }
+            }
+        }
+        orders
+    }
+
+    fn plan_moves(
+        &mut self,
+        schedule: &FleetSchedule,
+        taken: &FastSet<InstanceName>,
+        now_ms: u64,
+    ) -> Vec<InstanceOrder> {
+        let Some(spare) = self.spare.clone() else {
+            return Vec::new();
+        };
+        let loads = schedule.pool_loads();
+        let mut have: FastMap<PoolName, usize> = FastMap::default();
+        for seat in self.instances.values() {
+            *have.entry(seat.pool.clone()).or_default() += 1;
+        }
+        let mut lacking: Vec<(usize, PoolName)> = Vec::new();
+        let mut excess: FastMap<PoolName, usize> = FastMap::default();
+        for (pool, load) in &loads {
+            if *pool == spare {
+                continue;
+            }
+            let now_wanted = wanted_instances(load);
+            let entry = self
+                .wanted
+                .entry(pool.clone())
+                .or_insert((now_wanted, now_ms));
+            if now_wanted >= entry.0 || now_ms > entry.1 + DEMAND_MEMORY_MS {
+                *entry = (now_wanted, now_ms);
+            }
+            let kept = entry.0;
+            let own = have.get(pool).copied().unwrap_or_default();
+            if now_wanted > own {
+                lacking.push((now_wanted - own, pool.clone()));
+            }
+            if own > kept {
+                excess.insert(pool.clone(), own - kept);
+            }
+        }
+        // The pool that lacks most comes first.
+        lacking.sort_by(|a, b| b.cmp(a));
+        let mut orders = Vec::new();
+        let mut free: Vec<InstanceName> = self
+            .instances
+            .iter()
+            .filter(|(name, seat)| seat.up && seat.pool == spare && !taken.contains(*name))
+            .map(|(name, _)| name.clone())
+            .collect();
+        free.sort();
+        let mut idle: Vec<(u64, InstanceName, PoolName)> = self
+            .instances
+            .iter()
+            .filter(|(name, seat)| seat.pool != spare && !taken.contains(*name))
+            .filter_map(|(name, seat)| Some((seat.idle_since_ms?, name.clone(), seat.pool.clone())))
+            .collect();
+        idle.sort();
+        let mut idle = idle
+            .into_iter()
+            .filter(|(since, _, pool)| {
+                let left = excess.get_mut(pool);
+                match left {
+                    Some(left) if *left > 0 && now_ms >= since + IDLE_MS => {
+                        *left -= 1;
+                        true
+                    }
+                    _ => false,
+                }
+            })
+            .map(|(_, name, _)| name)
+            .collect::<Vec<_>>();
+        for (lack, pool) in lacking {
+            for _ in 0..lack {
+                let Some(instance) = free.pop().or_else(|| idle.pop()) else {
+                    break;
+                };
+                orders.push(InstanceOrder::Move {
+                    instance,
+                    pool: pool.clone(),
+                });
+            }
+        }
+        for instance in idle {
+            orders.push(InstanceOrder::Move {
+                instance,
+                pool: spare.clone(),
+            });
+        }
+        orders
+    }
+}
+
+/// Instances that a pool's work fills, with some headroom.
+fn wanted_instances(load: &PoolLoad) -> usize {
+    let needed = load.reserved_milli + load.waiting_milli;
+    let needed = needed + needed * HEADROOM_PERCENT / 100;
+    let count = needed.div_ceil(load.worker_milli.max(1));
+    let count = usize::try_from(count).unwrap_or(usize::MAX);
+    count.max(load.spread).max(POOL_MIN)
+}
--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -101,6 +101,16 @@
         }
         need
     }
+
+    /// Tasks of the step that should share a worker at most: what may run together, and,
+    /// for tasks that last, what may be missed together.
+    pub fn most_together(&self) -> u32 {
+        let apart = self.anti_affinity.unwrap_or(u32::MAX);
+        match self.may_miss {
+            Some(may_miss) if self.long_running => apart.min(may_miss.max(1)),
+            _ => apart,
+        }
+    }
 }
 
 /// Why a job's plan was not taken.
--- a/crates/domain/src/schedule/job_progress.rs
+++ b/crates/domain/src/schedule/job_progress.rs
@@ -51,15 +51,13 @@
 }
 
 /// Failed runs of one task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct TaskFailures {
     /// Which task of the step.
     pub index: u32,
-    /// How often it failed.
-    pub count: u32,
-    /// The highest run that failed, so that no failure is counted twice.
-    pub last_run: u32,
+    /// The runs that failed, by number, so that none is counted twice.
+    pub runs: Vec<u32>,
 }
 
 /// How far one step of one occurrence is.
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
+        fleet_schedule::PoolLoad,
         job_order::JobUrgency,
+        job_plan::StepPlan,
         job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
         task_name::TaskName,
     },
@@ -13,6 +15,9 @@
 /// A late end is worth something up to this multiple of the objective, from the users' rules.
 const LATE_MULTIPLE: u64 = 3;
 
+/// The share of its work, in percent, at which a task that lasts is at work.
+const FULLY_AT_WORK: f64 = 100.0;
+
 /// Where a run stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RunPhase {
@@ -45,12 +50,18 @@
     pub(super) moved_ms: u64,
 }
 
+impl TaskRun {
+    /// Whether a task that lasts is at work, past its startup.
+    pub(super) fn at_work(&self) -> bool {
+        matches!(self.phase, RunPhase::Running { .. }) && self.percent >= FULLY_AT_WORK
+    }
+}
+
 /// One task.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TaskState {
     pub(super) done: bool,
-    pub(super) failures: u32,
-    pub(super) last_failed_run: u32,
+    pub(super) failed_runs: Vec<u32>,
     pub(super) last_run: u32,
     pub(super) saved: Option<Arc<str>>,
     pub(super) runs: Vec<TaskRun>,
@@ -211,6 +222,23 @@
                 .all(|steps| steps.iter().all(|step| step.open == 0))
     }
 
+    /// Adds what its ready tasks ask for to its pool's load.
+    pub(super) fn add_load(&self, load: &mut PoolLoad) {
+        for (occurrence, steps) in &self.occurrences {
+            for (number, step) in steps.iter().enumerate() {
+                let plan = &self.record.plan.steps[number];
+                if plan.long_running {
+                    load.spread = load.spread.max(spread_of(plan));
+                }
+                if step.open == 0 || !self.is_ready(*occurrence, number) {
+                    continue;
+                }
+                let idle = step.tasks.iter().filter(|task| task.idle()).count() as u64;
+                load.waiting_milli += idle * plan.reserved().cpu_milli;
+            }
+        }
+    }
+
     pub(super) fn urgency(&self) -> JobUrgency {
         let plan = &self.record.plan;
         let whole = plan.chain_ms(|_| false);
@@ -273,6 +301,13 @@
     }
 }
 
+/// Workers over which a step that lasts is spread, so that one that is taken down ends no
+/// more tasks than may be missed.
+fn spread_of(plan: &StepPlan) -> usize {
+    let apart = plan.count.div_ceil(plan.most_together().max(1));
+    usize::try_from(apart).unwrap_or(usize::MAX)
+}
+
 impl StepState {
     fn restore(&mut self, tally: &StepTally) {
         self.touched = true;
@@ -291,9 +326,9 @@
         }
         for failed in &tally.failures {
             if let Some(task) = self.tasks.get_mut(failed.index as usize) {
-                task.failures = failed.count;
-                task.last_failed_run = failed.last_run;
-                task.last_run = task.last_run.max(failed.last_run);
+                let highest = failed.runs.iter().copied().max().unwrap_or_default();
+                task.last_run = task.last_run.max(highest);
+                task.failed_runs.clone_from(&failed.runs);
             }
         }
     }
@@ -302,7 +337,7 @@
         let indexed = || (0u32..).zip(&self.tasks);
         let all_done = self.open == 0;
         let done = indexed().filter(|(_, task)| task.done && !all_done);
-        let failed = indexed().filter(|(_, task)| task.failures > 0 && !task.done);
+        let failed = indexed().filter(|(_, task)| !task.failed_runs.is_empty() && !task.done);
         StepTally {
             occurrence,
             step,
@@ -311,8 +346,7 @@
             failures: failed
                 .map(|(index, task)| TaskFailures {
                     index,
-                    count: task.failures,
-                    last_run: task.last_failed_run,
+                    runs: task.failed_runs.clone(),
                 })
                 .collect(),
         }
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs of several steps, scheduled on the workers of a fleet.
 
 mod fleet_schedule;
+mod instance_plan;
 mod job_order;
 mod job_plan;
 mod job_progress;
@@ -12,7 +13,8 @@
 mod worker_seat;
 
 pub use {
-    fleet_schedule::{FleetSchedule, ProgressBatch, StartOrder, StopOrder, WorkerOrder},
+    fleet_schedule::{FleetSchedule, PoolLoad, ProgressBatch, StartOrder, StopOrder, WorkerOrder},
+    instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance, WaveProgress},
     job_order::{JobUrgency, OrderRule},
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
     job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -202,7 +202,8 @@
     }
 
     /// The worker for a task: near its data first, then the fullest that has room, so
-    /// that large tasks find room too. Tasks that last are spread instead.
+    /// that large tasks find room too and idle instances can leave the pool. Tasks that
+    /// last are spread so far that one instance taken down ends no more than may be missed.
     fn choose_worker(
         &self,
         pool: &PoolName,
@@ -228,9 +229,9 @@
                 .affinity
                 .as_ref()
                 .is_none_or(|rack| seat.has_label(rack.as_str()));
+            let crowded = plan.long_running && same_step(seat, task) >= plan.most_together();
             let free = free_share(seat.used, seat.listed.capacity);
-            let room = if plan.long_running { 1000 - free } else { free };
-            (!near, room, seat.listed.name.clone())
+            (!near, crowded, free, seat.listed.name.clone())
         };
         let best = self.workers.values().filter(fits).min_by_key(rank)?;
         Some(best.listed.name.clone())
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -122,7 +122,7 @@
             let mut listed = seat.listed.clone();
             listed.born_ms = report.born_ms.unwrap_or_default();
             let present = seat.present;
-            self.upsert_worker(listed, now_ms);
+            self.upsert_worker(listed);
             if !present {
                 self.unlist_worker(worker);
             }
@@ -204,11 +204,10 @@
             EndKind::Failed => {
                 if let Some(task) = job.task_mut(&end.task)
                     && !long_running
-                    && end.run > task.last_failed_run
+                    && !task.failed_runs.contains(&end.run)
                 {
-                    task.failures += 1;
-                    task.last_failed_run = end.run;
-                    failed_for_good = task.failures >= attempts && !task.done;
+                    task.failed_runs.push(end.run);
+                    failed_for_good = task.failed_runs.len() >= attempts as usize && !task.done;
                 }
                 let open = job.ended.is_none();
                 if !long_running && open {
@@ -380,7 +379,7 @@
             .map(|seat| (seat.listed.name.clone(), seat.present))
             .collect();
         for (name, present) in lapsed {
-            self.release_all(&name, now_ms);
+            self.release_all(&name);
             if !present {
                 self.workers.remove(&name);
             }
--- /dev/null
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -0,0 +1,233 @@
+//! Moving instances between pools and taking them down for maintenance.
+
+use {
+    super::{leadership::Leadership, takeover::parsed},
+    crate::{
+        node::{SchedulerNode, lock, uptime_ms},
+        store::{OWNER_KEY, wave_key},
+    },
+    dotterelshore_domain::{
+        names::InstanceName,
+        schedule::{InstanceOrder, InstancePlan, WaveProgress},
+    },
+    dotterelshore_platform::{
+        CloudFault, CloudLink, KvFault, KvWrite, encode_wave_status, wave_status_key,
+    },
+    dotterelshore_wire::log_event,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between plans. A tenth of what a move takes.
+const PLAN_PERIOD: Duration = Duration::from_millis(150);
+/// Time between readings of the platform's list while nothing is under way.
+const LIST_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// An order for maintenance whose answer was lost; it is repeated until it is answered.
+#[derive(Debug)]
+struct OpenOrder {
+    instance: InstanceName,
+    wave: u64,
+}
+
+/// Plans and orders until aborted.
+pub(super) async fn keep_instances(
+    node: Arc<SchedulerNode>,
+    leadership: Arc<Leadership>,
+    first: bool,
+) {
+    let Some(authority) = node.settings.cloud.clone() else {
+        log_event!(Info, "no-interface-to-instances");
+        return;
+    };
+    if !first {
+        // An earlier owner's last order may be as young as its last renewal.
+        tokio::time::sleep(node.settings.instance_lease).await;
+    }
+    let cloud = CloudLink::new(authority, node.settings.name.to_string());
+    let upkeep_ms = u64::try_from(node.settings.upkeep.as_millis()).unwrap_or_default();
+    let mut plan = InstancePlan::new(upkeep_ms);
+    let mut open = Vec::new();
+    let mut listed_at: Option<Instant> = None;
+    let mut ticks = node.timer.every(PLAN_PERIOD);
+    loop {
+        ticks.next().await;
+        if !leadership.may_order() {
+            continue;
+        }
+        let spare = node.table_now().and_then(|table| {
+            let spare = table.pools.values().find(|row| row.spare);
+            spare.map(|row| row.name.clone())
+        });
+        plan.set_spare(spare);
+        take_waves(&node, &leadership, &mut plan).await;
+        if listed_at.is_none_or(|at| at.elapsed() >= LIST_PERIOD) {
+            match cloud.instances().await {
+                Ok(list) => {
+                    plan.take_list(list, uptime_ms());
+                    listed_at = Some(Instant::now());
+                }
+                Err(fault) => {
+                    node.metrics.count_retry("instance-list");
+                    log_event!(Info, "instances-not-listed", error = fault);
+                    continue;
+                }
+            }
+        }
+        repeat_open(&leadership, &cloud, &mut plan, &mut open).await;
+        let orders = {
+            let mut schedule = lock(&leadership.schedule);
+            plan.plan(&mut schedule, uptime_ms())
+        };
+        let mut begun = false;
+        for order in orders {
+            if !leadership.may_order() {
+                break;
+            }
+            begun |= carry_out(&leadership, &cloud, &mut plan, &mut open, order).await;
+        }
+        let completed = if open.is_empty() {
+            plan.newly_completed()
+        } else {
+            Vec::new()
+        };
+        if begun || !completed.is_empty() {
+            store_waves(&node, &leadership, &plan).await;
+        }
+    }
+}
+
+async fn take_waves(node: &SchedulerNode, leadership: &Leadership, plan: &mut InstancePlan) {
+    let orders = node.waves.borrow().clone();
+    for order in orders {
+        if plan.progress(order.number).is_some() {
+            continue;
+        }
+        let recorded = match node.kv.read(&wave_key(order.number)).await {
+            Ok(row) => parsed::<WaveProgress>(&row),
+            Err(KvFault::NoKey) => None,
+            Err(fault) => {
+                log_event!(Info, "wave-not-read", wave = order.number, error = fault);
+                continue;
+            }
+        };
+        plan.take_wave(
+            order.number,
+            order.instances,
+            order.at_once,
+            recorded.as_ref(),
+            uptime_ms(),
+        );
+        if recorded.is_none() {
+            store_waves(node, leadership, plan).await;
+        }
+    }
+}
+
+async fn repeat_open(
+    leadership: &Leadership,
+    cloud: &CloudLink,
+    plan: &mut InstancePlan,
+    open: &mut Vec<OpenOrder>,
+) {
+    for order in std::mem::take(open) {
+        let OpenOrder { instance, wave } = order;
+        let order = InstanceOrder::Maintain { instance, wave };
+        carry_out(leadership, cloud, plan, open, order).await;
+    }
+}
+
+/// Gives one order. Tells whether a maintenance began, or may have begun.
+async fn carry_out(
+    leadership: &Leadership,
+    cloud: &CloudLink,
+    plan: &mut InstancePlan,
+    open: &mut Vec<OpenOrder>,
+    order: InstanceOrder,
+) -> bool {
+    let token = leadership.token();
+    let (instance, answer) = match &order {
+        InstanceOrder::Move { instance, pool } => {
+            (instance, cloud.move_instance(instance, pool, token).await)
+        }
+        InstanceOrder::Maintain { instance, wave } => {
+            (instance, cloud.maintain(instance, *wave, token).await)
+        }
+    };
+    let outcome = match &answer {
+        Ok(()) => "done".to_owned(),
+        Err(fault) => fault.to_string(),
+    };
+    log_event!(
+        Info,
+        "instance-ordered",
+        order = format!("{order:?}"),
+        token = token,
+        outcome = outcome
+    );
+    if answer == Err(CloudFault::Fenced) {
+        leadership.note_fence(token);
+    }
+    let may_be_done = matches!(answer, Ok(()) | Err(CloudFault::Unsure { .. }));
+    if let Some(worker) = plan.worker_of(instance).cloned() {
+        let mut schedule = lock(&leadership.schedule);
+        if answer.is_ok() {
+            schedule.worker_ended(&worker);
+            leadership.plan.notify_one();
+        } else if !may_be_done {
+            schedule.set_cordon(&worker, false);
+        }
+    }
+    let now_ms = uptime_ms();
+    match &order {
+        InstanceOrder::Move { instance, pool } => {
+            if may_be_done {
+                plan.moved(instance, pool, now_ms);
+            }
+            false
+        }
+        InstanceOrder::Maintain { instance, wave } => {
+            if may_be_done {
+                plan.maintenance_begun(instance, *wave, now_ms);
+            } else {
+                let gone = matches!(answer, Err(CloudFault::Wrong { .. }));
+                plan.maintenance_refused(instance, *wave, gone);
+            }
+            if matches!(answer, Err(CloudFault::Unsure { .. })) {
+                open.push(OpenOrder {
+                    instance: instance.clone(),
+                    wave: *wave,
+                });
+            }
+            may_be_done
+        }
+    }
+}
+
+async fn store_waves(node: &SchedulerNode, leadership: &Leadership, plan: &InstancePlan) {
+    let orders = node.waves.borrow().clone();
+    for progress in orders
+        .iter()
+        .filter_map(|order| plan.progress(order.number))
+    {
+        let Ok(value) = serde_json::to_vec(&progress) else {
+            continue;
+        };
+        let status = encode_wave_status(progress.completed);
+        let write = KvWrite::default()
+            .expect(OWNER_KEY, leadership.token())
+            .write(wave_key(progress.number), &value, 0)
+            .write(wave_status_key(progress.number), &status, 0);
+        if let Err(fault) = node.kv.commit(&write).await {
+            node.metrics.count_retry("wave-record");
+            log_event!(
+                Info,
+                "wave-not-recorded",
+                wave = progress.number,
+                error = fault
+            );
+        }
+    }
+}
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -28,6 +28,8 @@
     pub(crate) plan: Notify,
     /// Wakes the recorder.
     pub(crate) record: Notify,
+    /// Wakes the task that looks after the list of workers.
+    pub(crate) roster: Notify,
     token: AtomicU64,
     authority_until_ms: AtomicU64,
     ended: AtomicBool,
@@ -42,6 +44,7 @@
             schedule: Mutex::new(FleetSchedule::default()),
             plan: Notify::new(),
             record: Notify::new(),
+            roster: Notify::new(),
             token: AtomicU64::new(claim.token),
             authority_until_ms: AtomicU64::new(0),
             ended: AtomicBool::new(false),
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        instance_task::keep_instances,
         job_follow::{follow_jobs, take_job_rows},
         leadership::Leadership,
         progress_recorder::record_progress,
@@ -80,6 +81,8 @@
     tasks.spawn(async move { plan_for_ever(n, l).await });
     let (n, l) = both();
     tasks.spawn(async move { sweep(n, l).await });
+    let (n, l) = both();
+    tasks.spawn(async move { keep_instances(n, l, first).await });
     while let Some(ended) = tasks.join_next().await {
         if let Err(error) = ended {
             log_event!(Error, "leading-task-ended", error = error);
@@ -159,7 +162,7 @@
     for worker in &stored.held {
         schedule.expect_worker(worker.clone());
     }
-    take_worker_rows(&mut schedule, &stored.workers.rows, now_ms);
+    take_worker_rows(&mut schedule, &stored.workers.rows);
     let run_base = if first { 0 } else { claim.term * RUNS_PER_TERM };
     take_job_rows(
         &mut schedule,
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -60,12 +60,12 @@
 }
 
 /// Takes in the listed workers; those no longer listed are marked.
-pub(super) fn take_worker_rows(schedule: &mut FleetSchedule, rows: &[KeyRow], now_ms: u64) {
+pub(super) fn take_worker_rows(schedule: &mut FleetSchedule, rows: &[KeyRow]) {
     let mut listed = FastSet::default();
     for row in rows {
         if let Some(worker) = read_worker(row) {
             listed.insert(worker.name.clone());
-            schedule.upsert_worker(worker, now_ms);
+            schedule.upsert_worker(worker);
         }
     }
     let missing: Vec<_> = schedule
@@ -94,10 +94,9 @@
     revision: u64,
 ) {
     follow(&node, WORKER_PREFIX, Some(revision), |step| {
-        let now_ms = uptime_ms();
         let mut schedule = lock(&leadership.schedule);
         match step {
-            FollowStep::Whole(rows) => take_worker_rows(&mut schedule, &rows, now_ms),
+            FollowStep::Whole(rows) => take_worker_rows(&mut schedule, &rows),
             FollowStep::Change(WatchEvent::Written(row)) => {
                 if let Some(worker) = read_worker(&row) {
                     log_event!(
@@ -108,7 +107,8 @@
                         born = worker.born_ms,
                         draining = worker.draining
                     );
-                    schedule.upsert_worker(worker, now_ms);
+                    schedule.upsert_worker(worker);
+                    leadership.roster.notify_one();
                 } else if let Some(name) = worker_of_key(&row.key) {
                     schedule.unlist_worker(&name);
                 }
@@ -137,19 +137,25 @@
         let names: FastSet<_> = workers.iter().map(|worker| worker.name.clone()).collect();
         if stored.as_ref() != Some(&names) && leadership.may_order() {
             match store_roster(&node, &leadership, &workers).await {
-                Ok(()) => {
-                    for worker in workers {
-                        start_worker(&node, &leadership, worker);
-                    }
-                    stored = Some(names);
-                }
+                Ok(()) => stored = Some(names),
                 Err(error) => {
                     node.metrics.count_retry("roster");
                     log_event!(Warn, "roster-not-stored", error = error);
                 }
             }
         }
-        ticks.next().await;
+        for worker in workers {
+            let known = stored
+                .as_ref()
+                .is_some_and(|stored| stored.contains(&worker.name));
+            if known && leadership.may_order() {
+                start_worker(&node, &leadership, worker);
+            }
+        }
+        tokio::select! {
+            () = ticks.next() => {}
+            () = leadership.roster.notified() => {}
+        }
     }
 }
 
@@ -270,17 +276,16 @@
     token: u64,
     silent: bool,
 ) -> HoldTerms {
-    let lease_until_ms = side.lease_until(node);
     let mut schedule = lock(&leadership.schedule);
-    let recorded_end = match lease_until_ms {
-        Some(_) => schedule.grant(&side.name, uptime_ms()),
-        None => schedule.worker(&side.name).map(|seat| seat.recorded_end),
-    };
+    let lease_until_ms = side
+        .lease_until(node)
+        .filter(|_| !silent && schedule.grant(&side.name, uptime_ms()));
+    let recorded_end = schedule.worker(&side.name).map(|seat| seat.recorded_end);
     HoldTerms {
         lease_until_ms,
         fencing_token: token,
         recorded_end: recorded_end.unwrap_or_default(),
-        wait_ms: (lease_until_ms.is_some() && !silent).then_some(LOOK_WAIT_MS),
+        wait_ms: lease_until_ms.map(|_| LOOK_WAIT_MS),
     }
 }
 
@@ -357,8 +362,11 @@
 ) {
     let lease_until_ms = side.lease_until(node);
     let reply = match lease_until_ms {
-        Some(until) if reachable && leadership.may_order() => {
-            lock(&leadership.schedule).grant(&side.name, uptime_ms());
+        Some(until)
+            if reachable
+                && leadership.may_order()
+                && lock(&leadership.schedule).grant(&side.name, uptime_ms()) =>
+        {
             link.start(order, until, leadership.token(), None).await
         }
         // Not sent, so it surely does not run.
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -18,6 +18,8 @@
 pub(crate) const JOB_PREFIX: &str = "dotterelshore/job/";
 /// How far jobs are.
 pub(crate) const PROGRESS_PREFIX: &str = "dotterelshore/progress/";
+/// How far waves of maintenance are.
+const WAVE_RECORD_PREFIX: &str = "dotterelshore/wave/";
 /// Ends the key that marks a job as cancelled.
 const CANCEL_SUFFIX: &str = "/cancel";
 
@@ -42,6 +44,11 @@
     format!("{PROGRESS_PREFIX}{job}")
 }
 
+/// The key of a wave's progress.
+pub(crate) fn wave_key(number: u64) -> String {
+    format!("{WAVE_RECORD_PREFIX}{number}")
+}
+
 /// What a key under [`JOB_PREFIX`] is.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum JobKey {
