Reset connections that are given up; evacuate tasks before maintenance

Change: links to the platform reset what they give up; a new owner waits until orders of the one before can no longer be under way; due instances are emptied task by task.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -5,8 +5,9 @@
         job_order::OrderRule,
         job_plan::Resources,
         job_progress::{JobRecord, JobState, ProgressRecord},
-        live_job::{LiveJob, RunPhase},
+        live_job::{LiveJob, RunPhase, TaskRun},
         queue_table::QueueTable,
+        run_reports::stop_order,
         task_name::TaskName,
         worker_seat::{ListedWorker, WorkerSeat},
     },
@@ -273,6 +274,43 @@
         })
     }
 
+    /// Stops tasks that last on a worker, so that they go on elsewhere: of each step as many
+    /// as it may miss.
+    pub fn evacuate(&mut self, name: &WorkerName, now_ms: u64) -> Vec<WorkerOrder> {
+        let Some(seat) = self.workers.get(name) else {
+            return Vec::new();
+        };
+        let tasks: Vec<_> = seat.runs.keys().cloned().collect();
+        let mut orders = Vec::new();
+        for task in tasks {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let plan = &job.record.plan.steps[usize::from(task.step)];
+            if !plan.long_running {
+                continue;
+            }
+            let may_miss = plan
+                .may_miss
+                .map_or(usize::MAX, |may_miss| may_miss as usize);
+            let away = job.away(&task);
+            let Some(state) = job.task_mut(&task) else {
+                continue;
+            };
+            let stoppable = |run: &&mut TaskRun| run.worker == *name && run.at_work();
+            if let Some(run) = state.runs.iter_mut().find(stoppable)
+                && away < may_miss
+            {
+                run.phase = RunPhase::Stopping {
+                    clock_ms: None,
+                    sent_ms: now_ms,
+                };
+                orders.push(stop_order(&task, run));
+            }
+        }
+        orders
+    }
+
     /// Takes note that a worker's instance is about to be taken down: its tasks count as
     /// not at work from now on.
     pub fn note_taken_down(&mut self, name: &WorkerName) {
@@ -461,16 +499,13 @@
                             clock_ms: None,
                             sent_ms: now_ms,
                         };
-                        orders.push(WorkerOrder::Stop(StopOrder {
-                            worker: run.worker.clone(),
-                            task: TaskName {
-                                job: name.clone(),
-                                occurrence: *occurrence,
-                                step,
-                                index,
-                            },
-                            run: run.run,
-                        }));
+                        let task = TaskName {
+                            job: name.clone(),
+                            occurrence: *occurrence,
+                            step,
+                            index,
+                        };
+                        orders.push(stop_order(&task, run));
                     }
                 }
             }
--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -1,7 +1,7 @@
 //! Which instances move between pools, and which are taken down for maintenance.
 
 use {
-    super::fleet_schedule::{FleetSchedule, PoolLoad},
+    super::fleet_schedule::{FleetSchedule, PoolLoad, WorkerOrder},
     crate::{
         collections::{FastMap, FastSet},
         names::{InstanceName, PoolName, WorkerName},
@@ -230,6 +230,33 @@
         })
     }
 
+    /// What holds up the instances of a wave that are still due, one line each, for the log.
+    pub fn held_up(&self, number: u64, schedule: &FleetSchedule) -> Vec<String> {
+        let Some(wave) = self.waves.iter().find(|wave| wave.number == number) else {
+            return Vec::new();
+        };
+        let due = wave
+            .due
+            .iter()
+            .filter(|name| !wave.begun.contains_key(*name));
+        due.map(|name| {
+            let Some(seat) = self.instances.get(name) else {
+                return format!("{name}:not-listed");
+            };
+            if !seat.up {
+                return format!("{name}:away");
+            }
+            let Some(worker) = &seat.worker else {
+                return format!("{name}:no-worker");
+            };
+            let runs = schedule.worker(worker).map_or(0, |seat| seat.runs.len());
+            let missable = schedule.may_take_down(worker);
+            let cordoned = wave.cordoned.contains_key(name);
+            format!("{name}:runs={runs},missable={missable},cordoned={cordoned}")
+        })
+        .collect()
+    }
+
     /// Waves that have come to their end since the last call.
     pub fn newly_completed(&mut self) -> Vec<u64> {
         let mut ended = Vec::new();
@@ -243,10 +270,15 @@
         ended
     }
 
-    /// What to order next. Cordons and frees workers in the schedule on the way.
-    pub fn plan(&mut self, schedule: &mut FleetSchedule, now_ms: u64) -> Vec<InstanceOrder> {
+    /// What to order next, of instances and of workers that are emptied. Cordons workers in
+    /// the schedule on the way.
+    pub fn plan(
+        &mut self,
+        schedule: &mut FleetSchedule,
+        now_ms: u64,
+    ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
         self.note_idle(schedule, now_ms);
-        let mut orders = self.plan_maintenance(schedule, now_ms);
+        let (mut orders, stops) = self.plan_maintenance(schedule, now_ms);
         let taken: FastSet<InstanceName> = orders
             .iter()
             .map(|order| match order {
@@ -256,7 +288,7 @@
             })
             .collect();
         orders.extend(self.plan_moves(schedule, &taken, now_ms));
-        orders
+        (orders, stops)
     }
 
     fn note_idle(&mut self, schedule: &FleetSchedule, now_ms: u64) {
@@ -298,8 +330,9 @@
         &mut self,
         schedule: &mut FleetSchedule,
         now_ms: u64,
-    ) -> Vec<InstanceOrder> {
+    ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
         let mut orders = Vec::new();
+        let mut stops = Vec::new();
         for wave in &mut self.waves {
             if wave.completed {
                 continue;
@@ -317,11 +350,12 @@
                         .as_ref()
                         .and_then(|worker| schedule.worker(worker));
                     let runs = runs.map_or(0, |seat| seat.runs.len());
-                    Some((runs, name.clone(), seat.worker.clone()))
+                    let cordoned = wave.cordoned.contains_key(name);
+                    Some((!cordoned, runs, name.clone(), seat.worker.clone()))
                 })
                 .collect();
             due.sort();
-            for (runs, name, worker) in due {
+            for (_, runs, name, worker) in due {
                 if room == 0 {
                     break;
                 }
@@ -348,17 +382,18 @@
                         instance: name,
                         wave: wave.number,
                     });
-                } else if let Some(worker) = &worker
-                    && wave.cordoned.len() < wave.at_once.max(1)
-                    && !wave.cordoned.contains_key(&name)
-                    && schedule.may_take_down(worker)
-                {
-                    wave.cordoned.insert(name, now_ms);
-                    schedule.set_cordon(worker, true);
+                } else if let Some(worker) = &worker {
+                    if wave.cordoned.len() < wave.at_once && !wave.cordoned.contains_key(&name) {
+                        wave.cordoned.insert(name.clone(), now_ms);
+                        schedule.set_cordon(worker, true);
+                    }
+                    if wave.cordoned.contains_key(&name) && !schedule.may_take_down(worker) {
+                        stops.extend(schedule.evacuate(worker, now_ms));
+                    }
                 }
             }
         }
-        orders
+        (orders, stops)
     }
 
     fn plan_moves(
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -222,6 +222,16 @@
                 .all(|steps| steps.iter().all(|step| step.open == 0))
     }
 
+    /// Tasks of a task's step that are not at work.
+    pub(super) fn away(&self, task: &TaskName) -> usize {
+        let step = self
+            .occurrences
+            .get(&task.occurrence)
+            .and_then(|steps| steps.get(usize::from(task.step)));
+        let away = |task: &&TaskState| !task.runs.iter().any(TaskRun::at_work);
+        step.map_or(0, |step| step.tasks.iter().filter(away).count())
+    }
+
     /// Adds what its ready tasks ask for to its pool's load.
     pub(super) fn add_load(&self, load: &mut PoolLoad) {
         for (occurrence, steps) in &self.occurrences {
--- /dev/null
+++ b/crates/domain/tests/schedule_test.rs
@@ -0,0 +1,316 @@
+//! The schedule: what starts, what ends, what is recorded.
+
+use {
+    dotterelshore_domain::{
+        names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
+        schedule::{
+            EndKind, EndedRun, FleetSchedule, JobPlan, JobRecord, JobState, ListedWorker,
+            OrderRule, Resources, RunningRow, StartOrder, StartReply, StepPlan, TaskName,
+            WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    std::sync::Arc,
+};
+
+/// How long workers are granted, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+/// Some time of the schedule's clock, in milliseconds.
+const NOW_MS: u64 = 100_000;
+/// Some time of day, in milliseconds since the Unix epoch.
+const WALL_MS: u64 = 1_700_000_000_000;
+/// A worker's processor, in thousandths of a core.
+const WORKER_MILLI: u64 = 64_000;
+
+fn name<T: TryFrom<&'static str>>(text: &'static str) -> T
+where
+    T::Error: std::fmt::Debug,
+{
+    T::try_from(text).expect("a name")
+}
+
+fn worker(text: &'static str) -> ListedWorker {
+    ListedWorker {
+        name: name(text),
+        born_ms: 1,
+        instance: Some(InstanceName::try_from(format!("host-{text}")).expect("a name")),
+        address: Arc::from("127.0.0.1:1"),
+        pool: name("proofs"),
+        centre: name::<CentreName>("north"),
+        labels: vec![Arc::from("a"), Arc::from("r1-1")],
+        capacity: Resources {
+            cpu_milli: WORKER_MILLI,
+            memory_mb: 128_000,
+            gpus: 0,
+        },
+        draining: false,
+    }
+}
+
+fn step(count: u32) -> StepPlan {
+    StepPlan {
+        count,
+        need: Resources {
+            cpu_milli: 4_000,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        estimate_ms: 800,
+        ..StepPlan::default()
+    }
+}
+
+fn lasting(count: u32, may_miss: u32) -> StepPlan {
+    StepPlan {
+        long_running: true,
+        may_miss: Some(may_miss),
+        ..step(count)
+    }
+}
+
+fn job(text: &'static str, steps: Vec<StepPlan>) -> JobRecord {
+    JobRecord {
+        name: name(text),
+        queue: name::<QueueName>("quick"),
+        pool: name::<PoolName>("proofs"),
+        team: None,
+        accepted_ms: WALL_MS,
+        priority: 0,
+        attempts: 2,
+        stretch: 1.6,
+        target_latency_ms: 600,
+        advised: false,
+        plan: JobPlan {
+            task_body: Arc::from("body"),
+            steps,
+            times: 0,
+            start_at_ms: 0,
+            interval_ms: 0,
+        },
+    }
+}
+
+/// A schedule whose workers have all been heard.
+fn schedule(workers: &[&'static str]) -> FleetSchedule {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    for text in workers {
+        schedule.upsert_worker(worker(text));
+        hear(&mut schedule, text, &WorkerReport::default());
+    }
+    schedule
+}
+
+fn hear(
+    schedule: &mut FleetSchedule,
+    text: &'static str,
+    report: &WorkerReport,
+) -> Vec<WorkerOrder> {
+    schedule.report(&name(text), report, NOW_MS, WALL_MS)
+}
+
+fn add(schedule: &mut FleetSchedule, record: JobRecord) {
+    schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
+}
+
+fn starts(schedule: &mut FleetSchedule, now_ms: u64) -> Vec<StartOrder> {
+    let orders = schedule.plan_starts(now_ms, WALL_MS).into_iter();
+    let starts = orders.filter_map(|order| match order {
+        WorkerOrder::Start(start) => Some(start),
+        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
+    });
+    starts.collect()
+}
+
+fn begin(schedule: &mut FleetSchedule, order: &StartOrder, clock_ms: u64) {
+    let reply = StartReply::Started { clock_ms };
+    schedule.start_answered(&order.worker, &order.task, order.run, reply, NOW_MS);
+}
+
+fn at_work(order: &StartOrder) -> RunningRow {
+    RunningRow {
+        task: order.task.clone(),
+        run: order.run,
+        saved: Arc::from(""),
+        percent: 100.0,
+        figure: 0.0,
+    }
+}
+
+fn ended(number: u64, task: &TaskName, run: u32, kind: EndKind) -> EndedRun {
+    EndedRun {
+        number,
+        task: task.clone(),
+        run,
+        kind,
+        saved: Arc::from(""),
+    }
+}
+
+fn finished(clock_ms: u64, finished: Vec<EndedRun>) -> WorkerReport {
+    WorkerReport {
+        clock_ms,
+        finished,
+        ..WorkerReport::default()
+    }
+}
+
+/// A worker goes dark; asked for a lease again and again, it must get none, or the task
+/// that it ran is never started elsewhere.
+fn dark_worker_lapses(listed: bool) {
+    let mut schedule = schedule(&["w-1", "w-2"]);
+    add(&mut schedule, job("lasts", vec![lasting(1, 1)]));
+    let started = starts(&mut schedule, NOW_MS);
+    let [order] = &started[..] else {
+        panic!("one start, not {started:?}");
+    };
+    assert!(schedule.grant(&order.worker, NOW_MS), "a first lease");
+    begin(&mut schedule, order, 10);
+    schedule.worker_silent(&order.worker);
+    if !listed {
+        schedule.unlist_worker(&order.worker);
+    }
+    let mut now_ms = NOW_MS;
+    while now_ms < NOW_MS + 2 * LEASE_MS {
+        now_ms += 200;
+        assert!(!schedule.grant(&order.worker, now_ms), "a lease while dark");
+        schedule.tick(now_ms);
+        let again = starts(&mut schedule, now_ms);
+        if let [again] = &again[..] {
+            assert!(now_ms > NOW_MS + LEASE_MS, "too early, at {now_ms}");
+            assert_ne!(again.worker, order.worker, "the dark worker");
+            assert!(again.run > order.run, "a higher run");
+            return;
+        }
+    }
+    panic!("never started again");
+}
+
+named_cases! { dark_worker_lapses:
+    a_dark_worker_that_is_still_listed_lapses(true);
+    a_dark_worker_that_is_no_longer_listed_lapses(false);
+}
+
+/// After a takeover, failed runs of one task are listed by several workers; each counts,
+/// in whichever order the workers are heard.
+fn failures_all_count(first: (&'static str, u32), second: (&'static str, u32)) {
+    let mut schedule = schedule(&["w-1", "w-2"]);
+    schedule.add_job(job("fails", vec![step(1)]), None, 2_000, NOW_MS, WALL_MS);
+    let task: TaskName = "fails.0.0.0".parse().expect("a task");
+    for (worker, run) in [first, second] {
+        let end = ended(1, &task, run, EndKind::Failed);
+        hear(&mut schedule, worker, &finished(20, vec![end]));
+    }
+    let batch = schedule.take_progress();
+    schedule.progress_recorded(&batch);
+    assert_eq!(schedule.state(&name("fails")), Some(JobState::Failed));
+    assert!(starts(&mut schedule, NOW_MS).is_empty(), "no further run");
+}
+
+named_cases! { failures_all_count:
+    failures_count_when_heard_in_order(("w-1", 1), ("w-2", 2));
+    failures_count_when_heard_in_reverse(("w-2", 2), ("w-1", 1));
+}
+
+/// An end is acknowledged only once the job's progress is recorded.
+fn ends_wait_for_their_record(lost: bool) {
+    let mut schedule = schedule(&["w-1"]);
+    add(&mut schedule, job("done", vec![step(1)]));
+    let started = starts(&mut schedule, NOW_MS);
+    begin(&mut schedule, &started[0], 10);
+    let end = ended(1, &started[0].task, started[0].run, EndKind::Done);
+    hear(&mut schedule, "w-1", &finished(20, vec![end]));
+    let recorded_end = |schedule: &FleetSchedule| {
+        schedule
+            .worker(&name::<WorkerName>("w-1"))
+            .map(|seat| seat.recorded_end)
+    };
+    assert_eq!(schedule.state(&name("done")), Some(JobState::Running));
+    assert_eq!(recorded_end(&schedule), Some(0));
+    if lost {
+        let batch = schedule.take_progress();
+        schedule.progress_lost(batch);
+        assert_eq!(recorded_end(&schedule), Some(0));
+        assert_eq!(schedule.state(&name("done")), Some(JobState::Running));
+    }
+    let batch = schedule.take_progress();
+    assert_eq!(batch.records.len(), 1, "the record is asked for");
+    schedule.progress_recorded(&batch);
+    assert_eq!(recorded_end(&schedule), Some(1));
+    assert_eq!(schedule.state(&name("done")), Some(JobState::Completed));
+}
+
+named_cases! { ends_wait_for_their_record:
+    an_end_is_acknowledged_after_its_record(false);
+    an_end_whose_record_was_lost_is_recorded_again(true);
+}
+
+/// A start without an answer is ruled out by a stop before the task starts elsewhere.
+fn unanswered_start(listed_later: bool) {
+    let mut schedule = schedule(&["w-1", "w-2"]);
+    add(&mut schedule, job("unsure", vec![step(1)]));
+    let started = starts(&mut schedule, NOW_MS);
+    let order = &started[0];
+    let worker = order.worker.clone();
+    schedule.start_answered(&worker, &order.task, order.run, StartReply::Unknown, NOW_MS);
+    if listed_later {
+        let report = WorkerReport {
+            clock_ms: 30,
+            running: vec![at_work(order)],
+            ..WorkerReport::default()
+        };
+        schedule.report(&worker, &report, NOW_MS + 50, WALL_MS);
+        assert!(schedule.tick(NOW_MS + 1_000).is_empty(), "it runs");
+        return;
+    }
+    let orders = schedule.tick(NOW_MS + 1_000);
+    let [WorkerOrder::Stop(stop)] = &orders[..] else {
+        panic!("one stop, not {orders:?}");
+    };
+    let empty = |clock_ms| finished(clock_ms, Vec::new());
+    schedule.report(&worker, &empty(40), NOW_MS + 1_010, WALL_MS);
+    assert!(
+        starts(&mut schedule, NOW_MS + 1_010).is_empty(),
+        "not ruled out"
+    );
+    schedule.stop_answered(stop, 50);
+    schedule.report(&worker, &empty(60), NOW_MS + 1_020, WALL_MS);
+    let again = starts(&mut schedule, NOW_MS + 1_020);
+    assert_eq!(again.len(), 1, "started again");
+    assert!(again[0].run > order.run, "under a higher run");
+}
+
+named_cases! { unanswered_start:
+    an_unanswered_start_that_is_listed_goes_on(true);
+    an_unanswered_start_is_ruled_out_first(false);
+}
+
+/// An instance is emptied of tasks that last, no more of a step at a time than may be
+/// missed.
+fn evacuation_keeps_budget(tasks: u32, may_miss: u32, stopped: usize) {
+    let mut schedule = schedule(&["w-1"]);
+    add(&mut schedule, job("lasts", vec![lasting(tasks, may_miss)]));
+    let started = starts(&mut schedule, NOW_MS);
+    for order in &started {
+        begin(&mut schedule, order, 10);
+    }
+    let report = WorkerReport {
+        clock_ms: 20,
+        running: started.iter().map(at_work).collect(),
+        ..WorkerReport::default()
+    };
+    hear(&mut schedule, "w-1", &report);
+    let host = name::<WorkerName>("w-1");
+    let fits = started.len() <= may_miss as usize;
+    assert_eq!(schedule.may_take_down(&host), fits);
+    assert_eq!(schedule.evacuate(&host, NOW_MS).len(), stopped);
+    assert!(
+        schedule.evacuate(&host, NOW_MS).len() < stopped.max(1),
+        "no more at once"
+    );
+}
+
+named_cases! { evacuation_keeps_budget:
+    one_of_three_is_stopped(3, 1, 1);
+    two_of_five_are_stopped(5, 2, 2);
+    a_single_task_is_stopped(1, 1, 1);
+}
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -4,6 +4,7 @@
     super::{leadership::Leadership, takeover::parsed},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
+        owner::{AUTHORITY, OWNER_LEASE},
         store::{OWNER_KEY, wave_key},
     },
     dotterelshore_domain::{
@@ -11,7 +12,7 @@
         schedule::{InstanceOrder, InstancePlan, WaveProgress},
     },
     dotterelshore_platform::{
-        CloudFault, CloudLink, KvFault, KvWrite, encode_wave_status, wave_status_key,
+        CLOUD_TIMEOUT, CloudFault, CloudLink, KvFault, KvWrite, encode_wave_status, wave_status_key,
     },
     dotterelshore_wire::log_event,
     std::{
@@ -25,6 +26,11 @@
 /// Time between readings of the platform's list while nothing is under way.
 const LIST_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// Added to the wait for an earlier owner's orders, for clocks and links.
+const ORDER_SLACK: Duration = Duration::from_millis(300);
+/// Time between log lines on what holds up a wave.
+const TELL_PERIOD: Duration = Duration::from_millis(2_000);
+
 /// An order for maintenance whose answer was lost; it is repeated until it is answered.
 #[derive(Debug)]
 struct OpenOrder {
@@ -43,14 +49,17 @@
         return;
     };
     if !first {
-        // An earlier owner's last order may be as young as its last renewal.
-        tokio::time::sleep(node.settings.instance_lease).await;
+        // An earlier owner orders until its authority ends, and an order of it may be under
+        // way for the length of a call.
+        let earlier = AUTHORITY.saturating_sub(OWNER_LEASE) + CLOUD_TIMEOUT + ORDER_SLACK;
+        tokio::time::sleep(node.settings.instance_lease.max(earlier)).await;
     }
     let cloud = CloudLink::new(authority, node.settings.name.to_string());
     let upkeep_ms = u64::try_from(node.settings.upkeep.as_millis()).unwrap_or_default();
     let mut plan = InstancePlan::new(upkeep_ms);
     let mut open = Vec::new();
     let mut listed_at: Option<Instant> = None;
+    let mut told_at = Instant::now();
     let mut ticks = node.timer.every(PLAN_PERIOD);
     loop {
         ticks.next().await;
@@ -76,11 +85,13 @@
                 }
             }
         }
+        tell_waves(&node, &leadership, &plan, &mut told_at);
         repeat_open(&leadership, &cloud, &mut plan, &mut open).await;
-        let orders = {
+        let (orders, stops) = {
             let mut schedule = lock(&leadership.schedule);
             plan.plan(&mut schedule, uptime_ms())
         };
+        leadership.dispatch(stops);
         let mut begun = false;
         for order in orders {
             if !leadership.may_order() {
@@ -126,6 +137,32 @@
     }
 }
 
+/// Logs what holds up waves, now and then.
+fn tell_waves(
+    node: &SchedulerNode,
+    leadership: &Leadership,
+    plan: &InstancePlan,
+    told_at: &mut Instant,
+) {
+    if told_at.elapsed() < TELL_PERIOD {
+        return;
+    }
+    *told_at = Instant::now();
+    let schedule = lock(&leadership.schedule);
+    for order in node.waves.borrow().iter() {
+        let held_up = plan.held_up(order.number, &schedule);
+        if !held_up.is_empty() {
+            let instances = held_up.join(" ");
+            log_event!(
+                Info,
+                "wave-waits",
+                wave = order.number,
+                instances = instances
+            );
+        }
+    }
+}
+
 async fn repeat_open(
     leadership: &Leadership,
     cloud: &CloudLink,
--- a/crates/wire/src/http_link.rs
+++ b/crates/wire/src/http_link.rs
@@ -1,19 +1,18 @@
 //! A small HTTP client that reads whole, bounded answers.
 
 use {
+    crate::reset_connector::ResetConnector,
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{HeaderMap, Request, StatusCode, header},
     hyper_util::{
-        client::legacy::{Client, connect::HttpConnector},
+        client::legacy::Client,
         rt::{TokioExecutor, TokioTimer},
     },
     snafu::Snafu,
     std::time::Duration,
 };
 
-/// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -67,7 +66,7 @@
 /// A client that keeps connections open between exchanges.
 #[derive(Debug, Clone)]
 pub struct HttpLink {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<ResetConnector, Full<Bytes>>,
     answer_bytes_max: usize,
 }
 
@@ -75,14 +74,21 @@
     /// A client with `idle_per_host` spare connections to each server, and answers of
     /// at most `answer_bytes_max` bytes.
     pub fn new(idle_per_host: usize, answer_bytes_max: usize) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
+        Self::build(idle_per_host, answer_bytes_max, false)
+    }
+
+    /// As [`new`](Self::new), but a connection that is given up is reset: what its server
+    /// has not received of a request is never delivered.
+    pub fn resetting(idle_per_host: usize, answer_bytes_max: usize) -> Self {
+        Self::build(idle_per_host, answer_bytes_max, true)
+    }
+
+    fn build(idle_per_host: usize, answer_bytes_max: usize, reset_on_close: bool) -> Self {
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(idle_per_host)
-            .build(connector);
+            .build(ResetConnector { reset_on_close });
         Self {
             client,
             answer_bytes_max,
--- /dev/null
+++ b/crates/wire/src/reset_connector.rs
@@ -0,0 +1,106 @@
+//! Opening connections that can be reset when they are given up.
+
+use {
+    hyper::Uri,
+    hyper_util::{
+        client::legacy::connect::{Connected, Connection},
+        rt::TokioIo,
+    },
+    std::{
+        future::Future,
+        io,
+        pin::Pin,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
+    tower_service::Service,
+};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The port of a URI that names none.
+const USUAL_PORT: u16 = 80;
+
+/// Opens connections by TCP. With `reset_on_close`, closing one discards what the peer has
+/// not received: a request that was given up is not delivered after a partition heals.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ResetConnector {
+    pub(crate) reset_on_close: bool,
+}
+
+impl Service<Uri> for ResetConnector {
+    type Response = TokioIo<OpenStream>;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
+
+    fn poll_ready(&mut self, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let reset_on_close = self.reset_on_close;
+        Box::pin(async move {
+            let host = uri.host().unwrap_or_default();
+            let address = (host, uri.port_u16().unwrap_or(USUAL_PORT));
+            let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+            let stream = opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            stream.set_nodelay(true)?;
+            if reset_on_close {
+                stream.set_zero_linger()?;
+            }
+            Ok(TokioIo::new(OpenStream {
+                stream,
+                reset_on_close,
+            }))
+        })
+    }
+}
+
+/// A connection that is closed in order, or reset.
+#[derive(Debug)]
+pub(crate) struct OpenStream {
+    stream: TcpStream,
+    reset_on_close: bool,
+}
+
+impl Connection for OpenStream {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl AsyncRead for OpenStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for OpenStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.reset_on_close {
+            // An orderly end would have the system deliver what is still under way.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
