Chain the owner's writes; believe an instance's removal, not its order; give up watches sooner

Change: every write of the owner expects the revision that the one before left; a worker is over once it is unlisted after the order; watches wait 2.2 s and are retried without a wait; runs count as at work only on workers that answer; submissions are refused at once while the store is known to be away.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -5,7 +5,7 @@
         job_order::OrderRule,
         job_plan::Resources,
         job_progress::{JobRecord, JobState, ProgressRecord},
-        live_job::{LiveJob, RunPhase, TaskRun},
+        live_job::{LiveJob, RunPhase, TaskRun, TaskState},
         queue_table::QueueTable,
         run_reports::stop_order,
         task_name::TaskName,
@@ -23,6 +23,10 @@
 /// Part by which a worker's clock may be slow, in hundredths; 2 by the platform's terms.
 const CLOCK_SLOW_PERCENT: u64 = 2;
 
+/// How long after an order for its instance a worker's removal from the list is taken as
+/// its work, in milliseconds. The list tells within some hundred.
+const TAKEN_DOWN_MS: u64 = 1_500;
+
 /// An order to start a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartOrder {
@@ -183,10 +187,15 @@
     }
 
     /// Takes note that the platform no longer lists a worker. What it runs may go on
-    /// until its lease ran out.
-    pub fn unlist_worker(&mut self, name: &WorkerName) {
-        if let Some(seat) = self.workers.get_mut(name) {
-            seat.present = false;
+    /// until its lease ran out, unless an order took its instance down just before.
+    pub fn unlist_worker(&mut self, name: &WorkerName, now_ms: u64) {
+        let Some(seat) = self.workers.get_mut(name) else {
+            return;
+        };
+        seat.present = false;
+        if now_ms < seat.taken_down_until_ms {
+            self.release_all(name);
+            self.workers.remove(name);
         }
     }
 
@@ -225,10 +234,13 @@
         }
     }
 
-    /// Takes note that an order ended a worker's life and all that ran there.
-    pub fn worker_ended(&mut self, name: &WorkerName) {
-        self.release_all(name);
-        self.workers.remove(name);
+    /// Takes note that an order for a worker's instance was confirmed. If the order had been
+    /// carried out before, this life of the worker goes on: it is over once it is unlisted.
+    pub fn instance_ordered(&mut self, name: &WorkerName, now_ms: u64) {
+        if let Some(seat) = self.workers.get_mut(name) {
+            seat.taken_down_until_ms = now_ms + TAKEN_DOWN_MS;
+            seat.cordoned = true;
+        }
     }
 
     /// Whether nothing but tasks that last runs on a worker.
@@ -264,16 +276,29 @@
             else {
                 return true;
             };
-            let away_or_here = |task: &&super::live_job::TaskState| {
+            let away_or_here = |task: &&TaskState| {
                 !task
                     .runs
                     .iter()
-                    .any(|run| run.at_work() && run.worker != *name)
+                    .any(|run| self.at_work(run) && run.worker != *name)
             };
             step.tasks.iter().filter(away_or_here).count() <= may_miss as usize
         })
     }
 
+    /// Whether a run is at work, as far as its worker still tells.
+    fn at_work(&self, run: &TaskRun) -> bool {
+        let told = |seat: &WorkerSeat| seat.heard && seat.reachable;
+        run.is_full() && self.workers.get(&run.worker).is_some_and(told)
+    }
+
+    /// Tasks of a task's step that are not at work.
+    fn away(&self, task: &TaskName) -> usize {
+        let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
+        let away = |task: &&TaskState| !task.runs.iter().any(|run| self.at_work(run));
+        step.map_or(0, |step| step.tasks.iter().filter(away).count())
+    }
+
     /// Stops tasks that last on a worker, so that they go on elsewhere: of each step as many
     /// as it may miss.
     pub fn evacuate(&mut self, name: &WorkerName, now_ms: u64) -> Vec<WorkerOrder> {
@@ -283,6 +308,7 @@
         let tasks: Vec<_> = seat.runs.keys().cloned().collect();
         let mut orders = Vec::new();
         for task in tasks {
+            let away = self.away(&task);
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
@@ -293,11 +319,10 @@
             let may_miss = plan
                 .may_miss
                 .map_or(usize::MAX, |may_miss| may_miss as usize);
-            let away = job.away(&task);
             let Some(state) = job.task_mut(&task) else {
                 continue;
             };
-            let stoppable = |run: &&mut TaskRun| run.worker == *name && run.at_work();
+            let stoppable = |run: &&mut TaskRun| run.worker == *name && run.is_full();
             if let Some(run) = state.runs.iter_mut().find(stoppable)
                 && away < may_miss
             {
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -51,8 +51,8 @@
 }
 
 impl TaskRun {
-    /// Whether a task that lasts is at work, past its startup.
-    pub(super) fn at_work(&self) -> bool {
+    /// Whether a task that lasts was at work, past its startup, when it was last told of.
+    pub(super) fn is_full(&self) -> bool {
         matches!(self.phase, RunPhase::Running { .. }) && self.percent >= FULLY_AT_WORK
     }
 }
@@ -222,14 +222,10 @@
                 .all(|steps| steps.iter().all(|step| step.open == 0))
     }
 
-    /// Tasks of a task's step that are not at work.
-    pub(super) fn away(&self, task: &TaskName) -> usize {
-        let step = self
-            .occurrences
-            .get(&task.occurrence)
-            .and_then(|steps| steps.get(usize::from(task.step)));
-        let away = |task: &&TaskState| !task.runs.iter().any(TaskRun::at_work);
-        step.map_or(0, |step| step.tasks.iter().filter(away).count())
+    /// The step of a task.
+    pub(super) fn step(&self, task: &TaskName) -> Option<&StepState> {
+        let steps = self.occurrences.get(&task.occurrence)?;
+        steps.get(usize::from(task.step))
     }
 
     /// Adds what its ready tasks ask for to its pool's load.
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -53,6 +53,10 @@
     Malformed,
 }
 
+/// A worker that still answers when its order's window has less than this left, in
+/// milliseconds, was not taken down by the order.
+const ANSWERS_STILL_MS: u64 = 1_000;
+
 impl FleetSchedule {
     /// Takes in how a worker answered an order to start a task.
     pub fn start_answered(
@@ -124,7 +128,7 @@
             let present = seat.present;
             self.upsert_worker(listed);
             if !present {
-                self.unlist_worker(worker);
+                self.unlist_worker(worker, now_ms);
             }
         }
         let mut orders = Vec::new();
@@ -147,6 +151,13 @@
         if let Some(seat) = self.workers.get_mut(worker) {
             seat.heard = true;
             seat.reachable = true;
+            if now_ms < seat.taken_down_until_ms
+                && now_ms + ANSWERS_STILL_MS > seat.taken_down_until_ms
+            {
+                // It answers long after the order: the order had been carried out before.
+                seat.taken_down_until_ms = 0;
+                seat.cordoned = false;
+            }
         }
         orders
     }
--- a/crates/domain/src/schedule/worker_seat.rs
+++ b/crates/domain/src/schedule/worker_seat.rs
@@ -128,6 +128,9 @@
     pub fill_percent: u32,
     /// Whether new tasks are kept away because the instance will be taken down.
     pub cordoned: bool,
+    /// Until when its removal from the list is taken as the work of an order for its
+    /// instance, which ended all that ran there; in scheduler milliseconds.
+    pub(super) taken_down_until_ms: u64,
     failures: u32,
     pass_over_until_ms: u64,
 }
@@ -148,6 +151,7 @@
             recorded_end: 0,
             fill_percent: 100,
             cordoned: false,
+            taken_down_until_ms: 0,
             failures: 0,
             pass_over_until_ms: 0,
         }
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -251,6 +251,7 @@
     let started = starts(&mut schedule, NOW_MS);
     let order = &started[0];
     let worker = order.worker.clone();
+    assert!(schedule.grant(&worker, NOW_MS), "a lease");
     schedule.start_answered(&worker, &order.task, order.run, StartReply::Unknown, NOW_MS);
     if listed_later {
         let report = WorkerReport {
--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -1,7 +1,10 @@
 //! The command line, and the way from it to a running process and its graceful end.
 
 use {
-    crate::{front, log_pipe::start_log, metrics, node::SchedulerNode, owner, peers, table_follow},
+    crate::{
+        front, log_pipe::start_log, metrics, node::SchedulerNode, owner, peers, store::probe_store,
+        table_follow,
+    },
     clap::{Parser, Subcommand},
     dotterelshore_platform::{NodeSettings, SettingsFault, read_settings},
     dotterelshore_wire::{http_server::serve, log_event},
@@ -103,6 +106,7 @@
         incarnation = node.incarnation
     );
     table_follow::start(&node);
+    tokio::spawn(probe_store(Arc::clone(&node)));
     owner::start(&node);
     peers::start(&node, peer_listener);
     tokio::spawn(metrics::serve_metrics(Arc::clone(&node), metrics_listener));
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -32,6 +32,9 @@
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
 /// Pause before an unsure write is looked for again.
 const UNSURE_PAUSE: Duration = Duration::from_millis(60);
+/// How often a job's write whose answer was lost is tried, so that its caller has time left
+/// to come back.
+const SUBMIT_TRIES: u32 = 2;
 /// What callers are told to wait while the store is away, in seconds: its outages last some
 /// seconds, and a caller has few retries.
 const RETRY_AFTER_STORE_S: u32 = 2;
@@ -180,24 +183,25 @@
     }
 }
 
-/// Records a job. Refusals are given only while no write of it can take effect any more.
+/// Records a job. It is refused only while no write of it can take effect any more; a
+/// write whose fate stays unknown is answered as such, early enough to be repeated.
 async fn submit(
     node: &SchedulerNode,
     queue: &QueueRow,
     record: JobRecord,
     until: tokio::time::Instant,
 ) -> CallAnswer {
+    if node.store_is_away() {
+        return CallAnswer::refused(503, "store-away").after(RETRY_AFTER_STORE_S);
+    }
     let Ok(value) = serde_json::to_vec(&record) else {
         return CallAnswer::refused(400, "job-malformed");
     };
     let key = job_key(&record.name);
-    let write = KvWrite::default()
-        .expect(key, 0)
-        .write(job_key(&record.name), &value, 0);
-    let mut unsure = false;
-    loop {
+    let write = KvWrite::default().expect(&key, 0).write(&key, &value, 0);
+    for attempt in 0..SUBMIT_TRIES {
         let Ok(written) = tokio::time::timeout_at(until, node.kv.commit(&write)).await else {
-            return CallAnswer::refused(504, "store-unsure");
+            break;
         };
         match written {
             Ok(revision) => {
@@ -217,20 +221,23 @@
                     Info,
                     "job-accepted-before",
                     job = record.name,
-                    unsure = unsure
+                    attempt = attempt
                 );
                 return CallAnswer::good("{}".to_owned());
             }
-            Err(KvFault::Unsure { .. } | KvFault::Unreadable { .. }) => unsure = true,
-            Err(_) if unsure => {}
+            Err(KvFault::Unsure { .. } | KvFault::Unreadable { .. }) => {}
+            Err(_) if attempt > 0 => {}
             Err(fault) => {
                 log_event!(Info, "job-not-stored", job = record.name, error = fault);
+                node.missed_store();
                 return CallAnswer::refused(503, "store-away").after(RETRY_AFTER_STORE_S);
             }
         }
         node.metrics.count_retry("submit");
         tokio::time::sleep(spread_pause(UNSURE_PAUSE)).await;
     }
+    node.missed_store();
+    CallAnswer::refused(504, "store-unsure")
 }
 
 async fn cancel(node: &SchedulerNode, job: &JobName, until: tokio::time::Instant) -> CallAnswer {
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -5,7 +5,7 @@
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
         owner::{AUTHORITY, OWNER_LEASE},
-        store::{OWNER_KEY, wave_key},
+        store::wave_key,
     },
     dotterelshore_domain::{
         names::InstanceName,
@@ -211,8 +211,7 @@
     if let Some(worker) = plan.worker_of(instance).cloned() {
         let mut schedule = lock(&leadership.schedule);
         if answer.is_ok() {
-            schedule.worker_ended(&worker);
-            leadership.plan.notify_one();
+            schedule.instance_ordered(&worker, uptime_ms());
         } else if !may_be_done {
             schedule.set_cordon(&worker, false);
         }
@@ -254,10 +253,9 @@
         };
         let status = encode_wave_status(progress.completed);
         let write = KvWrite::default()
-            .expect(OWNER_KEY, leadership.token())
             .write(wave_key(progress.number), &value, 0)
             .write(wave_status_key(progress.number), &status, 0);
-        if let Err(fault) = node.kv.commit(&write).await {
+        if let Err(fault) = leadership.log.commit(node, leadership, write).await {
             node.metrics.count_retry("wave-record");
             log_event!(
                 Info,
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -1,7 +1,7 @@
 //! The schedule and the authority over it.
 
 use {
-    super::progress_recorder,
+    super::{owner_log::OwnerLog, progress_recorder},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
         owner::{AUTHORITY, OwnerClaim},
@@ -28,6 +28,8 @@
     pub(crate) plan: Notify,
     /// Wakes the recorder.
     pub(crate) record: Notify,
+    /// The owner's writes in the store.
+    pub(super) log: OwnerLog,
     /// Wakes the task that looks after the list of workers.
     pub(crate) roster: Notify,
     token: AtomicU64,
@@ -44,6 +46,7 @@
             schedule: Mutex::new(FleetSchedule::default()),
             plan: Notify::new(),
             record: Notify::new(),
+            log: OwnerLog::default(),
             roster: Notify::new(),
             token: AtomicU64::new(claim.token),
             authority_until_ms: AtomicU64::new(0),
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -3,6 +3,7 @@
 mod instance_task;
 mod job_follow;
 mod leadership;
+mod owner_log;
 mod progress_recorder;
 mod takeover;
 mod worker_task;
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -4,7 +4,7 @@
     super::leadership::Leadership,
     crate::{
         node::{SchedulerNode, lock},
-        store::{OWNER_KEY, cancel_key, job_key, progress_key},
+        store::{cancel_key, job_key, progress_key},
     },
     dotterelshore_domain::{
         names::{JobName, PoolName},
@@ -18,10 +18,10 @@
     },
 };
 
-/// Jobs recorded in one transaction; the store takes 32 entries.
-const JOBS_PER_WRITE: usize = 30;
+/// Jobs recorded in one transaction; the store takes 32 entries, three of which order it.
+const JOBS_PER_WRITE: usize = 28;
 /// Jobs removed in one transaction, three keys each.
-const JOBS_PER_REMOVAL: usize = 10;
+const JOBS_PER_REMOVAL: usize = 9;
 /// Pause before a job's end is recorded, so that ends that come together share a write.
 const END_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time that ends within a job stay unrecorded, and unacknowledged.
@@ -90,14 +90,14 @@
     batch: &ProgressBatch,
 ) -> Result<(), KvFault> {
     for part in batch.records.chunks(JOBS_PER_WRITE) {
-        let mut write = KvWrite::default().expect(OWNER_KEY, leadership.token());
+        let mut write = KvWrite::default();
         for (name, progress) in part {
             let value = serde_json::to_vec(progress).map_err(|error| KvFault::NotDone {
                 detail: error.to_string(),
             })?;
             write = write.write(progress_key(name), &value, 0);
         }
-        node.kv.commit(&write).await?;
+        leadership.log.commit(node, leadership, write).await?;
         for (name, progress) in part {
             if let Some(ended) = progress.ended {
                 log_event!(Info, "job-ended", job = name, state = format!("{ended:?}"));
@@ -114,14 +114,14 @@
     jobs: &[(PoolName, JobName)],
 ) {
     for part in jobs.chunks(JOBS_PER_REMOVAL) {
-        let mut write = KvWrite::default().expect(OWNER_KEY, leadership.token());
+        let mut write = KvWrite::default();
         for (_, name) in part {
             write = write
                 .delete(job_key(name))
                 .delete(cancel_key(name))
                 .delete(progress_key(name));
         }
-        if let Err(fault) = node.kv.commit(&write).await {
+        if let Err(fault) = leadership.log.commit(node, leadership, write).await {
             log_event!(Warn, "removal-failed", jobs = part.len(), error = fault);
         }
     }
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -4,7 +4,7 @@
     super::{leadership::Leadership, takeover::WORKER_LEASE},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
-        store::{FollowStep, HELD_KEY, OWNER_KEY, follow},
+        store::{FollowStep, HELD_KEY, follow},
     },
     dotterelshore_domain::{
         collections::FastSet,
@@ -74,7 +74,7 @@
         .map(|seat| seat.listed.name.clone())
         .collect();
     for name in missing {
-        schedule.unlist_worker(&name);
+        schedule.unlist_worker(&name, uptime_ms());
     }
 }
 
@@ -110,13 +110,13 @@
                     schedule.upsert_worker(worker);
                     leadership.roster.notify_one();
                 } else if let Some(name) = worker_of_key(&row.key) {
-                    schedule.unlist_worker(&name);
+                    schedule.unlist_worker(&name, uptime_ms());
                 }
             }
             FollowStep::Change(WatchEvent::Removed { key, .. }) => {
                 if let Some(name) = worker_of_key(&key) {
                     log_event!(Info, "worker-unlisted", worker = name);
-                    schedule.unlist_worker(&name);
+                    schedule.unlist_worker(&name, uptime_ms());
                 }
             }
         }
@@ -168,10 +168,8 @@
         serde_json::to_vec(workers).map_err(|error| dotterelshore_platform::KvFault::NotDone {
             detail: error.to_string(),
         })?;
-    let write = KvWrite::default()
-        .expect(OWNER_KEY, leadership.token())
-        .write(HELD_KEY, &value, 0);
-    node.kv.commit(&write).await.map(|_| ())
+    let write = KvWrite::default().write(HELD_KEY, &value, 0);
+    leadership.log.commit(node, leadership, write).await
 }
 
 fn start_worker(node: &Arc<SchedulerNode>, leadership: &Arc<Leadership>, listed: ListedWorker) {
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -10,14 +10,17 @@
     dotterelshore_wire::timer_hub::TimerHub,
     nix::time::{ClockId, clock_gettime},
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
         time::Duration,
     },
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
 };
 
-/// Longest time for a call to the store. Several times its answer when it is slow.
-pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time for a call to the store. Some three times its answer when it is slow.
+pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// What the parts of one process share.
 #[derive(Debug)]
@@ -41,7 +44,10 @@
     /// Whether the process was told to end.
     pub(crate) leaving: watch::Sender<bool>,
     /// When the store last answered, in [`uptime_ms`].
-    pub(crate) store_heard_ms: std::sync::atomic::AtomicU64,
+    pub(crate) store_heard_ms: AtomicU64,
+    store_away: AtomicBool,
+    /// Wakes the task that looks for the store's return.
+    pub(crate) store_missed: Notify,
     /// The timer service.
     pub(crate) timer: TimerHub,
     /// Counters and histograms.
@@ -61,7 +67,9 @@
             leading: watch::Sender::new(None),
             owner_link: OwnerLink::default(),
             leaving: watch::Sender::new(false),
-            store_heard_ms: std::sync::atomic::AtomicU64::new(0),
+            store_heard_ms: AtomicU64::new(0),
+            store_away: AtomicBool::new(false),
+            store_missed: Notify::new(),
             timer: TimerHub::start(),
             metrics: NodeMetrics::new(dropped),
             settings,
@@ -80,8 +88,19 @@
 
     /// Takes note that the store answered.
     pub(crate) fn heard_store(&self) {
-        self.store_heard_ms
-            .store(uptime_ms(), std::sync::atomic::Ordering::Relaxed);
+        self.store_heard_ms.store(uptime_ms(), Ordering::Relaxed);
+        self.store_away.store(false, Ordering::Relaxed);
+    }
+
+    /// Takes note that the store did not answer.
+    pub(crate) fn missed_store(&self) {
+        self.store_away.store(true, Ordering::Relaxed);
+        self.store_missed.notify_one();
+    }
+
+    /// Whether the store failed to answer last.
+    pub(crate) fn store_is_away(&self) -> bool {
+        self.store_away.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -5,13 +5,15 @@
     dotterelshore_domain::names::JobName,
     dotterelshore_platform::{KeyRow, KvFault, WatchEvent},
     dotterelshore_wire::{log_event, timer_hub::spread_pause},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// The owner of the schedule, under a lease.
 pub(crate) const OWNER_KEY: &str = "dotterelshore/owner";
 /// How often the schedule changed its owner.
 pub(crate) const TERM_KEY: &str = "dotterelshore/term";
+/// Rises with each write of an owner, so that they take effect in order.
+pub(crate) const OWNER_WRITES_KEY: &str = "dotterelshore/writes";
 /// Workers on which an owner may have left something running.
 pub(crate) const HELD_KEY: &str = "dotterelshore/held";
 /// Accepted jobs, and marks of cancelled ones.
@@ -23,9 +25,13 @@
 /// Ends the key that marks a job as cancelled.
 const CANCEL_SUFFIX: &str = "/cancel";
 
-/// How long one watch waits for a change. Short enough to notice a silent connection
-/// within the platform's calm window of some three seconds.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// How long one watch waits for a change. With its slack, a connection that fell silent is
+/// noticed within the platform's calm window of three seconds.
+const WATCH_WAIT: Duration = Duration::from_millis(2_200);
+/// How long a watch waits while the store is lost, so that its return is soon noticed.
+const LOST_WAIT: Duration = Duration::ZERO;
+/// Pause between looks for the store's return.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a call to the store failed.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -69,6 +75,21 @@
     }
 }
 
+/// Looks for the store's return whenever it failed to answer, so that callers are served
+/// again as soon as it is back.
+pub(crate) async fn probe_store(node: Arc<SchedulerNode>) {
+    loop {
+        node.store_missed.notified().await;
+        while node.store_is_away() {
+            tokio::time::sleep(spread_pause(PROBE_PAUSE)).await;
+            match node.kv.read(OWNER_KEY).await {
+                Ok(_) | Err(KvFault::NoKey) => node.heard_store(),
+                Err(_) => node.metrics.count_retry("store-probe"),
+            }
+        }
+    }
+}
+
 /// A step in following a prefix.
 #[derive(Debug)]
 pub(crate) enum FollowStep {
@@ -92,7 +113,10 @@
     loop {
         let step = match revision {
             None => read_whole(node, prefix, &mut take).await.map(Some),
-            Some(after) => watch_once(node, prefix, after, &mut take).await,
+            Some(after) => {
+                let wait = if failing { LOST_WAIT } else { WATCH_WAIT };
+                watch_once(node, prefix, after, wait, &mut take).await
+            }
         };
         match step {
             Ok(next) => {
@@ -103,6 +127,7 @@
                 revision = next;
             }
             Err(fault) => {
+                node.missed_store();
                 if !std::mem::replace(&mut failing, true) {
                     log_event!(Warn, "store-lost", prefix = prefix, error = fault);
                 }
@@ -127,9 +152,10 @@
     node: &SchedulerNode,
     prefix: &str,
     after: u64,
+    wait: Duration,
     take: &mut impl FnMut(FollowStep),
 ) -> Result<Option<u64>, KvFault> {
-    match node.kv.watch(prefix, after, WATCH_WAIT).await {
+    match node.kv.watch(prefix, after, wait).await {
         Ok(page) => {
             for event in page.events {
                 take(FollowStep::Change(event));
