Record what lost workers run; count no lease as run out unless the owner is surely alone

Change: leases lapse only while the owner's key surely stands; the record of workers names what a lost worker may run, so that only that is held back after a takeover; copies that a step allows are never held back; leases and authority are shorter, and a takeover reads side by side.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -51,6 +51,18 @@
 }
 
 impl TaskRun {
+    /// A run of which only its order is known.
+    pub(super) fn unsure(worker: WorkerName, run: u32, now_ms: u64) -> Self {
+        Self {
+            run,
+            worker,
+            phase: RunPhase::Ordered,
+            since_ms: now_ms,
+            percent: 0.0,
+            moved_ms: now_ms,
+        }
+    }
+
     /// Whether a task that lasts was at work, past its startup, when it was last told of.
     pub(super) fn is_full(&self) -> bool {
         matches!(self.phase, RunPhase::Running { .. }) && self.percent >= FULLY_AT_WORK
@@ -92,6 +104,7 @@
     pub(super) end_recorded: bool,
     pub(super) arrived_ms: u64,
     pub(super) from_before: bool,
+    pub(super) held_back: bool,
     pub(super) run_base: u32,
     pub(super) begun: bool,
     pub(super) runs: usize,
@@ -108,6 +121,7 @@
             end_recorded: false,
             arrived_ms,
             from_before: run_base > 0,
+            held_back: false,
             run_base,
             begun: false,
             runs: 0,
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -21,5 +21,7 @@
     queue_table::{FrontLimits, PoolRow, QueueRow, QueueTable, RouteFault, TeamRow},
     run_reports::{StartRefusal, StartReply},
     task_name::TaskName,
-    worker_seat::{EndKind, EndedRun, ListedWorker, RunningRow, WorkerReport, WorkerSeat},
+    worker_seat::{
+        EndKind, EndedRun, HeldWorker, ListedWorker, LostRuns, RunningRow, WorkerReport, WorkerSeat,
+    },
 };
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -4,7 +4,7 @@
     super::{
         fleet_schedule::{FleetSchedule, StartOrder, WorkerOrder},
         job_plan::{Resources, StepPlan},
-        live_job::{LiveJob, RunPhase, TaskRun},
+        live_job::{LiveJob, TaskRun},
         task_name::TaskName,
         worker_seat::WorkerSeat,
     },
@@ -38,19 +38,20 @@
         wall_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) {
-        let unseen = self
-            .workers
-            .values()
-            .any(|seat| seat.listed.pool == *pool && !seat.heard && now_ms <= seat.lease_until_ms);
+        let unseen = self.workers.values().any(|seat| {
+            seat.listed.pool == *pool
+                && !seat.heard
+                && !seat.accounted
+                && now_ms <= seat.lease_until_ms
+        });
         let mut waiting = Vec::new();
         for name in self.active.get(pool).into_iter().flatten() {
             let Some(job) = self.jobs.get_mut(name) else {
                 continue;
             };
             job.open_due(wall_ms);
-            if unseen && job.from_before {
-                continue;
-            }
+            // What may run unseen starts nowhere else, unless copies are allowed.
+            job.held_back = unseen && job.from_before;
             if first_idle(job) {
                 waiting.push((job.urgency().key(self.rule, now_ms), name.clone()));
             }
@@ -85,7 +86,8 @@
         let mut ready = Vec::new();
         for (occurrence, steps) in &job.occurrences {
             for (number, step) in steps.iter().enumerate() {
-                if step.open > 0 && job.is_ready(*occurrence, number) {
+                let held_back = job.held_back && !job.record.plan.steps[number].speculative;
+                if step.open > 0 && !held_back && job.is_ready(*occurrence, number) {
                     ready.push((*occurrence, number));
                 }
             }
@@ -189,14 +191,9 @@
         };
         let run = gang_run.unwrap_or(state.last_run).max(base) + 1;
         state.last_run = run;
-        state.runs.push(TaskRun {
-            run,
-            worker: worker.clone(),
-            phase: RunPhase::Ordered,
-            since_ms: now_ms,
-            percent: 0.0,
-            moved_ms: now_ms,
-        });
+        state
+            .runs
+            .push(TaskRun::unsure(worker.clone(), run, now_ms));
         self.reserve(task, worker, run);
         run
     }
@@ -256,7 +253,9 @@
 fn first_idle(job: &LiveJob) -> bool {
     job.occurrences.iter().any(|(occurrence, steps)| {
         steps.iter().enumerate().any(|(number, step)| {
+            let held_back = job.held_back && !job.record.plan.steps[number].speculative;
             step.open > 0
+                && !held_back
                 && job.is_ready(*occurrence, number)
                 && step.tasks.iter().any(super::live_job::TaskState::idle)
         })
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -381,11 +381,14 @@
         }
     }
 
-    /// Moves time on: leases that ran out, stops to send again, starts to rule out.
-    pub fn tick(&mut self, now_ms: u64) -> Vec<WorkerOrder> {
+    /// Moves time on: leases that ran out, stops to send again, starts to rule out. Unless
+    /// this is surely the sole owner, another one may extend leases, and none counts as run
+    /// out.
+    pub fn tick(&mut self, now_ms: u64, sole_owner: bool) -> Vec<WorkerOrder> {
         let lapsed: Vec<_> = self
             .workers
             .values()
+            .filter(|_| sole_owner)
             .filter(|seat| !(seat.present && seat.reachable) && now_ms > seat.lease_until_ms)
             .map(|seat| (seat.listed.name.clone(), seat.present))
             .collect();
--- a/crates/domain/src/schedule/worker_seat.rs
+++ b/crates/domain/src/schedule/worker_seat.rs
@@ -101,6 +101,27 @@
     pub finished: Vec<EndedRun>,
 }
 
+/// A worker on which an owner may have left something running, as recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct HeldWorker {
+    /// The worker.
+    pub listed: ListedWorker,
+    /// What it may run, where the owner had lost touch with it and so started nothing more
+    /// there; else nothing is known of its runs.
+    pub lost: Option<LostRuns>,
+}
+
+/// Runs on a worker that does not answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LostRuns {
+    /// The tasks and the numbers of their runs.
+    pub runs: Vec<(TaskName, u32)>,
+    /// What was left of its lease when this was recorded, in milliseconds.
+    pub lease_left_ms: u64,
+}
+
 /// A worker and what the scheduler placed there.
 #[derive(Debug, Clone)]
 pub struct WorkerSeat {
@@ -116,6 +137,10 @@
     pub runs: FastMap<TaskName, u32>,
     /// Whether its lists were read under the present ownership.
     pub heard: bool,
+    /// Whether all that an earlier owner left there is known, though it was not heard.
+    pub accounted: bool,
+    /// Whether the newest record of the workers may name it as lost.
+    pub recorded_lost: bool,
     /// Whether its last call was answered.
     pub reachable: bool,
     /// Until when something may run there unseen, in scheduler milliseconds.
@@ -145,6 +170,8 @@
             filling_milli: 0,
             runs: FastMap::default(),
             heard: false,
+            accounted: false,
+            recorded_lost: false,
             reachable: true,
             lease_until_ms,
             seen_end: 0,
@@ -162,6 +189,7 @@
         self.present
             && self.heard
             && self.reachable
+            && !self.recorded_lost
             && !self.cordoned
             && !self.listed.draining
             && now_ms >= self.pass_over_until_ms
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -1,10 +1,10 @@
 //! The schedule and the authority over it.
 
 use {
-    super::{owner_log::OwnerLog, progress_recorder},
+    super::{owner_log::OwnerLog, progress_recorder, worker_task},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
-        owner::{AUTHORITY, OwnerClaim},
+        owner::{AUTHORITY, OWNER_LEASE, OwnerClaim},
     },
     dotterelshore_domain::{
         collections::FastMap,
@@ -12,9 +12,12 @@
         schedule::{FleetSchedule, QueueTable, WorkerOrder},
     },
     dotterelshore_wire::log_event,
-    std::sync::{
-        Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+    std::{
+        sync::{
+            Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::{Notify, mpsc},
 };
@@ -69,6 +72,13 @@
             && uptime_ms() < self.authority_until_ms.load(Ordering::Relaxed)
     }
 
+    /// Whether the owner's key surely still stands, so that there is no other owner.
+    pub(super) fn is_sole_owner(&self) -> bool {
+        let length = |time: Duration| u64::try_from(time.as_millis()).unwrap_or_default();
+        let until_ms = self.authority_until_ms.load(Ordering::Relaxed);
+        uptime_ms() + length(AUTHORITY) < until_ms + length(OWNER_LEASE)
+    }
+
     /// Whether this process no longer owns the schedule.
     pub(super) fn is_ended(&self) -> bool {
         self.ended.load(Ordering::Relaxed)
@@ -149,5 +159,9 @@
     /// Records what is not recorded yet, before the schedule is given away.
     pub(crate) async fn record_last(&self, node: &SchedulerNode) {
         progress_recorder::record_once(node, self).await;
+        let held = lock(&self.schedule).held_workers(uptime_ms());
+        if let Err(fault) = worker_task::store_roster(node, self, &held).await {
+            log_event!(Warn, "roster-not-stored", error = fault);
+        }
     }
 }
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -16,7 +16,7 @@
     dotterelshore_domain::{
         collections::FastMap,
         names::JobName,
-        schedule::{FleetSchedule, ListedWorker, OrderRule, ProgressRecord},
+        schedule::{FleetSchedule, HeldWorker, OrderRule, ProgressRecord},
     },
     dotterelshore_platform::{KeyRow, KvFault, KvPage, WORKER_PREFIX},
     dotterelshore_wire::{event_log::unix_millis, log_event, timer_hub::spread_pause},
@@ -26,7 +26,7 @@
 
 /// How long workers' runs go on without a word from the owner. Longer than it takes to
 /// replace an owner, shorter than the platform's longest.
-pub(super) const WORKER_LEASE: Duration = Duration::from_millis(4_500);
+pub(super) const WORKER_LEASE: Duration = Duration::from_millis(3_600);
 /// Added for orders under way and clocks, in milliseconds.
 const UNSEEN_SLACK_MS: u64 = 500;
 /// Distance between the numbers of runs under one owner and the next; far more than one
@@ -45,7 +45,7 @@
 
 /// Everything that the store holds of the schedule.
 struct StoredSchedule {
-    held: Vec<ListedWorker>,
+    held: Vec<HeldWorker>,
     workers: KvPage,
     progress: FastMap<JobName, ProgressRecord>,
     jobs: KvPage,
@@ -99,10 +99,12 @@
         }
     })
     .await;
-    let workers = until_read(node, "workers", || node.kv.read_all(WORKER_PREFIX)).await;
-    let progress = until_read(node, "progress", || node.kv.read_all(PROGRESS_PREFIX)).await;
-    let jobs = until_read(node, "jobs", || node.kv.read_all(JOB_PREFIX)).await;
-    let held = held.and_then(|row| parsed::<Vec<ListedWorker>>(&row));
+    let (workers, progress, jobs) = tokio::join!(
+        until_read(node, "workers", || node.kv.read_all(WORKER_PREFIX)),
+        until_read(node, "progress", || node.kv.read_all(PROGRESS_PREFIX)),
+        until_read(node, "jobs", || node.kv.read_all(JOB_PREFIX)),
+    );
+    let held = held.and_then(|row| parsed::<Vec<HeldWorker>>(&row));
     let progress = progress.rows.iter().filter_map(|row| {
         let name = JobName::try_from(row.key.strip_prefix(PROGRESS_PREFIX)?).ok()?;
         Some((name, parsed(row)?))
@@ -159,10 +161,6 @@
     if let Some(table) = node.table_now() {
         schedule.set_table(&table);
     }
-    for worker in &stored.held {
-        schedule.expect_worker(worker.clone());
-    }
-    take_worker_rows(&mut schedule, &stored.workers.rows);
     let run_base = if first { 0 } else { claim.term * RUNS_PER_TERM };
     take_job_rows(
         &mut schedule,
@@ -172,6 +170,10 @@
         now_ms,
         unix_millis(),
     );
+    for held in &stored.held {
+        schedule.expect_worker(held.clone(), now_ms);
+    }
+    take_worker_rows(&mut schedule, &stored.workers.rows);
     *lock(&leadership.schedule) = schedule;
 }
 
@@ -192,7 +194,7 @@
         let orders = {
             let mut schedule = lock(&leadership.schedule);
             let mut orders = if ticked {
-                schedule.tick(now_ms)
+                schedule.tick(now_ms, leadership.is_sole_owner())
             } else {
                 Vec::new()
             };
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -10,7 +10,8 @@
         collections::FastSet,
         names::WorkerName,
         schedule::{
-            FleetSchedule, ListedWorker, StartOrder, StartRefusal, StartReply, WorkerOrder,
+            FleetSchedule, HeldWorker, ListedWorker, StartOrder, StartRefusal, StartReply,
+            WorkerOrder,
         },
     },
     dotterelshore_platform::{
@@ -127,14 +128,14 @@
 
 /// Keeps the stored list of workers right, and starts the tasks of those on it.
 pub(super) async fn watch_roster(node: Arc<SchedulerNode>, leadership: Arc<Leadership>) {
-    let mut stored: Option<FastSet<WorkerName>> = None;
+    let mut stored: Option<FastSet<(WorkerName, bool)>> = None;
     let mut ticks = node.timer.every(ROSTER_PERIOD);
     loop {
-        let workers: Vec<ListedWorker> = lock(&leadership.schedule)
-            .workers()
-            .map(|seat| seat.listed.clone())
+        let workers = lock(&leadership.schedule).held_workers(uptime_ms());
+        let names: FastSet<_> = workers
+            .iter()
+            .map(|held| (held.listed.name.clone(), held.lost.is_some()))
             .collect();
-        let names: FastSet<_> = workers.iter().map(|worker| worker.name.clone()).collect();
         if stored.as_ref() != Some(&names) && leadership.may_order() {
             match store_roster(&node, &leadership, &workers).await {
                 Ok(()) => stored = Some(names),
@@ -144,12 +145,13 @@
                 }
             }
         }
-        for worker in workers {
-            let known = stored
-                .as_ref()
-                .is_some_and(|stored| stored.contains(&worker.name));
+        for held in workers {
+            let name = &held.listed.name;
+            let known = stored.as_ref().is_some_and(|stored| {
+                stored.contains(&(name.clone(), true)) || stored.contains(&(name.clone(), false))
+            });
             if known && leadership.may_order() {
-                start_worker(&node, &leadership, worker);
+                start_worker(&node, &leadership, held.listed);
             }
         }
         tokio::select! {
@@ -159,17 +161,21 @@
     }
 }
 
-async fn store_roster(
+/// Records the workers on which something may be left running.
+pub(super) async fn store_roster(
     node: &SchedulerNode,
     leadership: &Leadership,
-    workers: &[ListedWorker],
+    workers: &[HeldWorker],
 ) -> Result<(), dotterelshore_platform::KvFault> {
+    lock(&leadership.schedule).roster_begins(workers);
     let value =
         serde_json::to_vec(workers).map_err(|error| dotterelshore_platform::KvFault::NotDone {
             detail: error.to_string(),
         })?;
     let write = KvWrite::default().write(HELD_KEY, &value, 0);
-    leadership.log.commit(node, leadership, write).await
+    leadership.log.commit(node, leadership, write).await?;
+    lock(&leadership.schedule).roster_recorded(workers);
+    Ok(())
 }
 
 fn start_worker(node: &Arc<SchedulerNode>, leadership: &Arc<Leadership>, listed: ListedWorker) {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -15,15 +15,15 @@
 
 /// How long the owner's key lasts without a renewal. Three missed renewals; an owner that
 /// is gone is replaced after about this time.
-pub(crate) const OWNER_LEASE: Duration = Duration::from_millis(1_500);
+pub(crate) const OWNER_LEASE: Duration = Duration::from_millis(1_200);
 /// Time between renewals.
-const RENEW_PERIOD: Duration = Duration::from_millis(400);
+const RENEW_PERIOD: Duration = Duration::from_millis(300);
 /// Longest time for the answer to a renewal; twice its answer when the store is slow.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long an owner goes on after the renewal that succeeded last was sent. Longer than
 /// the lease, so that work goes on while the store is away for a short time; the next owner
 /// waits for the difference where it can't reach a worker.
-pub(crate) const AUTHORITY: Duration = Duration::from_millis(4_000);
+pub(crate) const AUTHORITY: Duration = Duration::from_millis(3_200);
 /// Longest pause before a claim, so that entries do not claim all at once.
 const CLAIM_SPREAD: Duration = Duration::from_millis(120);
 /// Pause after a claim that failed.
--- a/crates/wire/src/reset_connector.rs
+++ b/crates/wire/src/reset_connector.rs
@@ -7,7 +7,6 @@
         rt::TokioIo,
     },
     std::{
-        future::Future,
         io,
         pin::Pin,
         task::{Context, Poll},
