--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -230,6 +230,25 @@
         })
     }
 
+    /// Each pool's instances, how many its work asks for, and what runs and waits there in
+    /// cores; one line a pool, for the log.
+    pub fn pool_lines(&self, schedule: &FleetSchedule) -> Vec<String> {
+        let loads = schedule.pool_loads();
+        let lines = loads.iter().map(|(pool, load)| {
+            let own = self.instances.values().filter(|seat| seat.pool == *pool);
+            let up = own.clone().filter(|seat| seat.up).count();
+            let idle = own.clone().filter(|seat| seat.idle_since_ms.is_some()).count();
+            format!(
+                "{pool}:instances={},up={up},idle={idle},wanted={},running={},waiting={}",
+                own.count(),
+                wanted_instances(load),
+                load.reserved_milli / 1000,
+                load.waiting_milli / 1000
+            )
+        });
+        lines.collect()
+    }
+
     /// What holds up the instances of a wave that are still due, one line each, for the log.
     pub fn held_up(&self, number: u64, schedule: &FleetSchedule) -> Vec<String> {
         let Some(wave) = self.waves.iter().find(|wave| wave.number == number) else {
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -282,6 +282,7 @@
                 run: row.run,
             })
         };
+        self.drop_superseded(row);
         let Some(job) = self.jobs.get_mut(&row.task.job) else {
             if now_ms > self.unseen_until_ms {
                 orders.push(unwanted());
@@ -341,6 +342,26 @@
         self.reserve(&row.task, worker, row.run);
     }
 
+    /// Frees runs that an earlier owner had recorded as lost and then followed by the one that
+    /// a worker lists.
+    fn drop_superseded(&mut self, row: &RunningRow) {
+        let Some(task) = self
+            .jobs
+            .get(&row.task.job)
+            .and_then(|job| job.task(&row.task))
+        else {
+            return;
+        };
+        let recorded_only = |run: &&TaskRun| {
+            let seat = self.workers.get(&run.worker);
+            run.run < row.run && seat.is_some_and(|seat| seat.accounted && !seat.heard)
+        };
+        let superseded: Vec<_> = task.runs.iter().filter(recorded_only).cloned().collect();
+        for run in superseded {
+            self.release(&row.task, &run.worker, run.run);
+        }
+    }
+
     /// Frees runs that a worker's newer lists no longer name.
     fn drop_missing(&mut self, worker: &WorkerName, report: &WorkerReport) {
         let Some(seat) = self.workers.get(worker) else {
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -342,6 +342,51 @@
     a_lost_worker_holds_back_its_recorded_runs(true, 1);
 }
 
+/// A run that a worker lists goes on, though an older record of the same task is of a run on
+/// a worker lost since; both belong to the earlier owner.
+fn listed_run_goes_on(recorded_run: u32, listed_run: u32) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + 2 * LEASE_MS);
+    schedule.add_job(
+        job("lasts", vec![lasting(1, 1)]),
+        None,
+        2_000,
+        NOW_MS,
+        WALL_MS,
+    );
+    let task: TaskName = "lasts.0.0.0".parse().expect("a task");
+    let lost = LostRuns {
+        runs: vec![(task.clone(), recorded_run)],
+        lease_left_ms: LEASE_MS,
+    };
+    let listed = worker("w-2");
+    let lost = Some(lost);
+    schedule.expect_worker(HeldWorker { listed, lost }, NOW_MS);
+    schedule.upsert_worker(worker("w-1"));
+    let row = RunningRow {
+        task,
+        run: listed_run,
+        saved: Arc::from(""),
+        percent: 100.0,
+        figure: 0.0,
+    };
+    let report = WorkerReport {
+        clock_ms: 20,
+        running: vec![row],
+        ..WorkerReport::default()
+    };
+    assert_eq!(
+        hear(&mut schedule, "w-1", &report),
+        Vec::new(),
+        "no order to stop it"
+    );
+    assert!(starts(&mut schedule, NOW_MS).is_empty(), "it runs");
+}
+
+named_cases! { listed_run_goes_on:
+    a_later_run_supersedes_a_recorded_one(1, 2);
+    a_much_later_run_supersedes_a_recorded_one(1, 1_001);
+}
+
 /// A worker recorded as lost gets nothing new before another record took effect.
 fn lost_worker_waits_for_its_record(recorded: bool) {
     let mut schedule = schedule(&["w-1"]);
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -29,7 +29,7 @@
 /// Added to the wait for an earlier owner's orders, for clocks and links.
 const ORDER_SLACK: Duration = Duration::from_millis(300);
 /// Time between log lines on what holds up a wave.
-const TELL_PERIOD: Duration = Duration::from_millis(2_000);
+const TELL_PERIOD: Duration = Duration::from_millis(500);
 
 /// An order for maintenance whose answer was lost; it is repeated until it is answered.
 #[derive(Debug)]
@@ -137,7 +137,7 @@
     }
 }
 
-/// Logs what holds up waves, now and then.
+/// Logs what pools have and ask for, and what holds up waves, now and then.
 fn tell_waves(
     node: &SchedulerNode,
     leadership: &Leadership,
@@ -149,6 +149,8 @@
     }
     *told_at = Instant::now();
     let schedule = lock(&leadership.schedule);
+    let pools = plan.pool_lines(&schedule).join(" ");
+    log_event!(Info, "pools", pools = pools);
     for order in node.waves.borrow().iter() {
         let held_up = plan.held_up(order.number, &schedule);
         if !held_up.is_empty() {
