--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -29,7 +29,7 @@
 /// Added to the wait for an earlier owner's orders, for clocks and links.
 const ORDER_SLACK: Duration = Duration::from_millis(300);
 /// Time between log lines on what holds up a wave.
-const TELL_PERIOD: Duration = Duration::from_millis(500);
+const TELL_PERIOD: Duration = Duration::from_millis(2_000);
 
 /// An order for maintenance whose answer was lost; it is repeated until it is answered.
 #[derive(Debug)]
