Spare work early in a wave; restart runs that stand still

Change: in the first half of its time a wave takes instances with nothing to do and empties one at a time; runs whose progress does not move for 1.8 s are stopped and their worker is passed over. A new owner's wait before its first order for an instance counts from its claim.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -19,6 +19,11 @@
 const HEADROOM_PERCENT: u64 = 15;
 /// Fewest instances of a pool that is in use, so that one crash leaves room.
 const POOL_MIN: usize = 3;
+/// Part of a wave's time after which it hurries, in hundredths: half of its time is for
+/// instances that have nothing to do at some moment, the other half for all that is left.
+const HURRY_PERCENT: u64 = 50;
+/// Instances of a wave that are emptied at the same time before it hurries.
+const CORDONS_EARLY: usize = 1;
 /// How long a due instance waits for its running tasks to end before they are cut off, in
 /// milliseconds. Longer than most tasks of the users, some two seconds.
 const CORDON_MS: u64 = 2_500;
@@ -46,6 +51,19 @@
     pub activity: InstanceActivity,
 }
 
+/// An order to maintain instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveOrder {
+    /// Its number.
+    pub number: u64,
+    /// The instances.
+    pub instances: Vec<InstanceName>,
+    /// Time for all of them, in milliseconds.
+    pub duration_ms: u64,
+    /// Most that may be down at the same time.
+    pub at_once: usize,
+}
+
 /// A wave of maintenance and how far it is, as recorded.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -56,6 +74,8 @@
     pub begun: Vec<InstanceName>,
     /// Whether all of it is done.
     pub completed: bool,
+    /// When it was first seen, in milliseconds since the Unix epoch.
+    pub since_wall_ms: u64,
 }
 
 /// An order for an instance.
@@ -95,6 +115,8 @@
     back: FastSet<InstanceName>,
     cordoned: FastMap<InstanceName, u64>,
     completed: bool,
+    since_wall_ms: u64,
+    hurry_ms: u64,
 }
 
 /// Instances, their waves, and what pools need.
@@ -159,15 +181,23 @@
     /// Takes in an order for a wave, and what is recorded of it.
     pub fn take_wave(
         &mut self,
-        number: u64,
-        due: Vec<InstanceName>,
-        at_once: usize,
+        order: WaveOrder,
         recorded: Option<&WaveProgress>,
         now_ms: u64,
+        wall_ms: u64,
     ) {
+        let WaveOrder {
+            number,
+            instances: due,
+            duration_ms,
+            at_once,
+        } = order;
         if self.waves.iter().any(|wave| wave.number == number) {
             return;
         }
+        let since_wall_ms = recorded.map_or(wall_ms, |progress| progress.since_wall_ms);
+        let passed_ms = wall_ms.saturating_sub(since_wall_ms);
+        let hurry_after_ms = duration_ms * HURRY_PERCENT / 100;
         let begun = recorded.map(|progress| progress.begun.clone());
         let begun = begun.unwrap_or_default().into_iter();
         self.waves.push(WaveState {
@@ -178,6 +208,8 @@
             back: FastSet::default(),
             cordoned: FastMap::default(),
             completed: recorded.is_some_and(|progress| progress.completed),
+            since_wall_ms,
+            hurry_ms: now_ms + hurry_after_ms.saturating_sub(passed_ms),
         });
     }
 
@@ -227,6 +259,7 @@
             number,
             begun: wave.begun.keys().cloned().collect(),
             completed: wave.completed,
+            since_wall_ms: wave.since_wall_ms,
         })
     }
 
@@ -237,7 +270,10 @@
         let lines = loads.iter().map(|(pool, load)| {
             let own = self.instances.values().filter(|seat| seat.pool == *pool);
             let up = own.clone().filter(|seat| seat.up).count();
-            let idle = own.clone().filter(|seat| seat.idle_since_ms.is_some()).count();
+            let idle = own
+                .clone()
+                .filter(|seat| seat.idle_since_ms.is_some())
+                .count();
             format!(
                 "{pool}:instances={},up={up},idle={idle},wanted={},running={},waiting={}",
                 own.count(),
@@ -379,7 +415,7 @@
                     break;
                 }
                 let ready = match &worker {
-                    None => Some(&name).filter(|_| runs == 0).is_some(),
+                    None => runs == 0,
                     Some(worker) => {
                         let seat = schedule.worker(worker);
                         let lasting_only = schedule.runs_only_lasting(worker);
@@ -402,7 +438,12 @@
                         wave: wave.number,
                     });
                 } else if let Some(worker) = &worker {
-                    if wave.cordoned.len() < wave.at_once && !wave.cordoned.contains_key(&name) {
+                    let most = if now_ms < wave.hurry_ms {
+                        CORDONS_EARLY
+                    } else {
+                        wave.at_once
+                    };
+                    if wave.cordoned.len() < most && !wave.cordoned.contains_key(&name) {
                         wave.cordoned.insert(name.clone(), now_ms);
                         schedule.set_cordon(worker, true);
                     }
--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -39,24 +39,28 @@
 }
 
 impl AddAssign for Resources {
-    fn add_assign(&mut self, other: Self) {
-        self.cpu_milli += other.cpu_milli;
-        self.memory_mb += other.memory_mb;
-        self.gpus += other.gpus;
+    fn add_assign(&mut self, rhs: Self) {
+        self.cpu_milli += rhs.cpu_milli;
+        self.memory_mb += rhs.memory_mb;
+        self.gpus += rhs.gpus;
     }
 }
 
 impl SubAssign for Resources {
-    fn sub_assign(&mut self, other: Self) {
-        self.cpu_milli = self.cpu_milli.saturating_sub(other.cpu_milli);
-        self.memory_mb = self.memory_mb.saturating_sub(other.memory_mb);
-        self.gpus = self.gpus.saturating_sub(other.gpus);
+    fn sub_assign(&mut self, rhs: Self) {
+        self.cpu_milli = self.cpu_milli.saturating_sub(rhs.cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_sub(rhs.memory_mb);
+        self.gpus = self.gpus.saturating_sub(rhs.gpus);
     }
 }
 
 /// One step: tasks that are alike and start when earlier steps are done.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a property of its own that submitters set"
+)]
 pub struct StepPlan {
     /// Tasks of the step.
     pub count: u32,
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -16,7 +16,7 @@
 const LATE_MULTIPLE: u64 = 3;
 
 /// The share of its work, in percent, at which a task that lasts is at work.
-const FULLY_AT_WORK: f64 = 100.0;
+pub(super) const FULLY_AT_WORK: f64 = 100.0;
 
 /// Where a run stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,6 +95,10 @@
 
 /// A job under the scheduler's care.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fact of its own about the job"
+)]
 pub(super) struct LiveJob {
     pub(super) record: Arc<JobRecord>,
     pub(super) occurrences: BTreeMap<u32, Vec<StepState>>,
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -14,7 +14,9 @@
 
 pub use {
     fleet_schedule::{FleetSchedule, PoolLoad, ProgressBatch, StartOrder, StopOrder, WorkerOrder},
-    instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance, WaveProgress},
+    instance_plan::{
+        InstanceActivity, InstanceOrder, InstancePlan, ListedInstance, WaveOrder, WaveProgress,
+    },
     job_order::{JobUrgency, OrderRule},
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
     job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -9,6 +9,7 @@
         worker_seat::WorkerSeat,
     },
     crate::names::{JobName, PoolName, WorkerName},
+    std::sync::Arc,
 };
 
 /// Jobs in a row that find no room before a pool counts as full. Bounds the work of one
@@ -168,7 +169,7 @@
                 worker,
                 task,
                 run,
-                body: job.record.plan.task_body.clone(),
+                body: Arc::clone(&job.record.plan.task_body),
                 saved,
             }));
         }
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -4,11 +4,12 @@
     super::{
         fleet_schedule::{FleetSchedule, StopOrder, WorkerOrder},
         job_progress::JobState,
-        live_job::{RunPhase, TaskRun},
+        live_job::{FULLY_AT_WORK, RunPhase, TaskRun},
         task_name::TaskName,
         worker_seat::{EndKind, EndedRun, RunningRow, WorkerReport},
     },
     crate::names::WorkerName,
+    std::sync::Arc,
 };
 
 /// How long a stop that was not confirmed waits before it is sent again, in milliseconds.
@@ -53,6 +54,11 @@
     Malformed,
 }
 
+/// How long a run's progress, told in hundredths, stays the same before the run counts as
+/// standing still, in milliseconds. Looks are a second apart at most, and the users' tasks
+/// take a second or a few: a run that still works has moved by then, even six times slowed.
+const STANDS_STILL_MS: u64 = 1_800;
+
 /// A worker that still answers when its order's window has less than this left, in
 /// milliseconds, was not taken down by the order.
 const ANSWERS_STILL_MS: u64 = 1_000;
@@ -189,7 +195,7 @@
         if let Some(task) = job.task_mut(&end.task) {
             task.last_run = task.last_run.max(end.run);
             if !end.saved.is_empty() {
-                task.saved = Some(end.saved.clone());
+                task.saved = Some(Arc::clone(&end.saved));
             }
         }
         let mut failed_for_good = false;
@@ -290,12 +296,9 @@
             return;
         };
         let open = job.ended.is_none();
-        let copies = job
-            .record
-            .plan
-            .steps
-            .get(usize::from(row.task.step))
-            .is_some_and(|step| step.speculative);
+        let plan = job.record.plan.steps.get(usize::from(row.task.step));
+        let copies = plan.is_some_and(|step| step.speculative);
+        let fills = plan.is_some_and(|step| step.fills);
         job.begun = true;
         let Some(task) = job.task_mut(&row.task) else {
             orders.push(unwanted());
@@ -314,8 +317,22 @@
                 run.percent = row.percent;
                 run.moved_ms = now_ms;
             }
+            let stands_still = !fills
+                && matches!(run.phase, RunPhase::Running { .. })
+                && row.percent < FULLY_AT_WORK
+                && now_ms > run.moved_ms.max(run.since_ms) + STANDS_STILL_MS;
+            if stands_still {
+                run.phase = RunPhase::Stopping {
+                    clock_ms: None,
+                    sent_ms: now_ms,
+                };
+                orders.push(stop_order(&row.task, run));
+            }
             if !row.saved.is_empty() {
-                task.saved = Some(row.saved.clone());
+                task.saved = Some(Arc::clone(&row.saved));
+            }
+            if stands_still && let Some(seat) = self.workers.get_mut(worker) {
+                seat.pass_over(now_ms);
             }
             return;
         }
--- a/crates/domain/src/schedule/worker_seat.rs
+++ b/crates/domain/src/schedule/worker_seat.rs
@@ -124,6 +124,10 @@
 
 /// A worker and what the scheduler placed there.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fact of its own about the worker"
+)]
 pub struct WorkerSeat {
     /// What the platform lists.
     pub listed: ListedWorker,
--- /dev/null
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -0,0 +1,357 @@
+//! Instances between pools, and waves of maintenance.
+
+use {
+    dotterelshore_domain::{
+        names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
+        schedule::{
+            FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan, JobPlan, JobRecord,
+            ListedInstance, ListedWorker, OrderRule, Resources, RunningRow, StartReply, StepPlan,
+            WaveOrder, WaveProgress, WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    std::sync::Arc,
+};
+
+/// How long workers are granted, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+/// How long maintenance takes, in milliseconds.
+const UPKEEP_MS: u64 = 2_000;
+/// Some time of the schedule's clock, in milliseconds.
+const NOW_MS: u64 = 100_000;
+/// Some time of day, in milliseconds since the Unix epoch.
+const WALL_MS: u64 = 1_700_000_000_000;
+/// Time between plans, in milliseconds.
+const STEP_MS: u64 = 150;
+
+fn worker_name(host: usize, life: u64) -> WorkerName {
+    WorkerName::try_from(format!("w-{host}-{life}")).expect("a name")
+}
+
+fn host_name(host: usize) -> InstanceName {
+    InstanceName::try_from(format!("host-{host}")).expect("a name")
+}
+
+fn pool(text: &str) -> PoolName {
+    PoolName::try_from(text).expect("a name")
+}
+
+fn job(text: &str, step: StepPlan) -> JobRecord {
+    JobRecord {
+        name: JobName::try_from(text).expect("a name"),
+        queue: QueueName::try_from("quick").expect("a name"),
+        pool: pool("proofs"),
+        team: None,
+        accepted_ms: WALL_MS,
+        priority: 0,
+        attempts: 2,
+        stretch: 1.6,
+        target_latency_ms: 600,
+        advised: false,
+        plan: JobPlan {
+            task_body: Arc::from(""),
+            steps: vec![step],
+            times: 0,
+            start_at_ms: 0,
+            interval_ms: 0,
+        },
+    }
+}
+
+fn step(count: u32, cpu_milli: u64) -> StepPlan {
+    StepPlan {
+        count,
+        need: Resources {
+            cpu_milli,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        estimate_ms: 800,
+        ..StepPlan::default()
+    }
+}
+
+/// Hosts with one worker each in the pool `proofs`, and more in the spare pool; the
+/// platform, the workers and the planning side by side.
+struct FleetStage {
+    schedule: FleetSchedule,
+    plan: InstancePlan,
+    pools: Vec<(PoolName, u64, Option<u64>)>,
+    now_ms: u64,
+    down_most: usize,
+    maintained: usize,
+}
+
+impl FleetStage {
+    fn new(hosts: usize, spare: usize) -> Self {
+        let mut plan = InstancePlan::new(UPKEEP_MS);
+        plan.set_spare(Some(pool("spare")));
+        let at = |host| if host < hosts { "proofs" } else { "spare" };
+        let pools = (0..hosts + spare).map(|host| (pool(at(host)), 1, None));
+        let mut stage = Self {
+            schedule: FleetSchedule::new(OrderRule::default(), LEASE_MS, 0),
+            plan,
+            pools: pools.collect(),
+            now_ms: NOW_MS,
+            down_most: 0,
+            maintained: 0,
+        };
+        for host in 0..hosts {
+            stage.join(host);
+        }
+        stage.list();
+        stage
+    }
+
+    fn join(&mut self, host: usize) {
+        let (pool, life, _) = &self.pools[host];
+        self.schedule.upsert_worker(ListedWorker {
+            name: worker_name(host, *life),
+            born_ms: *life,
+            instance: Some(host_name(host)),
+            address: Arc::from("127.0.0.1:1"),
+            pool: pool.clone(),
+            centre: CentreName::try_from("north").expect("a name"),
+            labels: Vec::new(),
+            capacity: Resources {
+                cpu_milli: 64_000,
+                memory_mb: 128_000,
+                gpus: 0,
+            },
+            draining: false,
+        });
+    }
+
+    fn list(&mut self) {
+        let rows = self
+            .pools
+            .iter()
+            .enumerate()
+            .map(|(host, (pool, _, away))| {
+                let activity = match away {
+                    Some(_) => InstanceActivity::Away,
+                    None => InstanceActivity::Up,
+                };
+                ListedInstance {
+                    name: host_name(host),
+                    pool: pool.clone(),
+                    activity,
+                }
+            });
+        self.plan.take_list(rows.collect(), self.now_ms);
+    }
+
+    /// Starts what can start, and reports it as at work.
+    fn run(&mut self) {
+        for order in self.schedule.plan_starts(self.now_ms, WALL_MS) {
+            let WorkerOrder::Start(start) = order else {
+                continue;
+            };
+            let reply = StartReply::Started { clock_ms: 1 };
+            self.schedule
+                .start_answered(&start.worker, &start.task, start.run, reply, self.now_ms);
+        }
+    }
+
+    /// Every worker lists its runs as at work; stopped ones are gone.
+    fn hear(&mut self, stopped: &[WorkerOrder]) {
+        let seats: Vec<_> = self.schedule.workers().cloned().collect();
+        for seat in seats {
+            let gone = |task, run| {
+                stopped.iter().any(|order| {
+                    matches!(order, WorkerOrder::Stop(stop) if stop.task == task && stop.run == run)
+                })
+            };
+            let rows = seat
+                .runs
+                .iter()
+                .filter(|(task, run)| !gone((*task).clone(), **run));
+            let running = rows.map(|(task, run)| RunningRow {
+                task: task.clone(),
+                run: *run,
+                saved: Arc::from(""),
+                percent: 100.0,
+                figure: 0.0,
+            });
+            let report = WorkerReport {
+                born_ms: None,
+                clock_ms: self.now_ms,
+                running: running.collect(),
+                finished: Vec::new(),
+            };
+            for order in stopped {
+                if let WorkerOrder::Stop(stop) = order {
+                    self.schedule.stop_answered(stop, 1);
+                }
+            }
+            self.schedule
+                .report(&seat.listed.name, &report, self.now_ms, WALL_MS);
+        }
+    }
+
+    /// One plan and what follows; returns the orders for instances.
+    fn step(&mut self) -> Vec<InstanceOrder> {
+        self.now_ms += STEP_MS;
+        for host in 0..self.pools.len() {
+            if self.pools[host].2.is_some_and(|until| until <= self.now_ms) {
+                self.pools[host].2 = None;
+                self.pools[host].1 += 1;
+                if self.pools[host].0 != pool("spare") {
+                    self.join(host);
+                }
+            }
+        }
+        self.list();
+        let (orders, stops) = self.plan.plan(&mut self.schedule, self.now_ms);
+        for order in &orders {
+            let (InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. }) =
+                order;
+            let host = (0..self.pools.len()).find(|host| host_name(*host) == *instance);
+            let host = host.expect("a known host");
+            let life = worker_name(host, self.pools[host].1);
+            self.schedule.instance_ordered(&life, self.now_ms);
+            self.schedule.unlist_worker(&life, self.now_ms);
+            self.pools[host].2 = Some(self.now_ms + UPKEEP_MS);
+            match order {
+                InstanceOrder::Move { pool, .. } => {
+                    self.pools[host].0 = pool.clone();
+                    self.plan.moved(instance, pool, self.now_ms);
+                }
+                InstanceOrder::Maintain { wave, .. } => {
+                    self.maintained += 1;
+                    self.plan.maintenance_begun(instance, *wave, self.now_ms);
+                }
+            }
+        }
+        let down = self
+            .pools
+            .iter()
+            .filter(|(.., away)| away.is_some())
+            .count();
+        self.down_most = self.down_most.max(down);
+        self.hear(&stops);
+        self.run();
+        orders
+    }
+}
+
+fn wave(hosts: usize, at_once: usize) -> WaveOrder {
+    WaveOrder {
+        number: 1,
+        instances: (0..hosts).map(host_name).collect(),
+        duration_ms: 20_000,
+        at_once,
+    }
+}
+
+/// A queue asks for more than its pool: instances come from the spare pool, and go back
+/// when it asks no longer.
+fn pool_follows_demand(tasks: u32, least: usize, most: usize) {
+    let mut stage = FleetStage::new(3, 10);
+    stage.hear(&[]);
+    if tasks > 0 {
+        stage
+            .schedule
+            .add_job(job("peak", step(tasks, 32_000)), None, 0, NOW_MS, WALL_MS);
+    }
+    for _ in 0..30 {
+        stage.step();
+    }
+    let own = |stage: &FleetStage| {
+        stage
+            .pools
+            .iter()
+            .filter(|(name, ..)| *name == pool("proofs"))
+            .count()
+    };
+    assert!(
+        (least..=most).contains(&own(&stage)),
+        "{} at the peak",
+        own(&stage)
+    );
+    let name = JobName::try_from("peak").expect("a name");
+    let stops = stage.schedule.cancel(&name, stage.now_ms, WALL_MS);
+    stage.hear(&stops);
+    for _ in 0..60 {
+        stage.step();
+    }
+    assert!(own(&stage) <= 4, "{} after the peak", own(&stage));
+}
+
+named_cases! { pool_follows_demand:
+    no_demand_keeps_the_least(0, 3, 3);
+    a_small_peak_takes_some(12, 6, 8);
+    a_large_peak_takes_all(60, 13, 13);
+}
+
+/// A wave ends in time, takes no more down than it may, and never ends more of a lasting
+/// step than that may miss.
+fn wave_keeps_its_promises(tasks: u32, may_miss: u32, at_once: usize) {
+    let mut stage = FleetStage::new(6, 4);
+    stage.hear(&[]);
+    let lasting = StepPlan {
+        long_running: true,
+        may_miss: Some(may_miss),
+        ..step(tasks, 6_000)
+    };
+    stage
+        .schedule
+        .add_job(job("lasts", lasting), None, 0, NOW_MS, WALL_MS);
+    for _ in 0..10 {
+        stage.step();
+    }
+    stage
+        .plan
+        .take_wave(wave(6, at_once), None, stage.now_ms, WALL_MS);
+    let name = JobName::try_from("lasts").expect("a name");
+    for _ in 0..200 {
+        let before: usize = stage.schedule.workers().map(|seat| seat.runs.len()).sum();
+        stage.step();
+        let after: usize = stage.schedule.workers().map(|seat| seat.runs.len()).sum();
+        assert!(
+            before <= after + may_miss as usize,
+            "{before} ran, then {after}"
+        );
+    }
+    assert!(stage.schedule.state(&name).is_some(), "the job is known");
+    assert_eq!(stage.maintained, 6, "each instance once");
+    assert_eq!(stage.plan.newly_completed(), vec![1]);
+    let progress: WaveProgress = stage.plan.progress(1).expect("the wave");
+    assert_eq!(progress.begun.len(), 6);
+}
+
+named_cases! { wave_keeps_its_promises:
+    one_at_once_and_one_missed(3, 1, 1);
+    three_at_once_and_one_missed(6, 1, 3);
+    all_at_once_and_two_missed(6, 2, 6);
+    more_tasks_than_instances(9, 1, 3);
+}
+
+/// Early in a wave, instances at work are left alone while others are idle; later all are
+/// taken.
+fn wave_takes_idle_instances_first(steps: usize, busy_taken: bool) {
+    let mut stage = FleetStage::new(4, 0);
+    stage.hear(&[]);
+    stage
+        .schedule
+        .add_job(job("works", step(16, 16_000)), None, 0, NOW_MS, WALL_MS);
+    stage.run();
+    stage.hear(&[]);
+    stage
+        .plan
+        .take_wave(wave(4, 4), None, stage.now_ms, WALL_MS);
+    for _ in 0..steps {
+        stage.step();
+    }
+    assert_eq!(
+        stage.maintained == 4,
+        busy_taken,
+        "{} maintained",
+        stage.maintained
+    );
+}
+
+named_cases! { wave_takes_idle_instances_first:
+    work_is_spared_early(8, false);
+    work_is_cut_off_in_the_end(140, true);
+}
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -2,7 +2,7 @@
 
 use {
     dotterelshore_domain::{
-        names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
+        names::{CentreName, InstanceName, PoolName, QueueName, WorkerName},
         schedule::{
             EndKind, EndedRun, FleetSchedule, HeldWorker, JobPlan, JobRecord, JobState,
             ListedWorker, LostRuns, OrderRule, Resources, RunningRow, StartOrder, StartReply,
@@ -160,7 +160,7 @@
     let mut schedule = schedule(&["w-1", "w-2"]);
     add(&mut schedule, job("lasts", vec![lasting(1, 1)]));
     let started = starts(&mut schedule, NOW_MS);
-    let [order] = &started[..] else {
+    let [order] = &*started else {
         panic!("one start, not {started:?}");
     };
     assert!(schedule.grant(&order.worker, NOW_MS), "a first lease");
@@ -175,7 +175,7 @@
         assert!(!schedule.grant(&order.worker, now_ms), "a lease while dark");
         schedule.tick(now_ms, sole_owner);
         let again = starts(&mut schedule, now_ms);
-        if let [again] = &again[..] {
+        if let [again] = &*again {
             assert!(sole_owner, "another owner may have extended the lease");
             assert!(now_ms > NOW_MS + LEASE_MS, "too early, at {now_ms}");
             assert_ne!(again.worker, order.worker, "the dark worker");
@@ -266,7 +266,7 @@
         return;
     }
     let orders = schedule.tick(NOW_MS + 1_000, true);
-    let [WorkerOrder::Stop(stop)] = &orders[..] else {
+    let [WorkerOrder::Stop(stop)] = &*orders else {
         panic!("one stop, not {orders:?}");
     };
     let empty = |clock_ms| finished(clock_ms, Vec::new());
@@ -407,3 +407,34 @@
     a_worker_heard_again_waits(false);
     a_worker_recorded_as_heard_takes_work(true);
 }
+
+/// A run whose progress stays the same is stopped and its worker passed over; one that
+/// moves, and a lasting one at work, go on.
+fn standing_still(step: StepPlan, percents: &[f64], stopped: bool) {
+    let mut schedule = schedule(&["w-1"]);
+    add(&mut schedule, job("still", vec![step]));
+    let started = starts(&mut schedule, NOW_MS);
+    let order = &started[0];
+    begin(&mut schedule, order, 10);
+    let mut orders = Vec::new();
+    for (look, percent) in (1u64..).zip(percents) {
+        let row = RunningRow {
+            percent: *percent,
+            ..at_work(order)
+        };
+        let report = WorkerReport {
+            clock_ms: 10 + look,
+            running: vec![row],
+            ..WorkerReport::default()
+        };
+        orders.extend(schedule.report(&order.worker, &report, NOW_MS + look * 1_000, WALL_MS));
+    }
+    assert_eq!(!orders.is_empty(), stopped, "{orders:?}");
+}
+
+named_cases! { standing_still:
+    a_run_that_stands_still_is_stopped(step(1), &[20.0, 20.0, 20.0, 20.0], true);
+    a_slow_run_goes_on(step(1), &[20.0, 21.0, 22.0, 23.0], false);
+    a_lasting_run_at_work_goes_on(lasting(1, 1), &[100.0, 100.0, 100.0, 100.0], false);
+    a_lasting_run_that_never_begins_is_stopped(lasting(1, 1), &[0.0, 0.0, 0.0, 0.0], true);
+}
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -27,7 +27,7 @@
 /// Largest body where operators set none, in bytes; sixty times the largest job seen.
 const BODY_BYTES_USUAL: usize = 256 * 1024;
 /// How long a caller that tells no deadline is taken to wait.
-const WAIT_USUAL: Duration = Duration::from_millis(3_000);
+const WAIT_USUAL: Duration = Duration::from_secs(3);
 /// Kept back of a caller's time for the way of the answer.
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
 /// Pause before an unsure write is looked for again.
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -4,7 +4,7 @@
     super::{leadership::Leadership, takeover::parsed},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
-        owner::{AUTHORITY, OWNER_LEASE},
+        owner::{AUTHORITY, OWNER_LEASE, OwnerClaim},
         store::wave_key,
     },
     dotterelshore_domain::{
@@ -14,7 +14,7 @@
     dotterelshore_platform::{
         CLOUD_TIMEOUT, CloudFault, CloudLink, KvFault, KvWrite, encode_wave_status, wave_status_key,
     },
-    dotterelshore_wire::log_event,
+    dotterelshore_wire::{event_log::unix_millis, log_event},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -24,12 +24,12 @@
 /// Time between plans. A tenth of what a move takes.
 const PLAN_PERIOD: Duration = Duration::from_millis(150);
 /// Time between readings of the platform's list while nothing is under way.
-const LIST_PERIOD: Duration = Duration::from_millis(1_000);
+const LIST_PERIOD: Duration = Duration::from_secs(1);
 
 /// Added to the wait for an earlier owner's orders, for clocks and links.
 const ORDER_SLACK: Duration = Duration::from_millis(300);
 /// Time between log lines on what holds up a wave.
-const TELL_PERIOD: Duration = Duration::from_millis(2_000);
+const TELL_PERIOD: Duration = Duration::from_secs(2);
 
 /// An order for maintenance whose answer was lost; it is repeated until it is answered.
 #[derive(Debug)]
@@ -42,17 +42,19 @@
 pub(super) async fn keep_instances(
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
-    first: bool,
+    claim: OwnerClaim,
 ) {
     let Some(authority) = node.settings.cloud.clone() else {
         log_event!(Info, "no-interface-to-instances");
         return;
     };
-    if !first {
+    if claim.term > 1 {
         // An earlier owner orders until its authority ends, and an order of it may be under
         // way for the length of a call.
         let earlier = AUTHORITY.saturating_sub(OWNER_LEASE) + CLOUD_TIMEOUT + ORDER_SLACK;
-        tokio::time::sleep(node.settings.instance_lease.max(earlier)).await;
+        let since_claim = Duration::from_millis(uptime_ms().saturating_sub(claim.sent_ms));
+        let wait = node.settings.instance_lease.max(earlier);
+        tokio::time::sleep(wait.saturating_sub(since_claim)).await;
     }
     let cloud = CloudLink::new(authority, node.settings.name.to_string());
     let upkeep_ms = u64::try_from(node.settings.upkeep.as_millis()).unwrap_or_default();
@@ -124,13 +126,7 @@
                 continue;
             }
         };
-        plan.take_wave(
-            order.number,
-            order.instances,
-            order.at_once,
-            recorded.as_ref(),
-            uptime_ms(),
-        );
+        plan.take_wave(order, recorded.as_ref(), uptime_ms(), unix_millis());
         if recorded.is_none() {
             store_waves(node, leadership, plan).await;
         }
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -82,7 +82,7 @@
     let (n, l) = both();
     tasks.spawn(async move { sweep(n, l).await });
     let (n, l) = both();
-    tasks.spawn(async move { keep_instances(n, l, first).await });
+    tasks.spawn(async move { keep_instances(n, l, claim).await });
     while let Some(ended) = tasks.join_next().await {
         if let Err(error) = ended {
             log_event!(Error, "leading-task-ended", error = error);
--- a/crates/scheduler/src/log_pipe.rs
+++ b/crates/scheduler/src/log_pipe.rs
@@ -39,12 +39,12 @@
 }
 
 impl Write for LogPipe {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(bytes);
-        if bytes.ends_with(b"\n") && self.lines.try_send(std::mem::take(&mut self.line)).is_err() {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(buf);
+        if buf.ends_with(b"\n") && self.lines.try_send(std::mem::take(&mut self.line)).is_err() {
             self.dropped.0.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(bytes.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -5,8 +5,8 @@
         leading::Leadership, log_pipe::DropCount, metrics::NodeMetrics, owner::OwnerNotice,
         peers::OwnerLink,
     },
-    dotterelshore_domain::schedule::QueueTable,
-    dotterelshore_platform::{KvLink, NodeSettings, WaveOrder},
+    dotterelshore_domain::schedule::{QueueTable, WaveOrder},
+    dotterelshore_platform::{KvLink, NodeSettings},
     dotterelshore_wire::timer_hub::TimerHub,
     nix::time::{ClockId, clock_gettime},
     std::{
--- a/crates/wire/src/reset_connector.rs
+++ b/crates/wire/src/reset_connector.rs
@@ -36,17 +36,20 @@
     type Error = io::Error;
     type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
 
-    fn poll_ready(&mut self, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, uri: Uri) -> Self::Future {
+    fn call(&mut self, req: Uri) -> Self::Future {
         let reset_on_close = self.reset_on_close;
         Box::pin(async move {
-            let host = uri.host().unwrap_or_default();
-            let address = (host, uri.port_u16().unwrap_or(USUAL_PORT));
-            let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-            let stream = opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            let host = req.host().unwrap_or_default();
+            let address = (host, req.port_u16().unwrap_or(USUAL_PORT));
+            let opening = TcpStream::connect(address);
+            let stream = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+                Ok(opened) => opened?,
+                Err(elapsed) => return Err(io::Error::new(io::ErrorKind::TimedOut, elapsed)),
+            };
             stream.set_nodelay(true)?;
             if reset_on_close {
                 stream.set_zero_linger()?;
@@ -75,31 +78,31 @@
 impl AsyncRead for OpenStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for OpenStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.reset_on_close {
             // An orderly end would have the system deliver what is still under way.
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
