--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -58,9 +58,15 @@
             }
         }
         waiting.sort_unstable();
+        let open: Vec<WorkerName> = self
+            .workers
+            .values()
+            .filter(|seat| seat.listed.pool == *pool && seat.takes_work(now_ms))
+            .map(|seat| seat.listed.name.clone())
+            .collect();
         let mut misses = 0;
         for (_, name) in waiting {
-            if self.start_job(&name, now_ms, orders) {
+            if self.start_job(&name, &open, now_ms, orders) {
                 misses = 0;
             } else {
                 misses += 1;
@@ -72,10 +78,16 @@
     }
 
     /// Starts the ready tasks of one job. Tells whether all of them found room.
-    fn start_job(&mut self, name: &JobName, now_ms: u64, orders: &mut Vec<WorkerOrder>) -> bool {
+    fn start_job(
+        &mut self,
+        name: &JobName,
+        open: &[WorkerName],
+        now_ms: u64,
+        orders: &mut Vec<WorkerOrder>,
+    ) -> bool {
         let mut all = true;
         for (occurrence, step) in self.ready_steps(name) {
-            all &= self.start_step(name, occurrence, step, now_ms, orders);
+            all &= self.start_step(name, (occurrence, step), open, now_ms, orders);
         }
         all
     }
@@ -99,8 +111,8 @@
     fn start_step(
         &mut self,
         name: &JobName,
-        occurrence: u32,
-        step: usize,
+        (occurrence, step): (u32, usize),
+        open: &[WorkerName],
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) -> bool {
@@ -108,7 +120,6 @@
             return true;
         };
         let plan = job.record.plan.steps[step].clone();
-        let pool = job.record.pool.clone();
         let team = job.record.team.clone();
         let tasks = &job.occurrences[&occurrence][step].tasks;
         let idle: Vec<u32> = (0u32..)
@@ -140,7 +151,7 @@
                     .is_none_or(|team| team.allows(plan.need))
             });
             let Some(worker) = allowed
-                .then(|| self.choose_worker(&pool, &plan, &task, now_ms))
+                .then(|| self.choose_worker(open, &plan, &task))
                 .flatten()
             else {
                 whole = false;
@@ -204,16 +215,13 @@
     /// last are spread so far that one instance taken down ends no more than may be missed.
     fn choose_worker(
         &self,
-        pool: &PoolName,
+        open: &[WorkerName],
         plan: &StepPlan,
         task: &TaskName,
-        now_ms: u64,
     ) -> Option<WorkerName> {
         let need = plan.reserved();
         let fits = |seat: &&WorkerSeat| {
-            seat.listed.pool == *pool
-                && seat.takes_work(now_ms)
-                && need.fits(seat.used, seat.listed.capacity)
+            need.fits(seat.used, seat.listed.capacity)
                 && plan
                     .requires
                     .as_ref()
@@ -229,9 +237,10 @@
                 .is_none_or(|rack| seat.has_label(rack.as_str()));
             let crowded = plan.long_running && same_step(seat, task) >= plan.most_together();
             let free = free_share(seat.used, seat.listed.capacity);
-            (!near, crowded, free, seat.listed.name.clone())
+            (!near, crowded, free)
         };
-        let best = self.workers.values().filter(fits).min_by_key(rank)?;
+        let seats = open.iter().filter_map(|name| self.workers.get(name));
+        let best = seats.filter(fits).min_by_key(rank)?;
         Some(best.listed.name.clone())
     }
 }
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -28,9 +28,9 @@
 
 /// How long a look at a worker's lists waits for an end. A worker that falls silent is
 /// noticed after about this time and some more.
-const LOOK_WAIT_MS: u64 = 1_000;
+const LOOK_WAIT_MS: u64 = 1_500;
 /// Pause after each look, so that ends that come together are read together.
-const LOOK_PAUSE: Duration = Duration::from_millis(12);
+const LOOK_PAUSE: Duration = Duration::from_millis(35);
 /// Pause after a look that was not answered.
 const SILENT_PAUSE: Duration = Duration::from_millis(200);
 /// Time between looks at whether the stored list of workers is still right.
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -24,8 +24,16 @@
 /// the lease, so that work goes on while the store is away for a short time; the next owner
 /// waits for the difference where it can't reach a worker.
 pub(crate) const AUTHORITY: Duration = Duration::from_millis(3_200);
-/// Longest pause before a claim, so that entries do not claim all at once.
+/// Longest pause of a strong process before a claim, so that entries do not claim all at once.
 const CLAIM_SPREAD: Duration = Duration::from_millis(120);
+/// Processor that an owner of a few hundred workers should have, in cores: three times the
+/// 0.16 measured with 350.
+const OWNER_CORES: f64 = 0.5;
+/// Link that such an owner should have, in megabits a second: 800 lists a second of some
+/// 25 runs are 13, and peaks are several times that.
+const OWNER_MBPS: f64 = 100.0;
+/// Longest further pause of a process that has less.
+const CLAIM_WEAK: Duration = Duration::from_millis(600);
 /// Pause after a claim that failed.
 const CLAIM_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for giving the schedule away on leaving.
@@ -114,7 +122,7 @@
             _ = leaving.wait_for(|leaving| *leaving) => return,
             nobody = owner.wait_for(Option::is_none) => if nobody.is_err() { return },
         }
-        tokio::time::sleep(spread_pause(CLAIM_SPREAD)).await;
+        tokio::time::sleep(claim_pause(node.settings.cores, node.settings.link_mbps)).await;
         if node.owner.borrow().is_some() || *node.leaving.borrow() {
             continue;
         }
@@ -129,6 +137,14 @@
     }
 }
 
+/// The pause before a claim: longer on a process with little processor or a thin link, so
+/// that the owner is one that can bear the work.
+fn claim_pause(cores: f64, link_mbps: f64) -> Duration {
+    let fitting = (cores / OWNER_CORES).min(link_mbps / OWNER_MBPS);
+    let lacking = (1.0 - fitting).clamp(0.0, 1.0);
+    CLAIM_WEAK.mul_f64(lacking) + spread_pause(CLAIM_SPREAD)
+}
+
 /// Claims ownership; after `held`, only if nobody else had it since.
 async fn claim(node: &SchedulerNode, held: Option<&OwnerClaim>) -> Result<OwnerClaim, KvFault> {
     let (term_revision, term) = match held {
