Read store answers of any size; count instances being taken down as away

Change: an answer may take as long as its parts keep coming; after a fault the configuration is read anew; taken-down workers' tasks count as away; pools are sized by processor, memory, distance and what is closed.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -100,8 +100,18 @@
     pub waiting_milli: u64,
     /// Thousandths of a core that one worker has.
     pub worker_milli: u64,
+    /// Megabytes that runs reserve and ready tasks ask for.
+    pub memory_mb: u64,
+    /// Megabytes that one worker has.
+    pub worker_memory_mb: u64,
     /// Workers over which the tasks of one step have to be spread.
     pub spread: usize,
+    /// Tasks that last and wait for a worker.
+    pub lasting_waiting: usize,
+    /// Workers that take work.
+    pub open: usize,
+    /// Workers that are known and take none at present.
+    pub closed: usize,
 }
 
 /// Progress to be recorded, with the ends that it covers.
@@ -298,6 +308,7 @@
     pub fn set_cordon(&mut self, name: &WorkerName, cordoned: bool) {
         if let Some(seat) = self.workers.get_mut(name) {
             seat.cordoned = cordoned;
+            seat.taking_down &= cordoned;
         }
     }
 
@@ -306,6 +317,7 @@
     pub fn instance_ordered(&mut self, name: &WorkerName, now_ms: u64) {
         if let Some(seat) = self.workers.get_mut(name) {
             seat.taken_down_until_ms = now_ms + TAKEN_DOWN_MS;
+            seat.taking_down = true;
             seat.cordoned = true;
         }
     }
@@ -355,7 +367,7 @@
 
     /// Whether a run is at work, as far as its worker still tells.
     fn at_work(&self, run: &TaskRun) -> bool {
-        let told = |seat: &WorkerSeat| seat.heard && seat.reachable;
+        let told = |seat: &WorkerSeat| seat.heard && seat.reachable && !seat.taking_down;
         run.is_full() && self.workers.get(&run.worker).is_some_and(told)
     }
 
@@ -404,33 +416,28 @@
     }
 
     /// Takes note that a worker's instance is about to be taken down: its tasks count as
-    /// not at work from now on.
+    /// not at work from now on, whatever it still lists.
     pub fn note_taken_down(&mut self, name: &WorkerName) {
-        self.set_cordon(name, true);
-        let Some(seat) = self.workers.get(name) else {
-            return;
-        };
-        let runs: Vec<_> = seat.runs.keys().cloned().collect();
-        for task in runs {
-            if let Some(state) = self
-                .jobs
-                .get_mut(&task.job)
-                .and_then(|job| job.task_mut(&task))
-            {
-                for run in state.runs.iter_mut().filter(|run| run.worker == *name) {
-                    run.percent = 0.0;
-                }
-            }
+        if let Some(seat) = self.workers.get_mut(name) {
+            seat.cordoned = true;
+            seat.taking_down = true;
         }
     }
 
     /// What each pool's work asks of its workers.
-    pub fn pool_loads(&self) -> FastMap<PoolName, PoolLoad> {
+    pub fn pool_loads(&self, now_ms: u64) -> FastMap<PoolName, PoolLoad> {
         let mut loads: FastMap<PoolName, PoolLoad> = FastMap::default();
         for seat in self.workers.values() {
             let load = loads.entry(seat.listed.pool.clone()).or_default();
             load.reserved_milli += seat.used.cpu_milli;
             load.worker_milli = load.worker_milli.max(seat.listed.capacity.cpu_milli);
+            load.memory_mb += seat.used.memory_mb;
+            load.worker_memory_mb = load.worker_memory_mb.max(seat.listed.capacity.memory_mb);
+            if seat.takes_work(now_ms) {
+                load.open += 1;
+            } else if seat.present && seat.heard {
+                load.closed += 1;
+            }
         }
         for (pool, names) in &self.active {
             let load = loads.entry(pool.clone()).or_default();
@@ -439,8 +446,10 @@
             }
         }
         let usual = loads.values().map(|load| load.worker_milli).max();
+        let usual_memory = loads.values().map(|load| load.worker_memory_mb).max();
         for load in loads.values_mut().filter(|load| load.worker_milli == 0) {
             load.worker_milli = usual.unwrap_or_default();
+            load.worker_memory_mb = usual_memory.unwrap_or_default();
         }
         loads
     }
--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -265,8 +265,8 @@
 
     /// Each pool's instances, how many its work asks for, and what runs and waits there in
     /// cores; one line a pool, for the log.
-    pub fn pool_lines(&self, schedule: &FleetSchedule) -> Vec<String> {
-        let loads = schedule.pool_loads();
+    pub fn pool_lines(&self, schedule: &FleetSchedule, now_ms: u64) -> Vec<String> {
+        let loads = schedule.pool_loads(now_ms);
         let lines = loads.iter().map(|(pool, load)| {
             let own = self.instances.values().filter(|seat| seat.pool == *pool);
             let up = own.clone().filter(|seat| seat.up).count();
@@ -465,7 +465,7 @@
         let Some(spare) = self.spare.clone() else {
             return Vec::new();
         };
-        let loads = schedule.pool_loads();
+        let loads = schedule.pool_loads(now_ms);
         let mut have: FastMap<PoolName, usize> = FastMap::default();
         for seat in self.instances.values() {
             *have.entry(seat.pool.clone()).or_default() += 1;
@@ -545,11 +545,20 @@
     }
 }
 
-/// Instances that a pool's work fills, with some headroom.
+/// Instances that a pool's work fills, with some headroom, beside those that take none.
 fn wanted_instances(load: &PoolLoad) -> usize {
-    let needed = load.reserved_milli + load.waiting_milli;
-    let needed = needed + needed * HEADROOM_PERCENT / 100;
-    let count = needed.div_ceil(load.worker_milli.max(1));
-    let count = usize::try_from(count).unwrap_or(usize::MAX);
-    count.max(load.spread).max(POOL_MIN)
+    let filled = |asked: u64, one: u64| {
+        let asked = asked + asked * HEADROOM_PERCENT / 100;
+        usize::try_from(asked.div_ceil(one.max(1))).unwrap_or(usize::MAX)
+    };
+    let by_processor = filled(load.reserved_milli + load.waiting_milli, load.worker_milli);
+    let by_memory = filled(load.memory_mb, load.worker_memory_mb);
+    let count = by_processor.max(by_memory).max(load.spread).max(POOL_MIN);
+    // A task that lasts and finds no worker among the open ones needs a further one.
+    let apart = if load.lasting_waiting > 0 {
+        load.open + 1
+    } else {
+        0
+    };
+    count.max(apart) + load.closed
 }
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -259,6 +259,10 @@
                 }
                 let idle = step.tasks.iter().filter(|task| task.idle()).count() as u64;
                 load.waiting_milli += idle * plan.reserved().cpu_milli;
+                load.memory_mb += idle * plan.reserved().memory_mb;
+                if plan.long_running {
+                    load.lasting_waiting += usize::try_from(idle).unwrap_or(usize::MAX);
+                }
             }
         }
     }
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -162,6 +162,7 @@
             {
                 // It answers long after the order: the order had been carried out before.
                 seat.taken_down_until_ms = 0;
+                seat.taking_down = false;
                 seat.cordoned = false;
             }
         }
--- a/crates/domain/src/schedule/worker_seat.rs
+++ b/crates/domain/src/schedule/worker_seat.rs
@@ -157,6 +157,8 @@
     pub fill_percent: u32,
     /// Whether new tasks are kept away because the instance will be taken down.
     pub cordoned: bool,
+    /// Whether an order that takes its instance down is under way or was confirmed.
+    pub(super) taking_down: bool,
     /// Until when its removal from the list is taken as the work of an order for its
     /// instance, which ended all that ran there; in scheduler milliseconds.
     pub(super) taken_down_until_ms: u64,
@@ -182,6 +184,7 @@
             recorded_end: 0,
             fill_percent: 100,
             cordoned: false,
+            taking_down: false,
             taken_down_until_ms: 0,
             failures: 0,
             pass_over_until_ms: 0,
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -355,3 +355,44 @@
     work_is_spared_early(8, false);
     work_is_cut_off_in_the_end(140, true);
 }
+
+/// Lasting tasks whose memory, or distance from each other, asks for more instances than
+/// their processor does get them, also while a wave keeps some closed.
+fn lasting_tasks_find_room(step: StepPlan, wave_at_once: usize) {
+    let tasks = step.count as usize;
+    let mut stage = FleetStage::new(3, 12);
+    stage.hear(&[]);
+    stage
+        .schedule
+        .add_job(job("lasts", step), None, 0, NOW_MS, WALL_MS);
+    if wave_at_once > 0 {
+        stage
+            .plan
+            .take_wave(wave(3, wave_at_once), None, stage.now_ms, WALL_MS);
+    }
+    for _ in 0..60 {
+        stage.step();
+    }
+    let running: usize = stage.schedule.workers().map(|seat| seat.runs.len()).sum();
+    assert_eq!(running, tasks);
+}
+
+fn lasting(count: u32, memory_mb: u64, anti_affinity: Option<u32>) -> StepPlan {
+    StepPlan {
+        long_running: true,
+        may_miss: Some(1),
+        anti_affinity,
+        need: Resources {
+            cpu_milli: 2_000,
+            memory_mb,
+            gpus: 0,
+        },
+        ..step(count, 0)
+    }
+}
+
+named_cases! { lasting_tasks_find_room:
+    memory_asks_for_instances(lasting(9, 100_000, None), 0);
+    distance_asks_for_instances(lasting(9, 1_000, Some(1)), 0);
+    distance_asks_for_instances_beside_a_wave(lasting(9, 1_000, Some(1)), 3);
+}
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -408,6 +408,45 @@
     a_worker_recorded_as_heard_takes_work(true);
 }
 
+/// While an instance is taken down its tasks count as away, though its worker still lists
+/// them as at work; so nothing else of their step is stopped.
+fn taken_down_counts_as_away(confirmed: bool) {
+    let mut schedule = schedule(&["w-1", "w-2"]);
+    add(&mut schedule, job("lasts", vec![lasting(2, 1)]));
+    let started = starts(&mut schedule, NOW_MS);
+    assert_ne!(started[0].worker, started[1].worker, "spread");
+    let list = |schedule: &mut FleetSchedule, clock_ms| {
+        for order in &started {
+            let report = WorkerReport {
+                clock_ms,
+                running: vec![at_work(order)],
+                ..WorkerReport::default()
+            };
+            schedule.report(&order.worker, &report, NOW_MS, WALL_MS);
+        }
+    };
+    for order in &started {
+        begin(&mut schedule, order, 10);
+    }
+    list(&mut schedule, 20);
+    assert!(
+        schedule.may_take_down(&started[0].worker),
+        "one may be missed"
+    );
+    schedule.note_taken_down(&started[0].worker);
+    if confirmed {
+        schedule.instance_ordered(&started[0].worker, NOW_MS);
+    }
+    list(&mut schedule, 30);
+    assert!(!schedule.may_take_down(&started[1].worker), "a second one");
+    assert_eq!(schedule.evacuate(&started[1].worker, NOW_MS), Vec::new());
+}
+
+named_cases! { taken_down_counts_as_away:
+    an_order_under_way_counts(false);
+    a_confirmed_order_counts(true);
+}
+
 /// A run whose progress stays the same is stopped and its worker passed over; one that
 /// moves, and a lasting one at work, go on.
 fn standing_still(step: StepPlan, percents: &[f64], stopped: bool) {
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -145,7 +145,7 @@
     }
     *told_at = Instant::now();
     let schedule = lock(&leadership.schedule);
-    let pools = plan.pool_lines(&schedule).join(" ");
+    let pools = plan.pool_lines(&schedule, uptime_ms()).join(" ");
     log_event!(Info, "pools", pools = pools);
     for order in node.waves.borrow().iter() {
         let held_up = plan.held_up(order.number, &schedule);
--- a/crates/scheduler/src/leading/job_follow.rs
+++ b/crates/scheduler/src/leading/job_follow.rs
@@ -4,7 +4,7 @@
     super::{leadership::Leadership, takeover::parsed},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
-        store::{FollowStep, JOB_PREFIX, JobKey, follow},
+        store::{AfterFault, FollowStep, JOB_PREFIX, JobKey, follow},
     },
     dotterelshore_domain::{
         collections::FastMap,
@@ -50,23 +50,29 @@
     leadership: Arc<Leadership>,
     revision: u64,
 ) {
-    follow(&node, JOB_PREFIX, Some(revision), |step| {
-        let rows = match step {
-            FollowStep::Whole(rows) => rows,
-            FollowStep::Change(WatchEvent::Written(row)) => vec![row],
-            FollowStep::Change(WatchEvent::Removed { .. }) => return,
-        };
-        let orders = take_job_rows(
-            &mut lock(&leadership.schedule),
-            &rows,
-            &FastMap::default(),
-            0,
-            uptime_ms(),
-            unix_millis(),
-        );
-        leadership.dispatch(orders);
-        leadership.plan.notify_one();
-        leadership.record.notify_one();
-    })
+    follow(
+        &node,
+        JOB_PREFIX,
+        AfterFault::CatchUp,
+        Some(revision),
+        |step| {
+            let rows = match step {
+                FollowStep::Whole(rows) => rows,
+                FollowStep::Change(WatchEvent::Written(row)) => vec![row],
+                FollowStep::Change(WatchEvent::Removed { .. }) => return,
+            };
+            let orders = take_job_rows(
+                &mut lock(&leadership.schedule),
+                &rows,
+                &FastMap::default(),
+                0,
+                uptime_ms(),
+                unix_millis(),
+            );
+            leadership.dispatch(orders);
+            leadership.plan.notify_one();
+            leadership.record.notify_one();
+        },
+    )
     .await;
 }
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -4,7 +4,7 @@
     super::{leadership::Leadership, takeover::WORKER_LEASE},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
-        store::{FollowStep, HELD_KEY, follow},
+        store::{AfterFault, FollowStep, HELD_KEY, follow},
     },
     dotterelshore_domain::{
         collections::FastSet,
@@ -94,35 +94,41 @@
     leadership: Arc<Leadership>,
     revision: u64,
 ) {
-    follow(&node, WORKER_PREFIX, Some(revision), |step| {
-        let mut schedule = lock(&leadership.schedule);
-        match step {
-            FollowStep::Whole(rows) => take_worker_rows(&mut schedule, &rows),
-            FollowStep::Change(WatchEvent::Written(row)) => {
-                if let Some(worker) = read_worker(&row) {
-                    log_event!(
-                        Info,
-                        "worker-listed",
-                        worker = worker.name,
-                        pool = worker.pool,
-                        born = worker.born_ms,
-                        draining = worker.draining
-                    );
-                    schedule.upsert_worker(worker);
-                    leadership.roster.notify_one();
-                } else if let Some(name) = worker_of_key(&row.key) {
-                    schedule.unlist_worker(&name, uptime_ms());
+    follow(
+        &node,
+        WORKER_PREFIX,
+        AfterFault::CatchUp,
+        Some(revision),
+        |step| {
+            let mut schedule = lock(&leadership.schedule);
+            match step {
+                FollowStep::Whole(rows) => take_worker_rows(&mut schedule, &rows),
+                FollowStep::Change(WatchEvent::Written(row)) => {
+                    if let Some(worker) = read_worker(&row) {
+                        log_event!(
+                            Info,
+                            "worker-listed",
+                            worker = worker.name,
+                            pool = worker.pool,
+                            born = worker.born_ms,
+                            draining = worker.draining
+                        );
+                        schedule.upsert_worker(worker);
+                        leadership.roster.notify_one();
+                    } else if let Some(name) = worker_of_key(&row.key) {
+                        schedule.unlist_worker(&name, uptime_ms());
+                    }
                 }
-            }
-            FollowStep::Change(WatchEvent::Removed { key, .. }) => {
-                if let Some(name) = worker_of_key(&key) {
-                    log_event!(Info, "worker-unlisted", worker = name);
-                    schedule.unlist_worker(&name, uptime_ms());
+                FollowStep::Change(WatchEvent::Removed { key, .. }) => {
+                    if let Some(name) = worker_of_key(&key) {
+                        log_event!(Info, "worker-unlisted", worker = name);
+                        schedule.unlist_worker(&name, uptime_ms());
+                    }
                 }
             }
-        }
-        leadership.plan.notify_one();
-    })
+            leadership.plan.notify_one();
+        },
+    )
     .await;
 }
 
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -4,7 +4,7 @@
     crate::{
         leading::{Leadership, lead},
         node::{SchedulerNode, uptime_ms},
-        store::{FollowStep, OWNER_KEY, TERM_KEY, follow},
+        store::{AfterFault, FollowStep, OWNER_KEY, TERM_KEY, follow},
     },
     dotterelshore_domain::names::EntryName,
     dotterelshore_platform::{KeyRow, KvFault, KvWrite, WatchEvent},
@@ -71,10 +71,16 @@
     let (read, mut first_read) = tokio::sync::watch::channel(false);
     tokio::spawn(async move {
         let taking = Arc::clone(&following);
-        follow(&following, OWNER_KEY, None, move |step| {
-            take_step(&taking, step);
-            read.send_replace(true);
-        })
+        follow(
+            &following,
+            OWNER_KEY,
+            AfterFault::ReadAnew,
+            None,
+            move |step| {
+                take_step(&taking, step);
+                read.send_replace(true);
+            },
+        )
         .await;
     });
     tokio::spawn(async move {
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -99,12 +99,22 @@
     Change(WatchEvent),
 }
 
+/// How a prefix is followed again after the store was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AfterFault {
+    /// By the changes since: for many small rows of which few changed.
+    CatchUp,
+    /// By reading all rows: for few rows that are large or change often.
+    ReadAnew,
+}
+
 /// Follows a prefix for ever: `take` gets every row, then each change. After a gap in the
 /// store's history all rows are read anew. `known` skips the first reading: the caller has
 /// read everything up to that revision.
 pub(crate) async fn follow(
     node: &SchedulerNode,
     prefix: &'static str,
+    after_fault: AfterFault,
     known: Option<u64>,
     mut take: impl FnMut(FollowStep) + Send,
 ) {
@@ -132,6 +142,9 @@
                     log_event!(Warn, "store-lost", prefix = prefix, error = fault);
                 }
                 node.metrics.count_retry("store-watch");
+                if after_fault == AfterFault::ReadAnew {
+                    revision = None;
+                }
                 tokio::time::sleep(spread_pause(FAULT_PAUSE)).await;
             }
         }
--- a/crates/scheduler/src/table_follow.rs
+++ b/crates/scheduler/src/table_follow.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         node::SchedulerNode,
-        store::{FollowStep, follow},
+        store::{AfterFault, FollowStep, follow},
     },
     dotterelshore_platform::{
         CONFIG_KEY, KeyRow, OPERATOR_PREFIX, WAVE_PREFIX, WatchEvent, decode_table, decode_wave,
@@ -17,13 +17,19 @@
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let taking = Arc::clone(&node);
-        follow(&node, OPERATOR_PREFIX, None, move |step| match step {
-            FollowStep::Whole(rows) => rows.iter().for_each(|row| take_row(&taking, row)),
-            FollowStep::Change(WatchEvent::Written(row)) => take_row(&taking, &row),
-            FollowStep::Change(WatchEvent::Removed { key, revision }) => {
-                log_event!(Info, "operator-key-removed", key = key, revision = revision);
-            }
-        })
+        follow(
+            &node,
+            OPERATOR_PREFIX,
+            AfterFault::ReadAnew,
+            None,
+            move |step| match step {
+                FollowStep::Whole(rows) => rows.iter().for_each(|row| take_row(&taking, row)),
+                FollowStep::Change(WatchEvent::Written(row)) => take_row(&taking, &row),
+                FollowStep::Change(WatchEvent::Removed { key, revision }) => {
+                    log_event!(Info, "operator-key-removed", key = key, revision = revision);
+                }
+            },
+        )
         .await;
     });
 }
--- a/crates/wire/src/http_link.rs
+++ b/crates/wire/src/http_link.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::reset_connector::ResetConnector,
-    bytes::Bytes,
-    http_body_util::{BodyExt, Full, Limited},
+    bytes::{Bytes, BytesMut},
+    http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Request, StatusCode, header},
     hyper_util::{
         client::legacy::Client,
@@ -106,16 +106,29 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<HttpAnswer, HttpFault> {
-        match tokio::time::timeout(timeout, self.exchange(request)).await {
+        match tokio::time::timeout(timeout, self.send_while_moving(request, timeout, timeout)).await
+        {
             Ok(answer) => answer,
-            Err(elapsed) => Err(HttpFault::NoAnswer {
-                detail: elapsed.to_string(),
-            }),
+            Err(elapsed) => Err(no_answer(&elapsed)),
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpAnswer, HttpFault> {
-        let answer = self.client.request(request).await.map_err(|error| {
+    /// Sends a request and reads the whole answer, however long that takes, as long as its
+    /// head comes within `head_timeout` and each further part within `part_timeout`. For
+    /// answers whose size is not known, over links that may be thin.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_while_moving(
+        &self,
+        request: Request<Full<Bytes>>,
+        head_timeout: Duration,
+        part_timeout: Duration,
+    ) -> Result<HttpAnswer, HttpFault> {
+        let head = tokio::time::timeout(head_timeout, self.client.request(request)).await;
+        let answer = head.map_err(|elapsed| no_answer(&elapsed))?;
+        let answer = answer.map_err(|error| {
             let detail = error.to_string();
             if error.is_connect() {
                 HttpFault::NotSent { detail }
@@ -123,18 +136,27 @@
                 HttpFault::NoAnswer { detail }
             }
         })?;
-        let (parts, body) = answer.into_parts();
+        let (parts, mut body) = answer.into_parts();
         let limit = self.answer_bytes_max;
-        let body = Limited::new(body, limit).collect().await.map_err(|error| {
-            if error.is::<http_body_util::LengthLimitError>() {
-                HttpFault::TooLarge { limit }
-            } else {
-                HttpFault::Truncated {
-                    detail: error.to_string(),
+        let mut read = BytesMut::new();
+        loop {
+            let frame = match tokio::time::timeout(part_timeout, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => break,
+                Ok(Some(Err(error))) => {
+                    let detail = error.to_string();
+                    return Err(HttpFault::Truncated { detail });
                 }
+                Err(elapsed) => return Err(no_answer(&elapsed)),
+            };
+            if let Ok(data) = frame.into_data() {
+                if read.len() + data.len() > limit {
+                    return Err(HttpFault::TooLarge { limit });
+                }
+                read.extend_from_slice(&data);
             }
-        })?;
-        let body = body.to_bytes();
+        }
+        let body = read.freeze();
         check_length(&parts.headers, body.len())?;
         Ok(HttpAnswer {
             status: parts.status,
@@ -144,6 +166,12 @@
     }
 }
 
+fn no_answer(elapsed: &tokio::time::error::Elapsed) -> HttpFault {
+    HttpFault::NoAnswer {
+        detail: elapsed.to_string(),
+    }
+}
+
 fn check_length(headers: &HeaderMap, read: usize) -> Result<(), HttpFault> {
     let told = headers
         .get(header::CONTENT_LENGTH)
