Size pools by the work that arrives; do not grow them for closed workers

Change: ArrivalRate tells the processor that keeps up with the last second's arrivals; closed workers count only while a lasting task waits.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        arrival_rate::ArrivalRate,
         job_order::OrderRule,
         job_plan::Resources,
         job_progress::{JobRecord, JobState, ProgressRecord},
@@ -98,6 +99,8 @@
     pub reserved_milli: u64,
     /// Thousandths of a core that ready tasks ask for.
     pub waiting_milli: u64,
+    /// Thousandths of a core that keep up with the work arriving.
+    pub arriving_milli: u64,
     /// Thousandths of a core that one worker has.
     pub worker_milli: u64,
     /// Megabytes that runs reserve and ready tasks ask for.
@@ -131,6 +134,7 @@
     pub(super) active: FastMap<PoolName, FastSet<JobName>>,
     pub(super) workers: FastMap<WorkerName, WorkerSeat>,
     pub(super) teams: FastMap<TeamName, TeamUse>,
+    pub(super) arrivals: FastMap<PoolName, ArrivalRate>,
     pub(super) dirty: FastSet<JobName>,
     pub(super) lease_ms: u64,
     pub(super) unseen_until_ms: u64,
@@ -445,6 +449,9 @@
                 job.add_load(load);
             }
         }
+        for (pool, arrivals) in &self.arrivals {
+            loads.entry(pool.clone()).or_default().arriving_milli = arrivals.keep_up_milli(now_ms);
+        }
         let usual = loads.values().map(|load| load.worker_milli).max();
         let usual_memory = loads.values().map(|load| load.worker_memory_mb).max();
         for load in loads.values_mut().filter(|load| load.worker_milli == 0) {
@@ -476,6 +483,13 @@
         }
         job.open_due(wall_ms);
         if job.ended.is_none() {
+            if !job.from_before {
+                let work = job.record.plan.work();
+                self.arrivals
+                    .entry(pool.clone())
+                    .or_default()
+                    .note(now_ms, work);
+            }
             self.active.entry(pool).or_default().insert(name.clone());
         }
         self.jobs.insert(name, job);
--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -275,11 +275,12 @@
                 .filter(|seat| seat.idle_since_ms.is_some())
                 .count();
             format!(
-                "{pool}:instances={},up={up},idle={idle},wanted={},running={},waiting={}",
+                "{pool}:instances={},up={up},idle={idle},wanted={},running={},waiting={},arriving={}",
                 own.count(),
                 wanted_instances(load),
                 load.reserved_milli / 1000,
-                load.waiting_milli / 1000
+                load.waiting_milli / 1000,
+                load.arriving_milli / 1000
             )
         });
         lines.collect()
@@ -545,20 +546,21 @@
     }
 }
 
-/// Instances that a pool's work fills, with some headroom, beside those that take none.
+/// Instances that a pool's work fills, with some headroom.
 fn wanted_instances(load: &PoolLoad) -> usize {
     let filled = |asked: u64, one: u64| {
         let asked = asked + asked * HEADROOM_PERCENT / 100;
         usize::try_from(asked.div_ceil(one.max(1))).unwrap_or(usize::MAX)
     };
-    let by_processor = filled(load.reserved_milli + load.waiting_milli, load.worker_milli);
+    let present = load.reserved_milli + load.waiting_milli;
+    let by_processor = filled(present.max(load.arriving_milli), load.worker_milli);
     let by_memory = filled(load.memory_mb, load.worker_memory_mb);
     let count = by_processor.max(by_memory).max(load.spread).max(POOL_MIN);
     // A task that lasts and finds no worker among the open ones needs a further one.
     let apart = if load.lasting_waiting > 0 {
-        load.open + 1
+        load.open + load.closed + 1
     } else {
         0
     };
-    count.max(apart) + load.closed
+    count.max(apart)
 }
--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -224,6 +224,15 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Estimated work of the tasks that end by themselves, in thousandths of a core times
+    /// milliseconds.
+    pub fn work(&self) -> u64 {
+        let steps = self.steps.iter().filter(|step| !step.long_running);
+        steps
+            .map(|step| u64::from(step.count) * step.reserved().cpu_milli * step.estimate_ms)
+            .sum()
+    }
+
     /// Estimated milliseconds of the longest chain of steps that are not `done`.
     pub fn chain_ms(&self, done: impl Fn(usize) -> bool) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs of several steps, scheduled on the workers of a fleet.
 
+mod arrival_rate;
 mod fleet_schedule;
 mod instance_plan;
 mod job_order;
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -396,3 +396,32 @@
     distance_asks_for_instances(lasting(9, 1_000, Some(1)), 0);
     distance_asks_for_instances_beside_a_wave(lasting(9, 1_000, Some(1)), 3);
 }
+
+/// Work that arrives faster than a pool serves it asks for instances before it waits.
+fn arrivals_ask_early(jobs: u64, least: usize) {
+    let mut stage = FleetStage::new(3, 12);
+    stage.hear(&[]);
+    for number in 0..jobs {
+        let text = format!("early-{number}");
+        let wide = StepPlan {
+            estimate_ms: 2_000,
+            ..step(4, 4_000)
+        };
+        let now_ms = stage.now_ms;
+        stage
+            .schedule
+            .add_job(job(&text, wide), None, 0, now_ms, WALL_MS);
+    }
+    stage.step();
+    let own = stage
+        .pools
+        .iter()
+        .filter(|(name, ..)| *name == pool("proofs"))
+        .count();
+    assert!(own >= least, "{own} instances");
+}
+
+named_cases! { arrivals_ask_early:
+    a_trickle_asks_for_none(2, 3);
+    a_peak_asks_at_once(12, 7);
+}
