Have the owner record jobs for entries that the store turns away

Change: such an entry hands the job, or the cancellation, to the owner over a connection of its own; if that was never opened the refusal is still true, and if its fate is unknown the answer says so.

--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
+        job_records::{record_cancel, record_job},
         node::SchedulerNode,
-        peers::{OwnerCall, OwnerReply, ask_owner},
+        peers::{OwnerCall, OwnerReply, RecordOutcome, ask_owner, record_by_owner},
         store::{cancel_key, job_key, progress_key},
     },
     dotterelshore_domain::{
@@ -11,7 +12,7 @@
         schedule::{JobPlan, JobRecord, JobState, ProgressRecord, QueueRow, RouteFault},
     },
     dotterelshore_platform::{
-        KvFault, KvWrite, caller_key, decode_plan, pending_body, state_body, time_left_ms,
+        KvFault, caller_key, decode_plan, pending_body, state_body, time_left_ms,
     },
     dotterelshore_wire::{
         event_log::unix_millis,
@@ -30,11 +31,8 @@
 const WAIT_USUAL: Duration = Duration::from_secs(3);
 /// Kept back of a caller's time for the way of the answer.
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
-/// Pause before an unsure write is looked for again.
-const UNSURE_PAUSE: Duration = Duration::from_millis(60);
-/// How often a job's write whose answer was lost is tried, so that its caller has time left
-/// to come back.
-const SUBMIT_TRIES: u32 = 2;
+/// Pause before a cancellation that was not recorded is tried again.
+const CANCEL_PAUSE: Duration = Duration::from_millis(100);
 /// What callers are told to wait while the store is away, in seconds: its outages last some
 /// seconds, and a caller has few retries.
 const RETRY_AFTER_STORE_S: u32 = 2;
@@ -151,7 +149,7 @@
                 Err(BodyFault::Broken) => return CallAnswer::refused(400, "body-broken"),
             };
             match decode_plan(&body) {
-                Ok(plan) => submit(node, &queue, job_record(&queue, job, team, plan), until).await,
+                Ok(plan) => submit(node, job_record(&queue, job, team, plan), until).await,
                 Err(fault) => {
                     log_event!(Info, "job-malformed", job = job, error = fault);
                     CallAnswer::refused(400, "job-malformed")
@@ -183,81 +181,51 @@
     }
 }
 
-/// Records a job. It is refused only while no write of it can take effect any more; a
-/// write whose fate stays unknown is answered as such, early enough to be repeated.
+/// Records a job, by the owner where the store turns this entry away. It is refused only
+/// while no write of it can take effect any more; a write whose fate stays unknown is
+/// answered as such, early enough to be repeated.
 async fn submit(
     node: &SchedulerNode,
-    queue: &QueueRow,
     record: JobRecord,
     until: tokio::time::Instant,
 ) -> CallAnswer {
-    if node.store_is_away() {
-        return CallAnswer::refused(503, "store-away").after(RETRY_AFTER_STORE_S);
-    }
-    let Ok(value) = serde_json::to_vec(&record) else {
-        return CallAnswer::refused(400, "job-malformed");
-    };
-    let key = job_key(&record.name);
-    let write = KvWrite::default().expect(&key, 0).write(&key, &value, 0);
-    for attempt in 0..SUBMIT_TRIES {
-        let Ok(written) = tokio::time::timeout_at(until, node.kv.commit(&write)).await else {
-            break;
+    let recorded = async {
+        let here = if node.store_is_away() {
+            RecordOutcome::NotStored
+        } else {
+            record_job(node, &record).await
         };
-        match written {
-            Ok(revision) => {
-                node.heard_store();
-                log_event!(
-                    Info,
-                    "job-accepted",
-                    job = record.name,
-                    queue = queue.name,
-                    revision = revision,
-                    tasks = record.plan.steps.iter().map(|step| step.count).sum::<u32>()
-                );
-                return CallAnswer::good("{}".to_owned());
-            }
-            Err(KvFault::Conflict { .. }) => {
-                log_event!(
-                    Info,
-                    "job-accepted-before",
-                    job = record.name,
-                    attempt = attempt
-                );
-                return CallAnswer::good("{}".to_owned());
-            }
-            Err(KvFault::Unsure { .. } | KvFault::Unreadable { .. }) => {}
-            Err(_) if attempt > 0 => {}
-            Err(fault) => {
-                log_event!(Info, "job-not-stored", job = record.name, error = fault);
-                node.missed_store();
-                return CallAnswer::refused(503, "store-away").after(RETRY_AFTER_STORE_S);
-            }
+        if here == RecordOutcome::NotStored {
+            record_by_owner(node, OwnerCall::Submit(Box::new(record))).await
+        } else {
+            here
         }
-        node.metrics.count_retry("submit");
-        tokio::time::sleep(spread_pause(UNSURE_PAUSE)).await;
+    };
+    match tokio::time::timeout_at(until, recorded).await {
+        Ok(RecordOutcome::Stored) => CallAnswer::good("{}".to_owned()),
+        Ok(RecordOutcome::NotStored | RecordOutcome::NoJob) => {
+            CallAnswer::refused(503, "store-away").after(RETRY_AFTER_STORE_S)
+        }
+        Ok(RecordOutcome::Unsure) | Err(_) => CallAnswer::refused(504, "store-unsure"),
     }
-    node.missed_store();
-    CallAnswer::refused(504, "store-unsure")
 }
 
 async fn cancel(node: &SchedulerNode, job: &JobName, until: tokio::time::Instant) -> CallAnswer {
-    let write = KvWrite::default().write(cancel_key(job), b"{}", 0);
     let cancelled = async {
         loop {
-            let step = match node.kv.read(&job_key(job)).await {
-                Ok(_) => node.kv.commit(&write).await.map(|_| ()),
-                Err(fault) => Err(fault),
-            };
-            match step {
-                Ok(()) => {
-                    log_event!(Info, "job-cancelled", job = job);
-                    return CallAnswer::good("{}".to_owned());
-                }
-                Err(KvFault::NoKey) => return CallAnswer::refused(410, "no-job"),
-                Err(fault) => {
-                    log_event!(Debug, "cancel-failed", job = job, error = fault);
+            let mut outcome = RecordOutcome::Unsure;
+            if !node.store_is_away() {
+                outcome = record_cancel(node, job).await;
+            }
+            if outcome == RecordOutcome::Unsure {
+                outcome = record_by_owner(node, OwnerCall::Cancel(job.clone())).await;
+            }
+            match outcome {
+                RecordOutcome::Stored => return CallAnswer::good("{}".to_owned()),
+                RecordOutcome::NoJob => return CallAnswer::refused(410, "no-job"),
+                RecordOutcome::NotStored | RecordOutcome::Unsure => {
                     node.metrics.count_retry("cancel");
-                    tokio::time::sleep(spread_pause(UNSURE_PAUSE)).await;
+                    tokio::time::sleep(spread_pause(CANCEL_PAUSE)).await;
                 }
             }
         }
--- /dev/null
+++ b/crates/scheduler/src/job_records.rs
@@ -0,0 +1,86 @@
+//! Recording jobs and cancellations in the store.
+
+use {
+    crate::{
+        node::SchedulerNode,
+        peers::RecordOutcome,
+        store::{cancel_key, job_key},
+    },
+    dotterelshore_domain::{names::JobName, schedule::JobRecord},
+    dotterelshore_platform::{KvFault, KvWrite},
+    dotterelshore_wire::{log_event, timer_hub::spread_pause},
+    std::time::Duration,
+};
+
+/// Pause before a write whose answer was lost is tried again.
+const UNSURE_PAUSE: Duration = Duration::from_millis(60);
+/// How often a write whose answer was lost is tried, so that its caller has time left to
+/// come back.
+const RECORD_TRIES: u32 = 2;
+
+/// Records a job. The same name is one job, whichever entry records it and however often.
+pub(crate) async fn record_job(node: &SchedulerNode, record: &JobRecord) -> RecordOutcome {
+    let Ok(value) = serde_json::to_vec(record) else {
+        return RecordOutcome::NotStored;
+    };
+    let key = job_key(&record.name);
+    let write = KvWrite::default().expect(&key, 0).write(&key, &value, 0);
+    for attempt in 0..RECORD_TRIES {
+        match node.kv.commit(&write).await {
+            Ok(revision) => {
+                node.heard_store();
+                log_event!(
+                    Info,
+                    "job-accepted",
+                    job = record.name,
+                    queue = record.queue,
+                    revision = revision,
+                    tasks = record.plan.steps.iter().map(|step| step.count).sum::<u32>()
+                );
+                return RecordOutcome::Stored;
+            }
+            Err(KvFault::Conflict { .. }) => {
+                node.heard_store();
+                log_event!(
+                    Info,
+                    "job-accepted-before",
+                    job = record.name,
+                    attempt = attempt
+                );
+                return RecordOutcome::Stored;
+            }
+            Err(KvFault::Unsure { .. } | KvFault::Unreadable { .. }) => {}
+            Err(_) if attempt > 0 => {}
+            Err(fault) => {
+                log_event!(Info, "job-not-stored", job = record.name, error = fault);
+                node.missed_store();
+                return RecordOutcome::NotStored;
+            }
+        }
+        node.metrics.count_retry("submit");
+        tokio::time::sleep(spread_pause(UNSURE_PAUSE)).await;
+    }
+    node.missed_store();
+    RecordOutcome::Unsure
+}
+
+/// Records that a job is cancelled.
+pub(crate) async fn record_cancel(node: &SchedulerNode, job: &JobName) -> RecordOutcome {
+    let write = KvWrite::default().write(cancel_key(job), b"{}", 0);
+    let step = match node.kv.read(&job_key(job)).await {
+        Ok(_) => node.kv.commit(&write).await.map(|_| ()),
+        Err(fault) => Err(fault),
+    };
+    match step {
+        Ok(()) => {
+            log_event!(Info, "job-cancelled", job = job);
+            RecordOutcome::Stored
+        }
+        Err(KvFault::NoKey) => RecordOutcome::NoJob,
+        Err(fault) => {
+            log_event!(Info, "cancel-failed", job = job, error = fault);
+            node.missed_store();
+            RecordOutcome::Unsure
+        }
+    }
+}
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cli;
 mod front;
+mod job_records;
 mod leading;
 mod log_pipe;
 mod metrics;
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -1,17 +1,20 @@
 //! Asking the owner of the schedule, and answering other entries as its owner.
 
 use {
-    crate::node::{SchedulerNode, lock},
+    crate::{
+        job_records::{record_cancel, record_job},
+        node::{SchedulerNode, lock},
+    },
     dotterelshore_domain::{
         names::{JobName, QueueName},
-        schedule::JobState,
+        schedule::{JobRecord, JobState},
     },
     dotterelshore_wire::{
         log_event,
         peer_codec::{PeerFault, read_frame, write_frame},
     },
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::BufStream,
         net::{TcpListener, TcpStream},
@@ -22,16 +25,24 @@
 /// Longest time for the owner's answer, connecting included. Some hundred times an
 /// undisturbed round trip.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time to open a connection to the owner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for the owner's word on a record: its own write, and the way.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
 /// Wait after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What an entry asks the owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum OwnerCall {
     /// Where does a job stand?
     State(JobName),
     /// How many jobs of a queue wait?
     Pending(QueueName),
+    /// Record a job, for an entry that the store turns away.
+    Submit(Box<JobRecord>),
+    /// Record that a job is cancelled, for such an entry.
+    Cancel(JobName),
 }
 
 /// What the owner answers.
@@ -41,10 +52,25 @@
     State(Option<JobState>),
     /// Jobs that wait.
     Pending(u64),
+    /// What became of the record.
+    Recorded(RecordOutcome),
     /// This entry does not own the schedule.
     NotOwner,
 }
 
+/// What became of a record that a caller asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum RecordOutcome {
+    /// It is stored, now or since before.
+    Stored,
+    /// There is no such job.
+    NoJob,
+    /// It is not stored and will not be.
+    NotStored,
+    /// It may be stored, now or later.
+    Unsure,
+}
+
 /// The connection to the owner, opened when there is something to ask.
 #[derive(Debug, Default)]
 pub(crate) struct OwnerLink {
@@ -63,11 +89,61 @@
         *open = Some((address, stream));
         Ok(reply)
     }
+
+    /// A call on a connection of its own, so that it is known whether it was sent.
+    async fn call_once(
+        address: SocketAddr,
+        call: &OwnerCall,
+    ) -> Result<Option<OwnerReply>, PeerFault> {
+        let mut stream = connect(address).await?;
+        let exchange = async {
+            write_frame(&mut stream, call).await?;
+            read_frame(&mut stream).await
+        };
+        match tokio::time::timeout(RECORD_TIMEOUT, exchange).await {
+            Ok(Ok(reply)) => Ok(Some(reply)),
+            Ok(Err(fault)) => {
+                log_event!(Info, "owner-record-unsure", owner = address, error = fault);
+                Ok(None)
+            }
+            Err(_) => {
+                log_event!(Info, "owner-record-late", owner = address);
+                Ok(None)
+            }
+        }
+    }
+}
+
+/// Has the owner record what this entry can't, since the store turns it away.
+pub(crate) async fn record_by_owner(node: &SchedulerNode, call: OwnerCall) -> RecordOutcome {
+    let owner = node.owner.borrow().clone();
+    let Some(owner) = owner.filter(|owner| owner.incarnation != node.incarnation) else {
+        return RecordOutcome::NotStored;
+    };
+    let connecting = OwnerLink::call_once(owner.address, &call);
+    match tokio::time::timeout(CONNECT_TIMEOUT + RECORD_TIMEOUT, connecting).await {
+        Ok(Ok(Some(OwnerReply::Recorded(outcome)))) => outcome,
+        Ok(Ok(None)) => RecordOutcome::Unsure,
+        Ok(Err(fault)) => {
+            log_event!(
+                Debug,
+                "owner-not-reached",
+                owner = owner.address,
+                error = fault
+            );
+            RecordOutcome::NotStored
+        }
+        // Another answer is the word of an entry that is no owner and recorded nothing. The
+        // call's own limit comes before this one, so on that the connection never opened.
+        Ok(Ok(Some(_))) | Err(_) => RecordOutcome::NotStored,
+    }
 }
 
 async fn connect(address: SocketAddr) -> Result<BufStream<TcpStream>, PeerFault> {
-    let stream = TcpStream::connect(address)
-        .await
+    let opening = TcpStream::connect(address);
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
+    let stream = opened
+        .unwrap_or_else(|elapsed| Err(io::Error::new(io::ErrorKind::TimedOut, elapsed)))
         .map_err(|source| PeerFault::Connection { source })?;
     if let Err(error) = stream.set_nodelay(true) {
         log_event!(Debug, "nodelay-not-set", error = error);
@@ -105,6 +181,7 @@
     Some(match call {
         OwnerCall::State(job) => OwnerReply::State(schedule.state(job)),
         OwnerCall::Pending(queue) => OwnerReply::Pending(schedule.pending(queue) as u64),
+        OwnerCall::Submit(_) | OwnerCall::Cancel(_) => return None,
     })
 }
 
@@ -140,7 +217,12 @@
                 return;
             }
         };
-        let reply = answer(&node, &call).unwrap_or(OwnerReply::NotOwner);
+        let reply = match &call {
+            _ if node.leadership().is_none() => OwnerReply::NotOwner,
+            OwnerCall::Submit(record) => OwnerReply::Recorded(record_job(&node, record).await),
+            OwnerCall::Cancel(job) => OwnerReply::Recorded(record_cancel(&node, job).await),
+            call => answer(&node, call).unwrap_or(OwnerReply::NotOwner),
+        };
         if let Err(fault) = write_frame(&mut stream, &reply).await {
             log_event!(Debug, "peer-gone", error = fault);
             return;
