--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -126,6 +126,7 @@
     waves: Vec<WaveState>,
     spare: Option<PoolName>,
     wanted: FastMap<PoolName, (usize, u64)>,
+    resting: FastMap<InstanceName, u64>,
     upkeep_ms: u64,
 }
 
@@ -143,6 +144,11 @@
         self.spare = spare;
     }
 
+    /// Leaves an instance alone until this time: an earlier owner ordered it just before.
+    pub fn rest(&mut self, instance: &InstanceName, until_ms: u64) {
+        self.resting.insert(instance.clone(), until_ms);
+    }
+
     /// Takes in the platform's list. What was ordered lately is believed over it.
     pub fn take_list(&mut self, list: Vec<ListedInstance>, now_ms: u64) {
         let listed: FastSet<_> = list.iter().map(|row| row.name.clone()).collect();
@@ -334,6 +340,7 @@
         now_ms: u64,
     ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
         self.note_idle(schedule, now_ms);
+        self.resting.retain(|_, until_ms| now_ms < *until_ms);
         let (mut orders, stops) = self.plan_maintenance(schedule, now_ms);
         let taken: FastSet<InstanceName> = orders
             .iter()
@@ -399,6 +406,7 @@
                 .due
                 .iter()
                 .filter(|name| !wave.begun.contains_key(*name))
+                .filter(|name| !self.resting.contains_key(*name))
                 .filter_map(|name| {
                     let seat = self.instances.get(name).filter(|seat| seat.up)?;
                     let runs = seat
@@ -501,6 +509,7 @@
             .instances
             .iter()
             .filter(|(name, seat)| seat.up && seat.pool == spare && !taken.contains(*name))
+            .filter(|(name, _)| !self.resting.contains_key(*name))
             .map(|(name, _)| name.clone())
             .collect();
         free.sort();
@@ -508,6 +517,7 @@
             .instances
             .iter()
             .filter(|(name, seat)| seat.pool != spare && !taken.contains(*name))
+            .filter(|(name, _)| !self.resting.contains_key(*name))
             .filter_map(|(name, seat)| Some((seat.idle_since_ms?, name.clone(), seat.pool.clone())))
             .collect();
         idle.sort();
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -425,3 +425,22 @@
     a_trickle_asks_for_none(2, 3);
     a_peak_asks_at_once(12, 7);
 }
+
+/// An instance that an earlier owner ordered just before is left alone for its time.
+fn resting_instance(rest_ms: u64, moved: bool) {
+    let mut stage = FleetStage::new(3, 1);
+    stage.hear(&[]);
+    stage
+        .schedule
+        .add_job(job("peak", step(60, 32_000)), None, 0, NOW_MS, WALL_MS);
+    stage.plan.rest(&host_name(3), NOW_MS + rest_ms);
+    for _ in 0..4 {
+        stage.step();
+    }
+    assert_eq!(stage.pools[3].0 == pool("proofs"), moved);
+}
+
+named_cases! { resting_instance:
+    it_is_left_alone(3_000, false);
+    it_is_moved_after_its_time(300, true);
+}
--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -2,7 +2,13 @@
 
 use {
     crate::{
-        front, log_pipe::start_log, metrics, node::SchedulerNode, owner, peers, store::probe_store,
+        explain::{ExplainFault, begin_ms, explain, told},
+        front,
+        log_pipe::start_log,
+        metrics,
+        node::SchedulerNode,
+        owner, peers,
+        store::probe_store,
         table_follow,
     },
     clap::{Parser, Subcommand},
@@ -44,6 +50,17 @@
         /// The settings file
         file: PathBuf,
     },
+    /// Tells the story of a request or job from the logs of several processes
+    Explain {
+        /// The id
+        id: String,
+        /// The logs
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+        /// One JSON object a line
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 /// Why the process did not start.
@@ -55,6 +72,12 @@
         /// What is wrong.
         source: SettingsFault,
     },
+    /// No story could be told.
+    #[snafu(transparent)]
+    Explain {
+        /// Why.
+        source: ExplainFault,
+    },
     /// An address can't be listened on.
     #[snafu(display("can't listen on {address}: {source}; is another process running there?"))]
     Listen {
@@ -74,10 +97,14 @@
 /// Runs the command, or the process until it is told to stop.
 pub(crate) fn run() -> Result<(), LaunchFault> {
     let args = SchedulerArgs::parse();
-    if let Some(SchedulerCommand::CheckSettings { file }) = args.command {
-        let settings = NodeSettings::read(&file)?;
-        println!("{}: good, for {}", file.display(), settings.name);
-        return Ok(());
+    match args.command {
+        Some(SchedulerCommand::CheckSettings { file }) => {
+            let settings = NodeSettings::read(&file)?;
+            println!("{}: good, for {}", file.display(), settings.name);
+            return Ok(());
+        }
+        Some(SchedulerCommand::Explain { id, logs, json }) => return tell(&id, &logs, json),
+        None => {}
     }
     let dropped = start_log(args.log);
     let settings = read_settings()?;
@@ -88,6 +115,18 @@
     runtime.block_on(run_node(settings, dropped))
 }
 
+fn tell(id: &str, logs: &[PathBuf], json: bool) -> Result<(), LaunchFault> {
+    let lines = explain(id, logs)?;
+    let begin_ms = begin_ms(&lines);
+    for line in &lines {
+        match serde_json::to_string(line) {
+            Ok(object) if json => println!("{object}"),
+            _ => println!("{}", told(line, begin_ms)),
+        }
+    }
+    Ok(())
+}
+
 async fn run_node(
     settings: NodeSettings,
     dropped: crate::log_pipe::DropCount,
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -1,7 +1,10 @@
 //! Moving instances between pools and taking them down for maintenance.
 
 use {
-    super::{leadership::Leadership, takeover::parsed},
+    super::{
+        leadership::{HandOver, Leadership},
+        takeover::parsed,
+    },
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
         owner::{AUTHORITY, OWNER_LEASE, OwnerClaim},
@@ -43,12 +46,13 @@
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
     claim: OwnerClaim,
+    handed_over: Option<HandOver>,
 ) {
     let Some(authority) = node.settings.cloud.clone() else {
         log_event!(Info, "no-interface-to-instances");
         return;
     };
-    if claim.term > 1 {
+    if claim.term > 1 && handed_over.is_none() {
         // An earlier owner orders until its authority ends, and an order of it may be under
         // way for the length of a call.
         let earlier = AUTHORITY.saturating_sub(OWNER_LEASE) + CLOUD_TIMEOUT + ORDER_SLACK;
@@ -59,6 +63,10 @@
     let cloud = CloudLink::new(authority, node.settings.name.to_string());
     let upkeep_ms = u64::try_from(node.settings.upkeep.as_millis()).unwrap_or_default();
     let mut plan = InstancePlan::new(upkeep_ms);
+    let lease_ms = u64::try_from(node.settings.instance_lease.as_millis()).unwrap_or_default();
+    for (instance, age_ms) in handed_over.into_iter().flat_map(|handed| handed.ordered) {
+        plan.rest(&instance, uptime_ms() + lease_ms.saturating_sub(age_ms));
+    }
     let mut open = Vec::new();
     let mut listed_at: Option<Instant> = None;
     let mut told_at = Instant::now();
@@ -183,6 +191,8 @@
     order: InstanceOrder,
 ) -> bool {
     let token = leadership.token();
+    let (InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. }) = &order;
+    leadership.note_ordered(instance);
     let (instance, answer) = match &order {
         InstanceOrder::Move { instance, pool } => {
             (instance, cloud.move_instance(instance, pool, token).await)
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -5,13 +5,16 @@
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
         owner::{AUTHORITY, OWNER_LEASE, OwnerClaim},
+        store::HAND_OVER_KEY,
     },
     dotterelshore_domain::{
         collections::FastMap,
-        names::WorkerName,
+        names::{InstanceName, WorkerName},
         schedule::{FleetSchedule, QueueTable, WorkerOrder},
     },
+    dotterelshore_platform::KvWrite,
     dotterelshore_wire::log_event,
+    serde::{Deserialize, Serialize},
     std::{
         sync::{
             Mutex,
@@ -22,6 +25,17 @@
     tokio::sync::{Notify, mpsc},
 };
 
+/// What an owner that leaves in order tells the next one: that it orders nothing more, and
+/// which instances it ordered lately.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct HandOver {
+    /// Its term.
+    pub(crate) term: u32,
+    /// Instances, and how long ago each was ordered, in milliseconds.
+    pub(crate) ordered: Vec<(InstanceName, u64)>,
+}
+
 /// The schedule while this process owns it.
 #[derive(Debug)]
 pub(crate) struct Leadership {
@@ -40,6 +54,7 @@
     ended: AtomicBool,
     fenced: Notify,
     workers: Mutex<FastMap<WorkerName, mpsc::UnboundedSender<WorkerOrder>>>,
+    ordered: Mutex<FastMap<InstanceName, u64>>,
 }
 
 impl Leadership {
@@ -56,6 +71,7 @@
             ended: AtomicBool::new(false),
             fenced: Notify::new(),
             workers: Mutex::new(FastMap::default()),
+            ordered: Mutex::new(FastMap::default()),
         };
         leadership.renewed(claim.sent_ms);
         leadership
@@ -156,12 +172,31 @@
         }
     }
 
+    /// Takes note that an instance is about to be ordered.
+    pub(super) fn note_ordered(&self, instance: &InstanceName) {
+        lock(&self.ordered).insert(instance.clone(), uptime_ms());
+    }
+
     /// Records what is not recorded yet, before the schedule is given away.
-    pub(crate) async fn record_last(&self, node: &SchedulerNode) {
+    pub(crate) async fn record_last(&self, node: &SchedulerNode, term: u32) {
         progress_recorder::record_once(node, self).await;
         let held = lock(&self.schedule).held_workers(uptime_ms());
         if let Err(fault) = worker_task::store_roster(node, self, &held).await {
             log_event!(Warn, "roster-not-stored", error = fault);
         }
+        let now_ms = uptime_ms();
+        let recent = node.settings.instance_lease;
+        let ordered = lock(&self.ordered)
+            .iter()
+            .map(|(instance, at)| (instance.clone(), now_ms.saturating_sub(*at)))
+            .filter(|(_, age)| u128::from(*age) < recent.as_millis())
+            .collect();
+        let Ok(value) = serde_json::to_vec(&HandOver { term, ordered }) else {
+            return;
+        };
+        let write = KvWrite::default().write(HAND_OVER_KEY, &value, 0);
+        if let Err(fault) = self.log.commit(node, self, write).await {
+            log_event!(Warn, "hand-over-not-stored", error = fault);
+        }
     }
 }
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -4,14 +4,14 @@
     super::{
         instance_task::keep_instances,
         job_follow::{follow_jobs, take_job_rows},
-        leadership::Leadership,
+        leadership::{HandOver, Leadership},
         progress_recorder::record_progress,
         worker_task::{follow_workers, take_worker_rows, watch_roster},
     },
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
         owner::{AUTHORITY, OWNER_LEASE, OwnerClaim},
-        store::{HELD_KEY, JOB_PREFIX, PROGRESS_PREFIX},
+        store::{HAND_OVER_KEY, HELD_KEY, JOB_PREFIX, PROGRESS_PREFIX},
     },
     dotterelshore_domain::{
         collections::FastMap,
@@ -46,6 +46,7 @@
 /// Everything that the store holds of the schedule.
 struct StoredSchedule {
     held: Vec<HeldWorker>,
+    hand_over: Option<HandOver>,
     workers: KvPage,
     progress: FastMap<JobName, ProgressRecord>,
     jobs: KvPage,
@@ -54,8 +55,11 @@
 /// Reads what is stored, then plans and records until aborted.
 pub(crate) async fn lead(node: Arc<SchedulerNode>, leadership: Arc<Leadership>, claim: OwnerClaim) {
     let stored = read_stored(&node).await;
-    let first = claim.term == 1;
-    restore(&node, &leadership, &stored, claim, first);
+    let handed_over = stored
+        .hand_over
+        .clone()
+        .filter(|hand_over| hand_over.term + 1 == claim.term);
+    restore(&node, &leadership, &stored, claim, handed_over.is_some());
     log_event!(
         Info,
         "schedule-read",
@@ -64,6 +68,7 @@
         workers = stored.workers.rows.len(),
         held = stored.held.len(),
         jobs = stored.jobs.rows.len(),
+        handed_over = handed_over.is_some(),
         took_ms = uptime_ms().saturating_sub(claim.sent_ms)
     );
     node.leading.send_replace(Some(Arc::clone(&leadership)));
@@ -82,7 +87,7 @@
     let (n, l) = both();
     tasks.spawn(async move { sweep(n, l).await });
     let (n, l) = both();
-    tasks.spawn(async move { keep_instances(n, l, claim).await });
+    tasks.spawn(async move { keep_instances(n, l, claim, handed_over).await });
     while let Some(ended) = tasks.join_next().await {
         if let Err(error) = ended {
             log_event!(Error, "leading-task-ended", error = error);
@@ -91,15 +96,9 @@
 }
 
 async fn read_stored(node: &SchedulerNode) -> StoredSchedule {
-    let held = until_read(node, "held", || async {
-        match node.kv.read(HELD_KEY).await {
-            Ok(row) => Ok(Some(row)),
-            Err(KvFault::NoKey) => Ok(None),
-            Err(fault) => Err(fault),
-        }
-    })
-    .await;
-    let (workers, progress, jobs) = tokio::join!(
+    let (held, hand_over, workers, progress, jobs) = tokio::join!(
+        until_read(node, "held", || read_if_there(node, HELD_KEY)),
+        until_read(node, "hand-over", || read_if_there(node, HAND_OVER_KEY)),
         until_read(node, "workers", || node.kv.read_all(WORKER_PREFIX)),
         until_read(node, "progress", || node.kv.read_all(PROGRESS_PREFIX)),
         until_read(node, "jobs", || node.kv.read_all(JOB_PREFIX)),
@@ -111,12 +110,21 @@
     });
     StoredSchedule {
         held: held.unwrap_or_default(),
+        hand_over: hand_over.and_then(|row| parsed(&row)),
         workers,
         progress: progress.collect(),
         jobs,
     }
 }
 
+async fn read_if_there(node: &SchedulerNode, key: &str) -> Result<Option<KeyRow>, KvFault> {
+    match node.kv.read(key).await {
+        Ok(row) => Ok(Some(row)),
+        Err(KvFault::NoKey) => Ok(None),
+        Err(fault) => Err(fault),
+    }
+}
+
 async fn until_read<T, F: Future<Output = Result<T, KvFault>>>(
     node: &SchedulerNode,
     what: &str,
@@ -146,12 +154,17 @@
     leadership: &Leadership,
     stored: &StoredSchedule,
     claim: OwnerClaim,
-    first: bool,
+    handed_over: bool,
 ) {
+    let first = claim.term == 1;
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or_default();
     let now_ms = uptime_ms();
     let lease_ms = millis(WORKER_LEASE.min(node.settings.worker_lease_max));
-    let earlier_owner_ms = millis(AUTHORITY.saturating_sub(OWNER_LEASE));
+    let earlier_owner_ms = if handed_over {
+        0
+    } else {
+        millis(AUTHORITY.saturating_sub(OWNER_LEASE))
+    };
     let unseen_until_ms = if first {
         0
     } else {
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -2,6 +2,7 @@
 //! last in the platform's store.
 
 mod cli;
+mod explain;
 mod front;
 mod job_records;
 mod leading;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -238,7 +238,7 @@
         reason = reason
     );
     if reason == "leaving" {
-        leadership.record_last(node).await;
+        leadership.record_last(node, claim.term).await;
         if let Err(error) = node.kv.end_lease(claim.lease).await {
             log_event!(Warn, "lease-not-ended", error = error);
         }
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -12,6 +12,8 @@
 pub(crate) const OWNER_KEY: &str = "dotterelshore/owner";
 /// How often the schedule changed its owner.
 pub(crate) const TERM_KEY: &str = "dotterelshore/term";
+/// What an owner that left in order told the next one.
+pub(crate) const HAND_OVER_KEY: &str = "dotterelshore/hand-over";
 /// Rises with each write of an owner, so that they take effect in order.
 pub(crate) const OWNER_WRITES_KEY: &str = "dotterelshore/writes";
 /// Workers on which an owner may have left something running.
