Keep in the pools what can't be ordered back in time

Change: a pool keeps what its peak asks for beyond a second of orders, up to an equal part of the fleet; idle instances go from pool to pool directly.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -17,6 +17,13 @@
 /// Instances that a pool has beyond those that its present work fills, in hundredths of
 /// these: the room for work that comes while an instance is under way.
 const HEADROOM_PERCENT: u64 = 15;
+/// How long a pool that lacks instances should wait for orders that the platform takes only
+/// so fast, in milliseconds: what can't be ordered within it is kept in the pools instead.
+/// About what a move takes by itself.
+const REACH_MS: u64 = 1_000;
+/// How many times its first size a pool is expected to ask for before it was seen: operators
+/// size pools by their usual load.
+const PEAK_GUESS: usize = 2;
 /// Fewest instances of a pool that is in use, so that one crash leaves room.
 const POOL_MIN: usize = 3;
 /// Part of a wave's time after which it hurries, in hundredths: half of its time is for
@@ -127,14 +134,25 @@
     spare: Option<PoolName>,
     wanted: FastMap<PoolName, (usize, u64)>,
     resting: FastMap<InstanceName, u64>,
+    peaks: FastMap<PoolName, usize>,
     upkeep_ms: u64,
+    reach: usize,
 }
 
 impl InstancePlan {
-    /// A plan that knows no instance; maintenance takes `upkeep_ms`.
-    pub fn new(upkeep_ms: u64) -> Self {
+    /// A plan that knows no instance; maintenance takes `upkeep_ms`, and the platform takes
+    /// so many orders a second.
+    pub fn new(upkeep_ms: u64, orders_per_s: f64) -> Self {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "a rate is not negative and far below what fits"
+        )]
+        let reach = (orders_per_s * REACH_MS as f64 / 1e3) as usize;
         Self {
             upkeep_ms,
+            reach,
             ..Self::default()
         }
     }
@@ -479,12 +497,11 @@
         for seat in self.instances.values() {
             *have.entry(seat.pool.clone()).or_default() += 1;
         }
+        let kept_anyway = self.kept_anyway(&loads, &have, &spare);
         let mut lacking: Vec<(usize, PoolName)> = Vec::new();
-        let mut excess: FastMap<PoolName, usize> = FastMap::default();
-        for (pool, load) in &loads {
-            if *pool == spare {
-                continue;
-            }
+        let mut lendable: FastMap<PoolName, usize> = FastMap::default();
+        let mut returnable: FastMap<PoolName, usize> = FastMap::default();
+        for (pool, load) in loads.iter().filter(|(pool, _)| **pool != spare) {
             let now_wanted = wanted_instances(load);
             let entry = self
                 .wanted
@@ -493,66 +510,108 @@
             if now_wanted >= entry.0 || now_ms > entry.1 + DEMAND_MEMORY_MS {
                 *entry = (now_wanted, now_ms);
             }
-            let kept = entry.0;
             let own = have.get(pool).copied().unwrap_or_default();
             if now_wanted > own {
                 lacking.push((now_wanted - own, pool.clone()));
             }
-            if own > kept {
-                excess.insert(pool.clone(), own - kept);
-            }
+            lendable.insert(pool.clone(), own.saturating_sub(entry.0));
+            let kept = entry.0.max(kept_anyway);
+            returnable.insert(pool.clone(), own.saturating_sub(kept));
         }
         // The pool that lacks most comes first.
         lacking.sort_by(|a, b| b.cmp(a));
+        let mut free = self.free_instances(&spare, taken);
+        let idle = self.idle_instances(&spare, taken);
+        let mut lent = FastSet::default();
         let mut orders = Vec::new();
+        for (lack, pool) in lacking {
+            for _ in 0..lack {
+                let idle_one = || {
+                    let (_, instance, from) = idle.iter().find(|(_, instance, from)| {
+                        !lent.contains(instance) && lendable.get(from).is_some_and(|left| *left > 0)
+                    })?;
+                    Some((instance.clone(), Some(from.clone())))
+                };
+                let Some((instance, from)) = free.pop().map(|free| (free, None)).or_else(idle_one)
+                else {
+                    break;
+                };
+                if let Some(from) = from {
+                    lent.insert(instance.clone());
+                    take_one(&mut lendable, &from);
+                    take_one(&mut returnable, &from);
+                }
+                orders.push(InstanceOrder::Move {
+                    instance,
+                    pool: pool.clone(),
+                });
+            }
+        }
+        for (since, instance, from) in idle {
+            let long = now_ms >= since + IDLE_MS && !lent.contains(&instance);
+            if long && returnable.get(&from).is_some_and(|left| *left > 0) {
+                take_one(&mut returnable, &from);
+                orders.push(InstanceOrder::Move {
+                    instance,
+                    pool: spare.clone(),
+                });
+            }
+        }
+        orders
+    }
+
+    /// Instances that each pool keeps, whatever it asks for: what its peak asks for beyond
+    /// the orders that the platform takes in a short time, but no more than an equal part
+    /// of the fleet.
+    fn kept_anyway(
+        &mut self,
+        loads: &FastMap<PoolName, PoolLoad>,
+        have: &FastMap<PoolName, usize>,
+        spare: &PoolName,
+    ) -> usize {
+        for (pool, load) in loads.iter().filter(|(pool, _)| *pool != spare) {
+            let first = have.get(pool).copied().unwrap_or_default() * PEAK_GUESS;
+            let peak = self.peaks.entry(pool.clone()).or_insert(first);
+            *peak = (*peak).max(wanted_instances(load));
+        }
+        let peak = self.peaks.values().copied().max().unwrap_or_default();
+        let equal_part = self.instances.len() / self.peaks.len().max(1);
+        peak.saturating_sub(self.reach).min(equal_part)
+    }
+
+    fn free_instances(&self, spare: &PoolName, taken: &FastSet<InstanceName>) -> Vec<InstanceName> {
         let mut free: Vec<InstanceName> = self
             .instances
             .iter()
-            .filter(|(name, seat)| seat.up && seat.pool == spare && !taken.contains(*name))
+            .filter(|(name, seat)| seat.up && seat.pool == *spare && !taken.contains(*name))
             .filter(|(name, _)| !self.resting.contains_key(*name))
             .map(|(name, _)| name.clone())
             .collect();
         free.sort();
+        free
+    }
+
+    /// Idle instances outside the spare pool, those first that have been idle longest.
+    fn idle_instances(
+        &self,
+        spare: &PoolName,
+        taken: &FastSet<InstanceName>,
+    ) -> Vec<(u64, InstanceName, PoolName)> {
         let mut idle: Vec<(u64, InstanceName, PoolName)> = self
             .instances
             .iter()
-            .filter(|(name, seat)| seat.pool != spare && !taken.contains(*name))
+            .filter(|(name, seat)| seat.pool != *spare && !taken.contains(*name))
             .filter(|(name, _)| !self.resting.contains_key(*name))
             .filter_map(|(name, seat)| Some((seat.idle_since_ms?, name.clone(), seat.pool.clone())))
             .collect();
         idle.sort();
-        let mut idle = idle
-            .into_iter()
-            .filter(|(since, _, pool)| {
-                let left = excess.get_mut(pool);
-                match left {
-                    Some(left) if *left > 0 && now_ms >= since + IDLE_MS => {
-                        *left -= 1;
-                        true
-                    }
-                    _ => false,
-                }
-            })
-            .map(|(_, name, _)| name)
-            .collect::<Vec<_>>();
-        for (lack, pool) in lacking {
-            for _ in 0..lack {
-                let Some(instance) = free.pop().or_else(|| idle.pop()) else {
-                    break;
-                };
-                orders.push(InstanceOrder::Move {
-                    instance,
-                    pool: pool.clone(),
-                });
-            }
-        }
-        for instance in idle {
-            orders.push(InstanceOrder::Move {
-                instance,
-                pool: spare.clone(),
-            });
-        }
-        orders
+        idle
+    }
+}
+
+fn take_one(left: &mut FastMap<PoolName, usize>, pool: &PoolName) {
+    if let Some(left) = left.get_mut(pool) {
+        *left = left.saturating_sub(1);
     }
 }
 
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -84,7 +84,11 @@
 
 impl FleetStage {
     fn new(hosts: usize, spare: usize) -> Self {
-        let mut plan = InstancePlan::new(UPKEEP_MS);
+        Self::with_orders(hosts, spare, 64.0)
+    }
+
+    fn with_orders(hosts: usize, spare: usize, orders_per_s: f64) -> Self {
+        let mut plan = InstancePlan::new(UPKEEP_MS, orders_per_s);
         plan.set_spare(Some(pool("spare")));
         let at = |host| if host < hosts { "proofs" } else { "spare" };
         let pools = (0..hosts + spare).map(|host| (pool(at(host)), 1, None));
@@ -444,3 +448,24 @@
     it_is_left_alone(3_000, false);
     it_is_moved_after_its_time(300, true);
 }
+
+/// Where the platform takes few orders a second, pools keep what could not be ordered back
+/// in time; where it takes many, idle instances go to the spare pool.
+fn slow_orders_keep_instances(orders_per_s: f64, least: usize, most: usize) {
+    let mut stage = FleetStage::with_orders(20, 0, orders_per_s);
+    stage.hear(&[]);
+    for _ in 0..40 {
+        stage.step();
+    }
+    let own = stage
+        .pools
+        .iter()
+        .filter(|(name, ..)| *name == pool("proofs"))
+        .count();
+    assert!((least..=most).contains(&own), "{own} instances");
+}
+
+named_cases! { slow_orders_keep_instances:
+    many_orders_a_second(64.0, 3, 3);
+    few_orders_a_second(5.0, 20, 20);
+}
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -62,7 +62,7 @@
     }
     let cloud = CloudLink::new(authority, node.settings.name.to_string());
     let upkeep_ms = u64::try_from(node.settings.upkeep.as_millis()).unwrap_or_default();
-    let mut plan = InstancePlan::new(upkeep_ms);
+    let mut plan = InstancePlan::new(upkeep_ms, node.settings.instance_orders_per_s);
     let lease_ms = u64::try_from(node.settings.instance_lease.as_millis()).unwrap_or_default();
     for (instance, age_ms) in handed_over.into_iter().flat_map(|handed| handed.ordered) {
         plan.rest(&instance, uptime_ms() + lease_ms.saturating_sub(age_ms));
