--- a/crates/domain/src/schedule/job_order.rs
+++ b/crates/domain/src/schedule/job_order.rs
@@ -46,12 +46,12 @@
                     return (0, 0, self.arrived_ms);
                 }
                 let latest_start = self.objective_ms.saturating_sub(self.chain_ms);
-                let group = if now_ms <= latest_start || self.begun && now_ms < self.objective_ms {
-                    1
-                } else if now_ms < self.late_ms {
-                    2
-                } else {
-                    3
+                let in_time = now_ms <= latest_start || self.begun && now_ms < self.objective_ms;
+                let group = match (in_time, self.begun) {
+                    (true, true) => 1,
+                    (true, false) => 2,
+                    _ if now_ms < self.late_ms => 3,
+                    _ => 4,
                 };
                 (group, self.priority, latest_start)
             }
