--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -405,6 +405,8 @@
                     .find(|known| known.run == *run && known.worker == *worker)
             });
             let gone = known.is_none_or(|known| match known.phase {
+                // What an earlier owner ordered starts no more: the worker saw this token.
+                RunPhase::Ordered if !seat.heard => true,
                 RunPhase::Ordered | RunPhase::Unsure => false,
                 RunPhase::Running { clock_ms } => report.clock_ms > clock_ms,
                 RunPhase::Stopping { clock_ms, .. } => {
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -387,6 +387,44 @@
     a_much_later_run_supersedes_a_recorded_one(1, 1_001);
 }
 
+/// A run recorded as lost is over once its worker was heard and does not list it.
+fn recorded_run_is_looked_for(listed: bool) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + 2 * LEASE_MS);
+    schedule.add_job(job("old", vec![step(1)]), None, 2_000, NOW_MS, WALL_MS);
+    let task: TaskName = "old.0.0.0".parse().expect("a task");
+    let lost = Some(LostRuns {
+        runs: vec![(task.clone(), 1)],
+        lease_left_ms: LEASE_MS,
+    });
+    let held = HeldWorker {
+        listed: worker("w-1"),
+        lost,
+    };
+    schedule.expect_worker(held, NOW_MS);
+    schedule.upsert_worker(worker("w-1"));
+    let row = RunningRow {
+        task,
+        run: 1,
+        saved: Arc::from(""),
+        percent: 50.0,
+        figure: 0.0,
+    };
+    let report = WorkerReport {
+        clock_ms: 20,
+        running: if listed { vec![row] } else { Vec::new() },
+        ..WorkerReport::default()
+    };
+    hear(&mut schedule, "w-1", &report);
+    let recorded = schedule.held_workers(NOW_MS);
+    schedule.roster_recorded(&recorded);
+    assert_eq!(starts(&mut schedule, NOW_MS).len(), usize::from(!listed));
+}
+
+named_cases! { recorded_run_is_looked_for:
+    it_goes_on_if_it_is_listed(true);
+    it_starts_anew_if_it_is_not(false);
+}
+
 /// A worker recorded as lost gets nothing new before another record took effect.
 fn lost_worker_waits_for_its_record(recorded: bool) {
     let mut schedule = schedule(&["w-1"]);
--- a/crates/scheduler/src/leading/owner_log.rs
+++ b/crates/scheduler/src/leading/owner_log.rs
@@ -68,6 +68,7 @@
                         detail: "an earlier write took effect late".to_owned(),
                     });
                 }
+                leadership.note_fence(leadership.token());
                 Err(KvFault::Conflict { rows })
             }
             Err(fault) => Err(fault),
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -75,9 +75,6 @@
                 error = fault
             );
             node.metrics.count_retry("recording");
-            if matches!(fault, KvFault::Conflict { .. }) {
-                leadership.note_fence(leadership.token());
-            }
             lock(&leadership.schedule).progress_lost(batch);
             false
         }
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -148,6 +148,7 @@
                 Err(error) => {
                     node.metrics.count_retry("roster");
                     log_event!(Warn, "roster-not-stored", error = error);
+                    tokio::time::sleep(SILENT_PAUSE).await;
                 }
             }
         }
