Tell a silent worker to forget nothing; record only confirmed maintenance; name each claim

Ruled out on the way: late writes of an earlier owner (they expect its key); found then: a claim whose answer was lost could be taken for a later one of the same entry.

Change: acknowledgements stop with a silence and go on once the same life is heard; waves record and count confirmed orders only; each claim has a number.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -308,6 +308,13 @@
         true
     }
 
+    /// The highest end that a worker may be told to forget. None after a call that it did not
+    /// answer: another life, whose ends have the same numbers, may answer the next one.
+    pub fn acknowledged(&self, name: &WorkerName) -> u64 {
+        let seat = self.workers.get(name).filter(|seat| seat.reachable);
+        seat.map_or(0, |seat| seat.recorded_end)
+    }
+
     /// Keeps new tasks away from a worker, or no longer.
     pub fn set_cordon(&mut self, name: &WorkerName, cordoned: bool) {
         if let Some(seat) = self.workers.get_mut(name) {
--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -119,6 +119,7 @@
     at_once: usize,
     due: Vec<InstanceName>,
     begun: FastMap<InstanceName, u64>,
+    confirmed: FastSet<InstanceName>,
     back: FastSet<InstanceName>,
     cordoned: FastMap<InstanceName, u64>,
     completed: bool,
@@ -223,12 +224,15 @@
         let passed_ms = wall_ms.saturating_sub(since_wall_ms);
         let hurry_after_ms = duration_ms * HURRY_PERCENT / 100;
         let begun = recorded.map(|progress| progress.begun.clone());
-        let begun = begun.unwrap_or_default().into_iter();
+        let begun = begun.unwrap_or_default();
+        let confirmed = begun.iter().cloned().collect();
+        let begun = begun.into_iter();
         self.waves.push(WaveState {
             number,
             at_once,
             due,
             begun: begun.map(|name| (name, now_ms)).collect(),
+            confirmed,
             back: FastSet::default(),
             cordoned: FastMap::default(),
             completed: recorded.is_some_and(|progress| progress.completed),
@@ -237,10 +241,20 @@
         });
     }
 
-    /// Takes note that an instance's maintenance began, or may have begun.
-    pub fn maintenance_begun(&mut self, instance: &InstanceName, number: u64, now_ms: u64) {
+    /// Takes note that an instance's maintenance began, or may have begun where the order was
+    /// not `confirmed`; only a confirmed one counts as done later.
+    pub fn maintenance_begun(
+        &mut self,
+        instance: &InstanceName,
+        number: u64,
+        confirmed: bool,
+        now_ms: u64,
+    ) {
         if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
             wave.begun.insert(instance.clone(), now_ms);
+            if confirmed {
+                wave.confirmed.insert(instance.clone());
+            }
             wave.cordoned.remove(instance);
         }
         if let Some(seat) = self.instances.get_mut(instance) {
@@ -281,7 +295,7 @@
         let wave = self.waves.iter().find(|wave| wave.number == number)?;
         Some(WaveProgress {
             number,
-            begun: wave.begun.keys().cloned().collect(),
+            begun: wave.confirmed.iter().cloned().collect(),
             completed: wave.completed,
             since_wall_ms: wave.since_wall_ms,
         })
@@ -341,7 +355,10 @@
     pub fn newly_completed(&mut self) -> Vec<u64> {
         let mut ended = Vec::new();
         for wave in &mut self.waves {
-            let done = wave.due.iter().all(|name| wave.back.contains(name));
+            let done = wave
+                .due
+                .iter()
+                .all(|name| wave.back.contains(name) && wave.confirmed.contains(name));
             if done && !wave.completed {
                 wave.completed = true;
                 ended.push(wave.number);
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -80,6 +80,7 @@
     now_ms: u64,
     down_most: usize,
     maintained: usize,
+    loses_answers: bool,
 }
 
 impl FleetStage {
@@ -99,6 +100,7 @@
             now_ms: NOW_MS,
             down_most: 0,
             maintained: 0,
+            loses_answers: false,
         };
         for host in 0..hosts {
             stage.join(host);
@@ -223,7 +225,9 @@
                 }
                 InstanceOrder::Maintain { wave, .. } => {
                     self.maintained += 1;
-                    self.plan.maintenance_begun(instance, *wave, self.now_ms);
+                    let confirmed = !self.loses_answers;
+                    self.plan
+                        .maintenance_begun(instance, *wave, confirmed, self.now_ms);
                 }
             }
         }
@@ -469,3 +473,26 @@
     many_orders_a_second(64.0, 3, 3);
     few_orders_a_second(5.0, 20, 20);
 }
+
+/// A wave whose orders were not confirmed is not said to be done, nor recorded as begun.
+fn unconfirmed_wave(loses_answers: bool) {
+    let mut stage = FleetStage::new(4, 0);
+    stage.loses_answers = loses_answers;
+    stage.hear(&[]);
+    stage
+        .plan
+        .take_wave(wave(4, 4), None, stage.now_ms, WALL_MS);
+    for _ in 0..60 {
+        stage.step();
+    }
+    assert_eq!(stage.maintained, 4, "ordered");
+    assert!(stage.down_most <= 4, "at once");
+    assert_eq!(stage.plan.newly_completed().is_empty(), loses_answers);
+    let recorded = stage.plan.progress(1).expect("the wave").begun.len();
+    assert_eq!(recorded, if loses_answers { 0 } else { 4 });
+}
+
+named_cases! { unconfirmed_wave:
+    confirmed_orders_end_it(false);
+    lost_answers_do_not(true);
+}
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -246,6 +246,35 @@
     an_end_whose_record_was_lost_is_recorded_again(true);
 }
 
+/// After a silence a worker is told to forget nothing until it was heard again: it may have
+/// been born again under its name, and its new ends have the old numbers.
+fn acknowledged_after_silence(heard_again: Option<u64>, acknowledged: u64) {
+    let mut schedule = schedule(&["w-1"]);
+    add(&mut schedule, job("done", vec![step(1)]));
+    let started = starts(&mut schedule, NOW_MS);
+    begin(&mut schedule, &started[0], 10);
+    let end = ended(5, &started[0].task, started[0].run, EndKind::Done);
+    hear(&mut schedule, "w-1", &finished(20, vec![end]));
+    let batch = schedule.take_progress();
+    schedule.progress_recorded(&batch);
+    assert_eq!(schedule.acknowledged(&name("w-1")), 5);
+    schedule.worker_silent(&name("w-1"));
+    if let Some(born_ms) = heard_again {
+        let report = WorkerReport {
+            born_ms: Some(born_ms),
+            ..finished(1, Vec::new())
+        };
+        hear(&mut schedule, "w-1", &report);
+    }
+    assert_eq!(schedule.acknowledged(&name("w-1")), acknowledged);
+}
+
+named_cases! { acknowledged_after_silence:
+    nothing_while_it_is_silent(None, 0);
+    the_same_once_the_same_life_is_heard(Some(1), 5);
+    nothing_of_a_new_life(Some(2), 0);
+}
+
 /// A start without an answer is ruled out by a stop before the task starts elsewhere.
 fn unanswered_start(listed_later: bool) {
     let mut schedule = schedule(&["w-1", "w-2"]);
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -234,9 +234,9 @@
         }
         InstanceOrder::Maintain { instance, wave } => {
             if may_be_done {
-                plan.maintenance_begun(instance, *wave, now_ms);
+                plan.maintenance_begun(instance, *wave, answer.is_ok(), now_ms);
             } else {
-                let gone = matches!(answer, Err(CloudFault::Wrong { .. }));
+                let gone = matches!(answer, Err(CloudFault::NoInstance));
                 plan.maintenance_refused(instance, *wave, gone);
             }
             if matches!(answer, Err(CloudFault::Unsure { .. })) {
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -291,11 +291,10 @@
     let lease_until_ms = side
         .lease_until(node)
         .filter(|_| !silent && schedule.grant(&side.name, uptime_ms()));
-    let recorded_end = schedule.worker(&side.name).map(|seat| seat.recorded_end);
     HoldTerms {
         lease_until_ms,
         fencing_token: token,
-        recorded_end: recorded_end.unwrap_or_default(),
+        recorded_end: schedule.acknowledged(&side.name),
         wait_ms: lease_until_ms.map(|_| LOOK_WAIT_MS),
     }
 }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -33,7 +33,7 @@
 /// 25 runs are 13, and peaks are several times that.
 const OWNER_MBPS: f64 = 100.0;
 /// Longest further pause of a process that has less.
-const CLAIM_WEAK: Duration = Duration::from_millis(600);
+const CLAIM_WEAK: Duration = Duration::from_millis(300);
 /// Pause after a claim that failed.
 const CLAIM_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for giving the schedule away on leaving.
@@ -49,6 +49,8 @@
     pub(crate) address: SocketAddr,
     /// Which life of it.
     pub(crate) incarnation: u64,
+    /// Which of its claims: one whose answer was lost may take effect after a later one.
+    pub(crate) claim: u64,
 }
 
 /// Ownership that was won.
@@ -164,6 +166,7 @@
         name: node.settings.name.clone(),
         address: node.settings.peers,
         incarnation: node.incarnation,
+        claim: rand::random(),
     };
     let value = serde_json::to_vec(&notice).map_err(|error| KvFault::NotDone {
         detail: error.to_string(),
