Split the schedule's long files by what they decide

worker_order, held_workers, worker_takedown, maintenance_wave and pool_need come out of fleet_schedule and instance_plan; no behaviour changes; the domain's tests pass.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -6,11 +6,12 @@
         job_order::OrderRule,
         job_plan::Resources,
         job_progress::{JobRecord, JobState, ProgressRecord},
-        live_job::{LiveJob, RunPhase, TaskRun, TaskState},
+        live_job::{LiveJob, RunPhase},
         queue_table::QueueTable,
         run_reports::stop_order,
         task_name::TaskName,
-        worker_seat::{HeldWorker, ListedWorker, LostRuns, WorkerSeat},
+        worker_order::WorkerOrder,
+        worker_seat::{ListedWorker, WorkerSeat},
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -24,57 +25,6 @@
 /// Part by which a worker's clock may be slow, in hundredths; 2 by the platform's terms.
 const CLOCK_SLOW_PERCENT: u64 = 2;
 
-/// How long after an order for its instance a worker's removal from the list is taken as
-/// its work, in milliseconds. The list tells within some hundred.
-const TAKEN_DOWN_MS: u64 = 1_500;
-
-/// An order to start a task.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StartOrder {
-    /// The worker.
-    pub worker: WorkerName,
-    /// The task.
-    pub task: TaskName,
-    /// The number of the run.
-    pub run: u32,
-    /// The text for the task.
-    pub body: Arc<str>,
-    /// Where it resumes from.
-    pub saved: Option<Arc<str>>,
-}
-
-/// An order to stop a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StopOrder {
-    /// The worker.
-    pub worker: WorkerName,
-    /// The task.
-    pub task: TaskName,
-    /// The number of the run.
-    pub run: u32,
-}
-
-/// An order to a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum WorkerOrder {
-    /// Start a task.
-    Start(StartOrder),
-    /// Stop a run.
-    Stop(StopOrder),
-    /// Let a filling task work at this share, in percent.
-    Pace(StopOrder, u32),
-}
-
-impl WorkerOrder {
-    /// The worker it is for.
-    pub fn worker(&self) -> &WorkerName {
-        match self {
-            Self::Start(order) => &order.worker,
-            Self::Stop(order) | Self::Pace(order, _) => &order.worker,
-        }
-    }
-}
-
 /// What a team has running, and its ceiling.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct TeamUse {
@@ -188,85 +138,6 @@
         seat.present = true;
     }
 
-    /// What has to be known of the workers after the next takeover.
-    pub fn held_workers(&self, now_ms: u64) -> Vec<HeldWorker> {
-        let held = self.workers.values().map(|seat| HeldWorker {
-            listed: seat.listed.clone(),
-            lost: (seat.heard && !seat.reachable).then(|| LostRuns {
-                runs: seat
-                    .runs
-                    .iter()
-                    .map(|(task, run)| (task.clone(), *run))
-                    .collect(),
-                lease_left_ms: seat.lease_until_ms.saturating_sub(now_ms),
-            }),
-        });
-        held.collect()
-    }
-
-    /// Takes note that a record of the workers is about to be written. A worker recorded as
-    /// lost gets nothing new until another record took effect: after a takeover, what the
-    /// record names counts as all that runs there.
-    pub fn roster_begins(&mut self, held: &[HeldWorker]) {
-        for held in held.iter().filter(|held| held.lost.is_some()) {
-            if let Some(seat) = self.workers.get_mut(&held.listed.name) {
-                seat.recorded_lost = true;
-            }
-        }
-    }
-
-    /// Takes note that a record of the workers took effect.
-    pub fn roster_recorded(&mut self, held: &[HeldWorker]) {
-        for held in held.iter().filter(|held| held.lost.is_none()) {
-            if let Some(seat) = self.workers.get_mut(&held.listed.name) {
-                seat.recorded_lost = false;
-            }
-        }
-    }
-
-    /// Takes in what an earlier owner may have left running on a worker.
-    pub fn expect_worker(&mut self, held: HeldWorker, now_ms: u64) {
-        let name = held.listed.name.clone();
-        self.expect_listed(held.listed);
-        let Some(lost) = held.lost else {
-            return;
-        };
-        if let Some(seat) = self.workers.get_mut(&name) {
-            seat.accounted = true;
-            seat.recorded_lost = true;
-            seat.reachable = false;
-            seat.lease_until_ms = now_ms + lost.lease_left_ms;
-        }
-        for (task, number) in lost.runs {
-            let Some(state) = self
-                .jobs
-                .get_mut(&task.job)
-                .and_then(|job| job.task_mut(&task))
-            else {
-                continue;
-            };
-            if state.done {
-                continue;
-            }
-            state.last_run = state.last_run.max(number);
-            state
-                .runs
-                .push(TaskRun::unsure(name.clone(), number, now_ms));
-            self.reserve(&task, &name, number);
-        }
-    }
-
-    fn expect_listed(&mut self, listed: ListedWorker) {
-        let unseen_until = self.unseen_until_ms;
-        let name = listed.name.clone();
-        let seat = self.workers.entry(name).or_insert_with(|| {
-            let mut seat = WorkerSeat::new(listed, unseen_until);
-            seat.present = false;
-            seat
-        });
-        seat.lease_until_ms = seat.lease_until_ms.max(unseen_until);
-    }
-
     /// Takes note that the platform no longer lists a worker. What it runs may go on
     /// until its lease ran out, unless an order took its instance down just before.
     pub fn unlist_worker(&mut self, name: &WorkerName, now_ms: u64) {
@@ -315,126 +186,6 @@
         seat.map_or(0, |seat| seat.recorded_end)
     }
 
-    /// Keeps new tasks away from a worker, or no longer.
-    pub fn set_cordon(&mut self, name: &WorkerName, cordoned: bool) {
-        if let Some(seat) = self.workers.get_mut(name) {
-            seat.cordoned = cordoned;
-            seat.taking_down &= cordoned;
-        }
-    }
-
-    /// Takes note that an order for a worker's instance was confirmed. If the order had been
-    /// carried out before, this life of the worker goes on: it is over once it is unlisted.
-    pub fn instance_ordered(&mut self, name: &WorkerName, now_ms: u64) {
-        if let Some(seat) = self.workers.get_mut(name) {
-            seat.taken_down_until_ms = now_ms + TAKEN_DOWN_MS;
-            seat.taking_down = true;
-            seat.cordoned = true;
-        }
-    }
-
-    /// Whether nothing but tasks that last runs on a worker.
-    pub fn runs_only_lasting(&self, name: &WorkerName) -> bool {
-        let lasting = |task: &TaskName| {
-            self.jobs
-                .get(&task.job)
-                .is_some_and(|job| job.record.plan.steps[usize::from(task.step)].long_running)
-        };
-        self.workers
-            .get(name)
-            .is_none_or(|seat| seat.runs.keys().all(lasting))
-    }
-
-    /// Whether a worker's instance may be taken down: every step that lasts misses no more
-    /// tasks then than it may, those that are not at work for any cause counted.
-    pub fn may_take_down(&self, name: &WorkerName) -> bool {
-        let Some(seat) = self.workers.get(name) else {
-            return true;
-        };
-        seat.runs.keys().all(|task| {
-            let Some(job) = self.jobs.get(&task.job) else {
-                return true;
-            };
-            let plan = &job.record.plan.steps[usize::from(task.step)];
-            let Some(may_miss) = plan.may_miss.filter(|_| plan.long_running) else {
-                return true;
-            };
-            let Some(step) = job
-                .occurrences
-                .get(&task.occurrence)
-                .and_then(|steps| steps.get(usize::from(task.step)))
-            else {
-                return true;
-            };
-            let away_or_here = |task: &&TaskState| {
-                !task
-                    .runs
-                    .iter()
-                    .any(|run| self.at_work(run) && run.worker != *name)
-            };
-            step.tasks.iter().filter(away_or_here).count() <= may_miss as usize
-        })
-    }
-
-    /// Whether a run is at work, as far as its worker still tells.
-    fn at_work(&self, run: &TaskRun) -> bool {
-        let told = |seat: &WorkerSeat| seat.heard && seat.reachable && !seat.taking_down;
-        run.is_full() && self.workers.get(&run.worker).is_some_and(told)
-    }
-
-    /// Tasks of a task's step that are not at work.
-    fn away(&self, task: &TaskName) -> usize {
-        let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
-        let away = |task: &&TaskState| !task.runs.iter().any(|run| self.at_work(run));
-        step.map_or(0, |step| step.tasks.iter().filter(away).count())
-    }
-
-    /// Stops tasks that last on a worker, so that they go on elsewhere: of each step as many
-    /// as it may miss.
-    pub fn evacuate(&mut self, name: &WorkerName, now_ms: u64) -> Vec<WorkerOrder> {
-        let Some(seat) = self.workers.get(name) else {
-            return Vec::new();
-        };
-        let tasks: Vec<_> = seat.runs.keys().cloned().collect();
-        let mut orders = Vec::new();
-        for task in tasks {
-            let away = self.away(&task);
-            let Some(job) = self.jobs.get_mut(&task.job) else {
-                continue;
-            };
-            let plan = &job.record.plan.steps[usize::from(task.step)];
-            if !plan.long_running {
-                continue;
-            }
-            let may_miss = plan
-                .may_miss
-                .map_or(usize::MAX, |may_miss| may_miss as usize);
-            let Some(state) = job.task_mut(&task) else {
-                continue;
-            };
-            let stoppable = |run: &&mut TaskRun| run.worker == *name && run.is_full();
-            if let Some(run) = state.runs.iter_mut().find(stoppable)
-                && away < may_miss
-            {
-                run.phase = RunPhase::Stopping {
-                    clock_ms: None,
-                    sent_ms: now_ms,
-                };
-                orders.push(stop_order(&task, run));
-            }
-        }
-        orders
-    }
-
-    /// Takes note that a worker's instance is about to be taken down: its tasks count as
-    /// not at work from now on, whatever it still lists.
-    pub fn note_taken_down(&mut self, name: &WorkerName) {
-        if let Some(seat) = self.workers.get_mut(name) {
-            seat.cordoned = true;
-            seat.taking_down = true;
-        }
-    }
-
     /// What each pool's work asks of its workers.
     pub fn pool_loads(&self, now_ms: u64) -> FastMap<PoolName, PoolLoad> {
         let mut loads: FastMap<PoolName, PoolLoad> = FastMap::default();
--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -1,12 +1,16 @@
 //! Which instances move between pools, and which are taken down for maintenance.
 
 use {
-    super::fleet_schedule::{FleetSchedule, PoolLoad, WorkerOrder},
+    super::{
+        fleet_schedule::{FleetSchedule, PoolLoad},
+        maintenance_wave::WaveState,
+        pool_need::wanted_instances,
+        worker_order::WorkerOrder,
+    },
     crate::{
         collections::{FastMap, FastSet},
         names::{InstanceName, PoolName, WorkerName},
     },
-    serde::{Deserialize, Serialize},
 };
 
 /// How long a pool keeps instances for demand that it had, in milliseconds. About half of
@@ -14,9 +18,6 @@
 const DEMAND_MEMORY_MS: u64 = 2_000;
 /// How long a worker has nothing to do before its instance may leave, in milliseconds.
 const IDLE_MS: u64 = 700;
-/// Instances that a pool has beyond those that its present work fills, in hundredths of
-/// these: the room for work that comes while an instance is under way.
-const HEADROOM_PERCENT: u64 = 15;
 /// How long a pool that lacks instances should wait for orders that the platform takes only
 /// so fast, in milliseconds: what can't be ordered within it is kept in the pools instead.
 /// About what a move takes by itself.
@@ -24,16 +25,6 @@
 /// How many times its first size a pool is expected to ask for before it was seen: operators
 /// size pools by their usual load.
 const PEAK_GUESS: usize = 2;
-/// Fewest instances of a pool that is in use, so that one crash leaves room.
-const POOL_MIN: usize = 3;
-/// Part of a wave's time after which it hurries, in hundredths: half of its time is for
-/// instances that have nothing to do at some moment, the other half for all that is left.
-const HURRY_PERCENT: u64 = 50;
-/// Instances of a wave that are emptied at the same time before it hurries.
-const CORDONS_EARLY: usize = 1;
-/// How long a due instance waits for its running tasks to end before they are cut off, in
-/// milliseconds. Longer than most tasks of the users, some two seconds.
-const CORDON_MS: u64 = 2_500;
 /// How long an order for an instance stands before the platform's list is believed over
 /// it, in milliseconds. Longer than the list lags and a move takes.
 const ORDER_MEMORY_MS: u64 = 3_000;
@@ -58,33 +49,6 @@
     pub activity: InstanceActivity,
 }
 
-/// An order to maintain instances.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WaveOrder {
-    /// Its number.
-    pub number: u64,
-    /// The instances.
-    pub instances: Vec<InstanceName>,
-    /// Time for all of them, in milliseconds.
-    pub duration_ms: u64,
-    /// Most that may be down at the same time.
-    pub at_once: usize,
-}
-
-/// A wave of maintenance and how far it is, as recorded.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct WaveProgress {
-    /// The wave's number.
-    pub number: u64,
-    /// Instances whose maintenance has begun.
-    pub begun: Vec<InstanceName>,
-    /// Whether all of it is done.
-    pub completed: bool,
-    /// When it was first seen, in milliseconds since the Unix epoch.
-    pub since_wall_ms: u64,
-}
-
 /// An order for an instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum InstanceOrder {
@@ -105,39 +69,25 @@
 }
 
 #[derive(Debug, Clone)]
-struct InstanceSeat {
-    pool: PoolName,
-    up: bool,
-    worker: Option<WorkerName>,
-    idle_since_ms: Option<u64>,
-    ordered_ms: Option<u64>,
-}
-
-#[derive(Debug, Clone)]
-struct WaveState {
-    number: u64,
-    at_once: usize,
-    due: Vec<InstanceName>,
-    begun: FastMap<InstanceName, u64>,
-    confirmed: FastSet<InstanceName>,
-    back: FastSet<InstanceName>,
-    cordoned: FastMap<InstanceName, u64>,
-    completed: bool,
-    since_wall_ms: u64,
-    hurry_ms: u64,
+pub(super) struct InstanceSeat {
+    pub(super) pool: PoolName,
+    pub(super) up: bool,
+    pub(super) worker: Option<WorkerName>,
+    pub(super) idle_since_ms: Option<u64>,
+    pub(super) ordered_ms: Option<u64>,
 }
 
 /// Instances, their waves, and what pools need.
 #[derive(Debug, Default)]
 pub struct InstancePlan {
-    instances: FastMap<InstanceName, InstanceSeat>,
-    waves: Vec<WaveState>,
-    spare: Option<PoolName>,
-    wanted: FastMap<PoolName, (usize, u64)>,
-    resting: FastMap<InstanceName, u64>,
-    peaks: FastMap<PoolName, usize>,
-    upkeep_ms: u64,
-    reach: usize,
+    pub(super) instances: FastMap<InstanceName, InstanceSeat>,
+    pub(super) waves: Vec<WaveState>,
+    pub(super) spare: Option<PoolName>,
+    pub(super) wanted: FastMap<PoolName, (usize, u64)>,
+    pub(super) resting: FastMap<InstanceName, u64>,
+    pub(super) peaks: FastMap<PoolName, usize>,
+    pub(super) upkeep_ms: u64,
+    pub(super) reach: usize,
 }
 
 impl InstancePlan {
@@ -203,77 +153,6 @@
         }
     }
 
-    /// Takes in an order for a wave, and what is recorded of it.
-    pub fn take_wave(
-        &mut self,
-        order: WaveOrder,
-        recorded: Option<&WaveProgress>,
-        now_ms: u64,
-        wall_ms: u64,
-    ) {
-        let WaveOrder {
-            number,
-            instances: due,
-            duration_ms,
-            at_once,
-        } = order;
-        if self.waves.iter().any(|wave| wave.number == number) {
-            return;
-        }
-        let since_wall_ms = recorded.map_or(wall_ms, |progress| progress.since_wall_ms);
-        let passed_ms = wall_ms.saturating_sub(since_wall_ms);
-        let hurry_after_ms = duration_ms * HURRY_PERCENT / 100;
-        let begun = recorded.map(|progress| progress.begun.clone());
-        let begun = begun.unwrap_or_default();
-        let confirmed = begun.iter().cloned().collect();
-        let begun = begun.into_iter();
-        self.waves.push(WaveState {
-            number,
-            at_once,
-            due,
-            begun: begun.map(|name| (name, now_ms)).collect(),
-            confirmed,
-            back: FastSet::default(),
-            cordoned: FastMap::default(),
-            completed: recorded.is_some_and(|progress| progress.completed),
-            since_wall_ms,
-            hurry_ms: now_ms + hurry_after_ms.saturating_sub(passed_ms),
-        });
-    }
-
-    /// Takes note that an instance's maintenance began, or may have begun where the order was
-    /// not `confirmed`; only a confirmed one counts as done later.
-    pub fn maintenance_begun(
-        &mut self,
-        instance: &InstanceName,
-        number: u64,
-        confirmed: bool,
-        now_ms: u64,
-    ) {
-        if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
-            wave.begun.insert(instance.clone(), now_ms);
-            if confirmed {
-                wave.confirmed.insert(instance.clone());
-            }
-            wave.cordoned.remove(instance);
-        }
-        if let Some(seat) = self.instances.get_mut(instance) {
-            seat.up = false;
-            seat.worker = None;
-            seat.ordered_ms = Some(now_ms);
-        }
-    }
-
-    /// Takes note that an instance's maintenance surely did not begin, and is due later.
-    pub fn maintenance_refused(&mut self, instance: &InstanceName, number: u64, gone: bool) {
-        if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
-            wave.begun.remove(instance);
-            if gone {
-                wave.due.retain(|due| due != instance);
-            }
-        }
-    }
-
     /// Takes note that an instance was ordered, or may have been ordered, to a pool.
     pub fn moved(&mut self, instance: &InstanceName, pool: &PoolName, now_ms: u64) {
         if let Some(seat) = self.instances.get_mut(instance) {
@@ -290,17 +169,6 @@
         self.instances.get(instance)?.worker.as_ref()
     }
 
-    /// How far a wave is.
-    pub fn progress(&self, number: u64) -> Option<WaveProgress> {
-        let wave = self.waves.iter().find(|wave| wave.number == number)?;
-        Some(WaveProgress {
-            number,
-            begun: wave.confirmed.iter().cloned().collect(),
-            completed: wave.completed,
-            since_wall_ms: wave.since_wall_ms,
-        })
-    }
-
     /// Each pool's instances, how many its work asks for, and what runs and waits there in
     /// cores; one line a pool, for the log.
     pub fn pool_lines(&self, schedule: &FleetSchedule, now_ms: u64) -> Vec<String> {
@@ -324,49 +192,6 @@
         lines.collect()
     }
 
-    /// What holds up the instances of a wave that are still due, one line each, for the log.
-    pub fn held_up(&self, number: u64, schedule: &FleetSchedule) -> Vec<String> {
-        let Some(wave) = self.waves.iter().find(|wave| wave.number == number) else {
-            return Vec::new();
-        };
-        let due = wave
-            .due
-            .iter()
-            .filter(|name| !wave.begun.contains_key(*name));
-        due.map(|name| {
-            let Some(seat) = self.instances.get(name) else {
-                return format!("{name}:not-listed");
-            };
-            if !seat.up {
-                return format!("{name}:away");
-            }
-            let Some(worker) = &seat.worker else {
-                return format!("{name}:no-worker");
-            };
-            let runs = schedule.worker(worker).map_or(0, |seat| seat.runs.len());
-            let missable = schedule.may_take_down(worker);
-            let cordoned = wave.cordoned.contains_key(name);
-            format!("{name}:runs={runs},missable={missable},cordoned={cordoned}")
-        })
-        .collect()
-    }
-
-    /// Waves that have come to their end since the last call.
-    pub fn newly_completed(&mut self) -> Vec<u64> {
-        let mut ended = Vec::new();
-        for wave in &mut self.waves {
-            let done = wave
-                .due
-                .iter()
-                .all(|name| wave.back.contains(name) && wave.confirmed.contains(name));
-            if done && !wave.completed {
-                wave.completed = true;
-                ended.push(wave.number);
-            }
-        }
-        ended
-    }
-
     /// What to order next, of instances and of workers that are emptied. Cordons workers in
     /// the schedule on the way.
     pub fn plan(
@@ -424,82 +249,6 @@
         }
     }
 
-    fn plan_maintenance(
-        &mut self,
-        schedule: &mut FleetSchedule,
-        now_ms: u64,
-    ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
-        let mut orders = Vec::new();
-        let mut stops = Vec::new();
-        for wave in &mut self.waves {
-            if wave.completed {
-                continue;
-            }
-            let down = wave.begun.len() - wave.back.len();
-            let mut room = wave.at_once.saturating_sub(down);
-            let mut due: Vec<_> = wave
-                .due
-                .iter()
-                .filter(|name| !wave.begun.contains_key(*name))
-                .filter(|name| !self.resting.contains_key(*name))
-                .filter_map(|name| {
-                    let seat = self.instances.get(name).filter(|seat| seat.up)?;
-                    let runs = seat
-                        .worker
-                        .as_ref()
-                        .and_then(|worker| schedule.worker(worker));
-                    let runs = runs.map_or(0, |seat| seat.runs.len());
-                    let cordoned = wave.cordoned.contains_key(name);
-                    Some((!cordoned, runs, name.clone(), seat.worker.clone()))
-                })
-                .collect();
-            due.sort();
-            for (_, runs, name, worker) in due {
-                if room == 0 {
-                    break;
-                }
-                let ready = match &worker {
-                    None => runs == 0,
-                    Some(worker) => {
-                        let seat = schedule.worker(worker);
-                        let lasting_only = schedule.runs_only_lasting(worker);
-                        let waited = wave
-                            .cordoned
-                            .get(&name)
-                            .is_some_and(|since| now_ms > since + CORDON_MS);
-                        seat.is_none_or(|seat| seat.reachable)
-                            && schedule.may_take_down(worker)
-                            && (lasting_only || waited)
-                    }
-                };
-                if ready {
-                    room -= 1;
-                    if let Some(worker) = &worker {
-                        schedule.note_taken_down(worker);
-                    }
-                    orders.push(InstanceOrder::Maintain {
-                        instance: name,
-                        wave: wave.number,
-                    });
-                } else if let Some(worker) = &worker {
-                    let most = if now_ms < wave.hurry_ms {
-                        CORDONS_EARLY
-                    } else {
-                        wave.at_once
-                    };
-                    if wave.cordoned.len() < most && !wave.cordoned.contains_key(&name) {
-                        wave.cordoned.insert(name.clone(), now_ms);
-                        schedule.set_cordon(worker, true);
-                    }
-                    if wave.cordoned.contains_key(&name) && !schedule.may_take_down(worker) {
-                        stops.extend(schedule.evacuate(worker, now_ms));
-                    }
-                }
-            }
-        }
-        (orders, stops)
-    }
-
     fn plan_moves(
         &mut self,
         schedule: &FleetSchedule,
@@ -631,22 +380,3 @@
         *left = left.saturating_sub(1);
     }
 }
-
-/// Instances that a pool's work fills, with some headroom.
-fn wanted_instances(load: &PoolLoad) -> usize {
-    let filled = |asked: u64, one: u64| {
-        let asked = asked + asked * HEADROOM_PERCENT / 100;
-        usize::try_from(asked.div_ceil(one.max(1))).unwrap_or(usize::MAX)
-    };
-    let present = load.reserved_milli + load.waiting_milli;
-    let by_processor = filled(present.max(load.arriving_milli), load.worker_milli);
-    let by_memory = filled(load.memory_mb, load.worker_memory_mb);
-    let count = by_processor.max(by_memory).max(load.spread).max(POOL_MIN);
-    // A task that lasts and finds no worker among the open ones needs a further one.
-    let apart = if load.lasting_waiting > 0 {
-        load.open + load.closed + 1
-    } else {
-        0
-    };
-    count.max(apart)
-}
--- /dev/null
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -0,0 +1,269 @@
+//! Waves of maintenance: which due instances are taken down next.
+
+use {
+    super::{
+        fleet_schedule::FleetSchedule,
+        instance_plan::{InstanceOrder, InstancePlan},
+        worker_order::WorkerOrder,
+    },
+    crate::{
+        collections::{FastMap, FastSet},
+        names::InstanceName,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Part of a wave's time after which it hurries, in hundredths: half of its time is for
+/// instances that have nothing to do at some moment, the other half for all that is left.
+const HURRY_PERCENT: u64 = 50;
+
+/// Instances of a wave that are emptied at the same time before it hurries.
+const CORDONS_EARLY: usize = 1;
+
+/// How long a due instance waits for its running tasks to end before they are cut off, in
+/// milliseconds. Longer than most tasks of the users, some two seconds.
+const CORDON_MS: u64 = 2_500;
+
+/// An order to maintain instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveOrder {
+    /// Its number.
+    pub number: u64,
+    /// The instances.
+    pub instances: Vec<InstanceName>,
+    /// Time for all of them, in milliseconds.
+    pub duration_ms: u64,
+    /// Most that may be down at the same time.
+    pub at_once: usize,
+}
+
+/// A wave of maintenance and how far it is, as recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WaveProgress {
+    /// The wave's number.
+    pub number: u64,
+    /// Instances whose maintenance has begun.
+    pub begun: Vec<InstanceName>,
+    /// Whether all of it is done.
+    pub completed: bool,
+    /// When it was first seen, in milliseconds since the Unix epoch.
+    pub since_wall_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct WaveState {
+    pub(super) number: u64,
+    pub(super) at_once: usize,
+    pub(super) due: Vec<InstanceName>,
+    pub(super) begun: FastMap<InstanceName, u64>,
+    pub(super) confirmed: FastSet<InstanceName>,
+    pub(super) back: FastSet<InstanceName>,
+    pub(super) cordoned: FastMap<InstanceName, u64>,
+    pub(super) completed: bool,
+    pub(super) since_wall_ms: u64,
+    pub(super) hurry_ms: u64,
+}
+
+impl InstancePlan {
+    /// Takes in an order for a wave, and what is recorded of it.
+    pub fn take_wave(
+        &mut self,
+        order: WaveOrder,
+        recorded: Option<&WaveProgress>,
+        now_ms: u64,
+        wall_ms: u64,
+    ) {
+        let WaveOrder {
+            number,
+            instances: due,
+            duration_ms,
+            at_once,
+        } = order;
+        if self.waves.iter().any(|wave| wave.number == number) {
+            return;
+        }
+        let since_wall_ms = recorded.map_or(wall_ms, |progress| progress.since_wall_ms);
+        let passed_ms = wall_ms.saturating_sub(since_wall_ms);
+        let hurry_after_ms = duration_ms * HURRY_PERCENT / 100;
+        let begun = recorded.map(|progress| progress.begun.clone());
+        let begun = begun.unwrap_or_default();
+        let confirmed = begun.iter().cloned().collect();
+        let begun = begun.into_iter();
+        self.waves.push(WaveState {
+            number,
+            at_once,
+            due,
+            begun: begun.map(|name| (name, now_ms)).collect(),
+            confirmed,
+            back: FastSet::default(),
+            cordoned: FastMap::default(),
+            completed: recorded.is_some_and(|progress| progress.completed),
+            since_wall_ms,
+            hurry_ms: now_ms + hurry_after_ms.saturating_sub(passed_ms),
+        });
+    }
+
+    /// Takes note that an instance's maintenance began, or may have begun where the order was
+    /// not `confirmed`; only a confirmed one counts as done later.
+    pub fn maintenance_begun(
+        &mut self,
+        instance: &InstanceName,
+        number: u64,
+        confirmed: bool,
+        now_ms: u64,
+    ) {
+        if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
+            wave.begun.insert(instance.clone(), now_ms);
+            if confirmed {
+                wave.confirmed.insert(instance.clone());
+            }
+            wave.cordoned.remove(instance);
+        }
+        if let Some(seat) = self.instances.get_mut(instance) {
+            seat.up = false;
+            seat.worker = None;
+            seat.ordered_ms = Some(now_ms);
+        }
+    }
+
+    /// Takes note that an instance's maintenance surely did not begin, and is due later.
+    pub fn maintenance_refused(&mut self, instance: &InstanceName, number: u64, gone: bool) {
+        if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
+            wave.begun.remove(instance);
+            if gone {
+                wave.due.retain(|due| due != instance);
+            }
+        }
+    }
+
+    /// How far a wave is.
+    pub fn progress(&self, number: u64) -> Option<WaveProgress> {
+        let wave = self.waves.iter().find(|wave| wave.number == number)?;
+        Some(WaveProgress {
+            number,
+            begun: wave.confirmed.iter().cloned().collect(),
+            completed: wave.completed,
+            since_wall_ms: wave.since_wall_ms,
+        })
+    }
+
+    /// What holds up the instances of a wave that are still due, one line each, for the log.
+    pub fn held_up(&self, number: u64, schedule: &FleetSchedule) -> Vec<String> {
+        let Some(wave) = self.waves.iter().find(|wave| wave.number == number) else {
+            return Vec::new();
+        };
+        let due = wave
+            .due
+            .iter()
+            .filter(|name| !wave.begun.contains_key(*name));
+        due.map(|name| {
+            let Some(seat) = self.instances.get(name) else {
+                return format!("{name}:not-listed");
+            };
+            if !seat.up {
+                return format!("{name}:away");
+            }
+            let Some(worker) = &seat.worker else {
+                return format!("{name}:no-worker");
+            };
+            let runs = schedule.worker(worker).map_or(0, |seat| seat.runs.len());
+            let missable = schedule.may_take_down(worker);
+            let cordoned = wave.cordoned.contains_key(name);
+            format!("{name}:runs={runs},missable={missable},cordoned={cordoned}")
+        })
+        .collect()
+    }
+
+    /// Waves that have come to their end since the last call.
+    pub fn newly_completed(&mut self) -> Vec<u64> {
+        let mut ended = Vec::new();
+        for wave in &mut self.waves {
+            let done = wave
+                .due
+                .iter()
+                .all(|name| wave.back.contains(name) && wave.confirmed.contains(name));
+            if done && !wave.completed {
+                wave.completed = true;
+                ended.push(wave.number);
+            }
+        }
+        ended
+    }
+
+    pub(super) fn plan_maintenance(
+        &mut self,
+        schedule: &mut FleetSchedule,
+        now_ms: u64,
+    ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
+        let mut orders = Vec::new();
+        let mut stops = Vec::new();
+        for wave in &mut self.waves {
+            if wave.completed {
+                continue;
+            }
+            let down = wave.begun.len() - wave.back.len();
+            let mut room = wave.at_once.saturating_sub(down);
+            let mut due: Vec<_> = wave
+                .due
+                .iter()
+                .filter(|name| !wave.begun.contains_key(*name))
+                .filter(|name| !self.resting.contains_key(*name))
+                .filter_map(|name| {
+                    let seat = self.instances.get(name).filter(|seat| seat.up)?;
+                    let runs = seat
+                        .worker
+                        .as_ref()
+                        .and_then(|worker| schedule.worker(worker));
+                    let runs = runs.map_or(0, |seat| seat.runs.len());
+                    let cordoned = wave.cordoned.contains_key(name);
+                    Some((!cordoned, runs, name.clone(), seat.worker.clone()))
+                })
+                .collect();
+            due.sort();
+            for (_, runs, name, worker) in due {
+                if room == 0 {
+                    break;
+                }
+                let ready = match &worker {
+                    None => runs == 0,
+                    Some(worker) => {
+                        let seat = schedule.worker(worker);
+                        let lasting_only = schedule.runs_only_lasting(worker);
+                        let waited = wave
+                            .cordoned
+                            .get(&name)
+                            .is_some_and(|since| now_ms > since + CORDON_MS);
+                        seat.is_none_or(|seat| seat.reachable)
+                            && schedule.may_take_down(worker)
+                            && (lasting_only || waited)
+                    }
+                };
+                if ready {
+                    room -= 1;
+                    if let Some(worker) = &worker {
+                        schedule.note_taken_down(worker);
+                    }
+                    orders.push(InstanceOrder::Maintain {
+                        instance: name,
+                        wave: wave.number,
+                    });
+                } else if let Some(worker) = &worker {
+                    let most = if now_ms < wave.hurry_ms {
+                        CORDONS_EARLY
+                    } else {
+                        wave.at_once
+                    };
+                    if wave.cordoned.len() < most && !wave.cordoned.contains_key(&name) {
+                        wave.cordoned.insert(name.clone(), now_ms);
+                        schedule.set_cordon(worker, true);
+                    }
+                    if wave.cordoned.contains_key(&name) && !schedule.may_take_down(worker) {
+                        stops.extend(schedule.evacuate(worker, now_ms));
+                    }
+                }
+            }
+        }
+        (orders, stops)
+    }
+}
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -2,28 +2,33 @@
 
 mod arrival_rate;
 mod fleet_schedule;
+mod held_workers;
 mod instance_plan;
 mod job_order;
 mod job_plan;
 mod job_progress;
 mod live_job;
+mod maintenance_wave;
 mod placement;
+mod pool_need;
 mod queue_table;
 mod run_reports;
 mod task_name;
+mod worker_order;
 mod worker_seat;
+mod worker_takedown;
 
 pub use {
-    fleet_schedule::{FleetSchedule, PoolLoad, ProgressBatch, StartOrder, StopOrder, WorkerOrder},
-    instance_plan::{
-        InstanceActivity, InstanceOrder, InstancePlan, ListedInstance, WaveOrder, WaveProgress,
-    },
+    fleet_schedule::{FleetSchedule, PoolLoad, ProgressBatch},
+    instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
     job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
+    maintenance_wave::{WaveOrder, WaveProgress},
     queue_table::{FrontLimits, PoolRow, QueueRow, QueueTable, RouteFault, TeamRow},
     run_reports::{StartRefusal, StartReply},
     task_name::TaskName,
+    worker_order::{StartOrder, StopOrder, WorkerOrder},
     worker_seat::{
         EndKind, EndedRun, HeldWorker, ListedWorker, LostRuns, RunningRow, WorkerReport, WorkerSeat,
     },
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
-        fleet_schedule::{FleetSchedule, StartOrder, WorkerOrder},
+        fleet_schedule::FleetSchedule,
         job_plan::{Resources, StepPlan},
         live_job::{LiveJob, TaskRun},
         task_name::TaskName,
+        worker_order::{StartOrder, WorkerOrder},
         worker_seat::WorkerSeat,
     },
     crate::names::{JobName, PoolName, WorkerName},
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
-        fleet_schedule::{FleetSchedule, StopOrder, WorkerOrder},
+        fleet_schedule::FleetSchedule,
         job_progress::JobState,
         live_job::{FULLY_AT_WORK, RunPhase, TaskRun},
         task_name::TaskName,
+        worker_order::{StopOrder, WorkerOrder},
         worker_seat::{EndKind, EndedRun, RunningRow, WorkerReport},
     },
     crate::names::WorkerName,
--- /dev/null
+++ b/crates/domain/src/schedule/worker_takedown.rs
@@ -0,0 +1,139 @@
+//! Emptying workers, and taking their instances down within what steps may miss.
+
+use {
+    super::{
+        fleet_schedule::FleetSchedule,
+        live_job::{RunPhase, TaskRun, TaskState},
+        run_reports::stop_order,
+        task_name::TaskName,
+        worker_order::WorkerOrder,
+        worker_seat::WorkerSeat,
+    },
+    crate::names::WorkerName,
+};
+
+/// How long after an order for its instance a worker's removal from the list is taken as
+/// its work, in milliseconds. The list tells within some hundred.
+const TAKEN_DOWN_MS: u64 = 1_500;
+
+impl FleetSchedule {
+    /// Keeps new tasks away from a worker, or no longer.
+    pub fn set_cordon(&mut self, name: &WorkerName, cordoned: bool) {
+        if let Some(seat) = self.workers.get_mut(name) {
+            seat.cordoned = cordoned;
+            seat.taking_down &= cordoned;
+        }
+    }
+
+    /// Takes note that an order for a worker's instance was confirmed. If the order had been
+    /// carried out before, this life of the worker goes on: it is over once it is unlisted.
+    pub fn instance_ordered(&mut self, name: &WorkerName, now_ms: u64) {
+        if let Some(seat) = self.workers.get_mut(name) {
+            seat.taken_down_until_ms = now_ms + TAKEN_DOWN_MS;
+            seat.taking_down = true;
+            seat.cordoned = true;
+        }
+    }
+
+    /// Whether nothing but tasks that last runs on a worker.
+    pub fn runs_only_lasting(&self, name: &WorkerName) -> bool {
+        let lasting = |task: &TaskName| {
+            self.jobs
+                .get(&task.job)
+                .is_some_and(|job| job.record.plan.steps[usize::from(task.step)].long_running)
+        };
+        self.workers
+            .get(name)
+            .is_none_or(|seat| seat.runs.keys().all(lasting))
+    }
+
+    /// Whether a worker's instance may be taken down: every step that lasts misses no more
+    /// tasks then than it may, those that are not at work for any cause counted.
+    pub fn may_take_down(&self, name: &WorkerName) -> bool {
+        let Some(seat) = self.workers.get(name) else {
+            return true;
+        };
+        seat.runs.keys().all(|task| {
+            let Some(job) = self.jobs.get(&task.job) else {
+                return true;
+            };
+            let plan = &job.record.plan.steps[usize::from(task.step)];
+            let Some(may_miss) = plan.may_miss.filter(|_| plan.long_running) else {
+                return true;
+            };
+            let Some(step) = job
+                .occurrences
+                .get(&task.occurrence)
+                .and_then(|steps| steps.get(usize::from(task.step)))
+            else {
+                return true;
+            };
+            let away_or_here = |task: &&TaskState| {
+                !task
+                    .runs
+                    .iter()
+                    .any(|run| self.at_work(run) && run.worker != *name)
+            };
+            step.tasks.iter().filter(away_or_here).count() <= may_miss as usize
+        })
+    }
+
+    /// Whether a run is at work, as far as its worker still tells.
+    fn at_work(&self, run: &TaskRun) -> bool {
+        let told = |seat: &WorkerSeat| seat.heard && seat.reachable && !seat.taking_down;
+        run.is_full() && self.workers.get(&run.worker).is_some_and(told)
+    }
+
+    /// Tasks of a task's step that are not at work.
+    fn away(&self, task: &TaskName) -> usize {
+        let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
+        let away = |task: &&TaskState| !task.runs.iter().any(|run| self.at_work(run));
+        step.map_or(0, |step| step.tasks.iter().filter(away).count())
+    }
+
+    /// Stops tasks that last on a worker, so that they go on elsewhere: of each step as many
+    /// as it may miss.
+    pub fn evacuate(&mut self, name: &WorkerName, now_ms: u64) -> Vec<WorkerOrder> {
+        let Some(seat) = self.workers.get(name) else {
+            return Vec::new();
+        };
+        let tasks: Vec<_> = seat.runs.keys().cloned().collect();
+        let mut orders = Vec::new();
+        for task in tasks {
+            let away = self.away(&task);
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let plan = &job.record.plan.steps[usize::from(task.step)];
+            if !plan.long_running {
+                continue;
+            }
+            let may_miss = plan
+                .may_miss
+                .map_or(usize::MAX, |may_miss| may_miss as usize);
+            let Some(state) = job.task_mut(&task) else {
+                continue;
+            };
+            let stoppable = |run: &&mut TaskRun| run.worker == *name && run.is_full();
+            if let Some(run) = state.runs.iter_mut().find(stoppable)
+                && away < may_miss
+            {
+                run.phase = RunPhase::Stopping {
+                    clock_ms: None,
+                    sent_ms: now_ms,
+                };
+                orders.push(stop_order(&task, run));
+            }
+        }
+        orders
+    }
+
+    /// Takes note that a worker's instance is about to be taken down: its tasks count as
+    /// not at work from now on, whatever it still lists.
+    pub fn note_taken_down(&mut self, name: &WorkerName) {
+        if let Some(seat) = self.workers.get_mut(name) {
+            seat.cordoned = true;
+            seat.taking_down = true;
+        }
+    }
+}
