--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -13,6 +13,7 @@
 mod pool_need;
 mod queue_table;
 mod run_reports;
+mod start_answers;
 mod task_name;
 mod worker_order;
 mod worker_seat;
@@ -26,7 +27,7 @@
     job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
     maintenance_wave::{WaveOrder, WaveProgress},
     queue_table::{FrontLimits, PoolRow, QueueRow, QueueTable, RouteFault, TeamRow},
-    run_reports::{StartRefusal, StartReply},
+    start_answers::{StartRefusal, StartReply},
     task_name::TaskName,
     worker_order::{StartOrder, StopOrder, WorkerOrder},
     worker_seat::{
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -20,41 +20,6 @@
 /// ruled out by a stop, in milliseconds. Longer than one look.
 const UNSURE_MS: u64 = 200;
 
-/// How a worker answered an order to start a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StartReply {
-    /// It runs.
-    Started {
-        /// The worker's clock, in milliseconds.
-        clock_ms: u64,
-    },
-    /// It does not run and never will.
-    Refused(StartRefusal),
-    /// No answer came; it may run, now or later.
-    Unknown,
-}
-
-/// Why a worker refused to start a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StartRefusal {
-    /// Another owner has the worker.
-    Fenced,
-    /// A run with this number or a higher one ended there.
-    Outdated,
-    /// The order came after its deadline.
-    Late,
-    /// It has no room.
-    NoRoom,
-    /// The adviser's ticket is not valid.
-    Ticket,
-    /// It does not feel well.
-    Unhealthy,
-    /// It is another life than the one named.
-    OtherLife,
-    /// It could not read the order.
-    Malformed,
-}
-
 /// How long a run's progress, told in hundredths, stays the same before the run counts as
 /// standing still, in milliseconds. Looks are a second apart at most, and the users' tasks
 /// take a second or a few: a run that still works has moved by then, even six times slowed.
@@ -65,53 +30,6 @@
 const ANSWERS_STILL_MS: u64 = 1_000;
 
 impl FleetSchedule {
-    /// Takes in how a worker answered an order to start a task.
-    pub fn start_answered(
-        &mut self,
-        worker: &WorkerName,
-        task: &TaskName,
-        run: u32,
-        reply: StartReply,
-        now_ms: u64,
-    ) {
-        match reply {
-            StartReply::Started { clock_ms } => {
-                if let Some(known) = self.find_run(worker, task, run)
-                    && matches!(known.phase, RunPhase::Ordered | RunPhase::Unsure)
-                {
-                    known.phase = RunPhase::Running { clock_ms };
-                    known.since_ms = now_ms;
-                }
-            }
-            StartReply::Refused(refusal) => {
-                self.release(task, worker, run);
-                if matches!(refusal, StartRefusal::NoRoom | StartRefusal::Unhealthy)
-                    && let Some(seat) = self.workers.get_mut(worker)
-                {
-                    seat.judge(false, now_ms);
-                }
-            }
-            StartReply::Unknown => {
-                if let Some(known) = self.find_run(worker, task, run)
-                    && known.phase == RunPhase::Ordered
-                {
-                    known.phase = RunPhase::Unsure;
-                    known.since_ms = now_ms;
-                }
-                self.worker_silent(worker);
-            }
-        }
-    }
-
-    /// Takes in that a worker confirmed a stop, at this time of its clock.
-    pub fn stop_answered(&mut self, order: &StopOrder, at_ms: u64) {
-        if let Some(run) = self.find_run(&order.worker, &order.task, order.run)
-            && let RunPhase::Stopping { clock_ms, .. } = &mut run.phase
-        {
-            *clock_ms = Some(at_ms);
-        }
-    }
-
     /// Takes in a worker's lists and returns the orders that follow.
     pub fn report(
         &mut self,
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -1,7 +1,7 @@
 //! The schedule and the authority over it.
 
 use {
-    super::{owner_log::OwnerLog, progress_recorder, worker_task},
+    super::{owner_log::OwnerLog, progress_recorder, worker_roster},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
         owner::{AUTHORITY, OWNER_LEASE, OwnerClaim},
@@ -181,7 +181,7 @@
     pub(crate) async fn record_last(&self, node: &SchedulerNode, term: u32) {
         progress_recorder::record_once(node, self).await;
         let held = lock(&self.schedule).held_workers(uptime_ms());
-        if let Err(fault) = worker_task::store_roster(node, self, &held).await {
+        if let Err(fault) = worker_roster::store_roster(node, self, &held).await {
             log_event!(Warn, "roster-not-stored", error = fault);
         }
         let now_ms = uptime_ms();
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -6,6 +6,8 @@
 mod owner_log;
 mod progress_recorder;
 mod takeover;
+mod worker_orders;
+mod worker_roster;
 mod worker_task;
 
 pub(crate) use {leadership::Leadership, takeover::lead};
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -6,7 +6,7 @@
         job_follow::{follow_jobs, take_job_rows},
         leadership::{HandOver, Leadership},
         progress_recorder::record_progress,
-        worker_task::{follow_workers, take_worker_rows, watch_roster},
+        worker_roster::{follow_workers, take_worker_rows, watch_roster},
     },
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
