Split the choice of due instances; one copy of listening and of the wait for the end

Cause: reading the change as a newcomer: plan_maintenance held four jobs; a refused order for an instance that had come back made the count of instances that are down wrong (an underflow in debug builds); listen and the signal wait stood in two programs.

Change: WaveState decides what is due, ready and emptied; process_edge in wire serves both programs. The new case of instance_plan_test plays a refusal after the return.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         fleet_schedule::FleetSchedule,
-        instance_plan::{InstanceOrder, InstancePlan},
+        instance_plan::{InstanceOrder, InstancePlan, InstanceSeat},
         worker_order::WorkerOrder,
     },
     crate::{
         collections::{FastMap, FastSet},
-        names::InstanceName,
+        names::{InstanceName, WorkerName},
     },
     serde::{Deserialize, Serialize},
 };
@@ -86,16 +86,13 @@
         let since_wall_ms = recorded.map_or(wall_ms, |progress| progress.since_wall_ms);
         let passed_ms = wall_ms.saturating_sub(since_wall_ms);
         let hurry_after_ms = duration_ms * HURRY_PERCENT / 100;
-        let begun = recorded.map(|progress| progress.begun.clone());
-        let begun = begun.unwrap_or_default();
-        let confirmed = begun.iter().cloned().collect();
-        let begun = begun.into_iter();
+        let begun = recorded.map_or(&[][..], |progress| &progress.begun);
         self.waves.push(WaveState {
             number,
             at_once,
             due,
-            begun: begun.map(|name| (name, now_ms)).collect(),
-            confirmed,
+            begun: begun.iter().map(|name| (name.clone(), now_ms)).collect(),
+            confirmed: begun.iter().cloned().collect(),
             back: FastSet::default(),
             cordoned: FastMap::default(),
             completed: recorded.is_some_and(|progress| progress.completed),
@@ -131,6 +128,8 @@
     pub fn maintenance_refused(&mut self, instance: &InstanceName, number: u64, gone: bool) {
         if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
             wave.begun.remove(instance);
+            wave.back.remove(instance);
+            wave.cordoned.remove(instance);
             if gone {
                 wave.due.retain(|due| due != instance);
             }
@@ -191,6 +190,7 @@
         ended
     }
 
+    /// What to take down next, and which tasks that last to stop so that more can follow.
     pub(super) fn plan_maintenance(
         &mut self,
         schedule: &mut FleetSchedule,
@@ -198,48 +198,19 @@
     ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
         let mut orders = Vec::new();
         let mut stops = Vec::new();
-        for wave in &mut self.waves {
-            if wave.completed {
-                continue;
-            }
-            let down = wave.begun.len() - wave.back.len();
-            let mut room = wave.at_once.saturating_sub(down);
-            let mut due: Vec<_> = wave
-                .due
-                .iter()
-                .filter(|name| !wave.begun.contains_key(*name))
-                .filter(|name| !self.resting.contains_key(*name))
-                .filter_map(|name| {
-                    let seat = self.instances.get(name).filter(|seat| seat.up)?;
-                    let runs = seat
-                        .worker
-                        .as_ref()
-                        .and_then(|worker| schedule.worker(worker));
-                    let runs = runs.map_or(0, |seat| seat.runs.len());
-                    let cordoned = wave.cordoned.contains_key(name);
-                    Some((!cordoned, runs, name.clone(), seat.worker.clone()))
-                })
-                .collect();
-            due.sort();
-            for (_, runs, name, worker) in due {
+        let Self {
+            waves,
+            instances,
+            resting,
+            ..
+        } = self;
+        for wave in waves.iter_mut().filter(|wave| !wave.completed) {
+            let mut room = wave.at_once.saturating_sub(wave.down());
+            for (name, worker) in wave.due_now(instances, resting, schedule) {
                 if room == 0 {
                     break;
                 }
-                let ready = match &worker {
-                    None => runs == 0,
-                    Some(worker) => {
-                        let seat = schedule.worker(worker);
-                        let lasting_only = schedule.runs_only_lasting(worker);
-                        let waited = wave
-                            .cordoned
-                            .get(&name)
-                            .is_some_and(|since| now_ms > since + CORDON_MS);
-                        seat.is_none_or(|seat| seat.reachable)
-                            && schedule.may_take_down(worker)
-                            && (lasting_only || waited)
-                    }
-                };
-                if ready {
+                if wave.is_ready(&name, worker.as_ref(), schedule, now_ms) {
                     room -= 1;
                     if let Some(worker) = &worker {
                         schedule.note_taken_down(worker);
@@ -249,21 +220,91 @@
                         wave: wave.number,
                     });
                 } else if let Some(worker) = &worker {
-                    let most = if now_ms < wave.hurry_ms {
-                        CORDONS_EARLY
-                    } else {
-                        wave.at_once
-                    };
-                    if wave.cordoned.len() < most && !wave.cordoned.contains_key(&name) {
-                        wave.cordoned.insert(name.clone(), now_ms);
-                        schedule.set_cordon(worker, true);
-                    }
-                    if wave.cordoned.contains_key(&name) && !schedule.may_take_down(worker) {
-                        stops.extend(schedule.evacuate(worker, now_ms));
-                    }
+                    stops.extend(wave.empty(&name, worker, schedule, now_ms));
                 }
             }
         }
         (orders, stops)
     }
 }
+
+impl WaveState {
+    /// Instances that are down, or may be, for this wave.
+    fn down(&self) -> usize {
+        let begun = self.begun.keys();
+        begun.filter(|name| !self.back.contains(*name)).count()
+    }
+
+    /// Due instances that are up, with their workers: those being emptied first, then those
+    /// with the least to do.
+    fn due_now(
+        &self,
+        instances: &FastMap<InstanceName, InstanceSeat>,
+        resting: &FastMap<InstanceName, u64>,
+        schedule: &FleetSchedule,
+    ) -> Vec<(InstanceName, Option<WorkerName>)> {
+        let mut due: Vec<_> = self
+            .due
+            .iter()
+            .filter(|name| !self.begun.contains_key(*name) && !resting.contains_key(*name))
+            .filter_map(|name| {
+                let seat = instances.get(name).filter(|seat| seat.up)?;
+                let worker = seat.worker.as_ref();
+                let runs = worker.and_then(|worker| schedule.worker(worker));
+                let runs = runs.map_or(0, |seat| seat.runs.len());
+                let emptied = self.cordoned.contains_key(name);
+                Some((!emptied, runs, name.clone(), seat.worker.clone()))
+            })
+            .collect();
+        due.sort();
+        let due = due.into_iter();
+        due.map(|(_, _, name, worker)| (name, worker)).collect()
+    }
+
+    /// Whether an instance may be taken down now: nothing but tasks that may be missed runs
+    /// there, or the others had their time to end.
+    fn is_ready(
+        &self,
+        name: &InstanceName,
+        worker: Option<&WorkerName>,
+        schedule: &FleetSchedule,
+        now_ms: u64,
+    ) -> bool {
+        let Some(worker) = worker else {
+            return true;
+        };
+        let reachable = schedule.worker(worker).is_none_or(|seat| seat.reachable);
+        let since = self.cordoned.get(name);
+        let waited = since.is_some_and(|since| now_ms > since + CORDON_MS);
+        reachable
+            && schedule.may_take_down(worker)
+            && (waited || schedule.runs_only_lasting(worker))
+    }
+
+    /// Keeps new tasks away from an instance's worker, if not too many are being emptied, and
+    /// stops tasks that last there, as far as they may be missed.
+    fn empty(
+        &mut self,
+        name: &InstanceName,
+        worker: &WorkerName,
+        schedule: &mut FleetSchedule,
+        now_ms: u64,
+    ) -> Vec<WorkerOrder> {
+        let most = if now_ms < self.hurry_ms {
+            CORDONS_EARLY
+        } else {
+            self.at_once
+        };
+        if !self.cordoned.contains_key(name) {
+            if self.cordoned.len() >= most {
+                return Vec::new();
+            }
+            self.cordoned.insert(name.clone(), now_ms);
+            schedule.set_cordon(worker, true);
+        }
+        if schedule.may_take_down(worker) {
+            return Vec::new();
+        }
+        schedule.evacuate(worker, now_ms)
+    }
+}
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -496,3 +496,34 @@
     confirmed_orders_end_it(false);
     lost_answers_do_not(true);
 }
+
+/// An instance whose order was refused after it came back is due again, and the count of
+/// those that are down stays right.
+fn refused_after_return(refused: bool) {
+    let mut stage = FleetStage::new(2, 0);
+    stage.hear(&[]);
+    stage
+        .plan
+        .take_wave(wave(2, 1), None, stage.now_ms, WALL_MS);
+    for _ in 0..16 {
+        stage.step();
+    }
+    let maintained = stage.maintained;
+    if refused {
+        stage.plan.maintenance_refused(&host_name(0), 1, false);
+    }
+    for _ in 0..60 {
+        stage.step();
+    }
+    assert!(stage.down_most <= 1, "{} down at once", stage.down_most);
+    assert_eq!(
+        stage.maintained,
+        if refused { 3 } else { 2 },
+        "after {maintained}"
+    );
+}
+
+named_cases! { refused_after_return:
+    a_wave_without_refusals(false);
+    a_wave_with_one(true);
+}
--- a/crates/entry/src/cli/launch.rs
+++ b/crates/entry/src/cli/launch.rs
@@ -7,20 +7,18 @@
     },
     crate::{fleet, front, jobs, metrics, node::EntryNode, peers, permits, table, takeover},
     clap::Parser,
-    dotterelshore_wire::{http_server::serve, log_event},
+    dotterelshore_wire::{
+        http_server::serve,
+        log_event,
+        process_edge::{listen, wait_for_end},
+    },
     snafu::{ResultExt, Snafu},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::{TcpListener, TcpSocket, UdpSocket},
-        signal::unix::{SignalKind, signal},
-        sync::watch,
-    },
+    tokio::{net::UdpSocket, sync::watch},
 };
 
 /// How long other entries and callers are given to notice that this one leaves.
 const LEAVE_NOTICE: Duration = Duration::from_millis(300);
-/// Connections waiting to be accepted.
-const BACKLOG: u32 = 1024;
 
 /// Why an entry did not start.
 #[derive(Debug, Snafu)]
@@ -60,8 +58,12 @@
 }
 
 async fn run_entry(settings: EntrySettings) -> Result<(), LaunchFault> {
-    let listener = listen(settings.listen)?;
-    let peer_listener = listen(settings.peer_listen)?;
+    let listener = listen(settings.listen).context(ListenSnafu {
+        address: settings.listen,
+    })?;
+    let peer_listener = listen(settings.peer_listen).context(ListenSnafu {
+        address: settings.peer_listen,
+    })?;
     let socket = UdpSocket::bind(settings.peer_listen)
         .await
         .context(ListenSnafu {
@@ -94,7 +96,7 @@
         },
         closing,
     ));
-    wait_for_signal().await?;
+    wait_for_end().await.context(StartSnafu)?;
     log_event!(
         Info,
         "entry-leaving",
@@ -120,27 +122,3 @@
     );
     Ok(())
 }
-
-fn listen(address: SocketAddr) -> Result<TcpListener, LaunchFault> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()
-    } else {
-        TcpSocket::new_v6()
-    };
-    let socket = socket.context(ListenSnafu { address })?;
-    socket
-        .set_reuseaddr(true)
-        .context(ListenSnafu { address })?;
-    socket.bind(address).context(ListenSnafu { address })?;
-    socket.listen(BACKLOG).context(ListenSnafu { address })
-}
-
-async fn wait_for_signal() -> Result<(), LaunchFault> {
-    let mut terminate = signal(SignalKind::terminate()).context(StartSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).context(StartSnafu)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -13,19 +13,20 @@
     },
     clap::{Parser, Subcommand},
     dotterelshore_platform::{NodeSettings, SettingsFault, read_settings},
-    dotterelshore_wire::{http_server::serve, log_event},
+    dotterelshore_wire::{
+        http_server::serve,
+        log_event,
+        process_edge::{listen, wait_for_end},
+    },
     simplelog::LevelFilter,
     snafu::{ResultExt, Snafu},
     std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
     tokio::{
-        net::{TcpListener, TcpSocket},
         signal::unix::{SignalKind, signal},
         sync::watch,
     },
 };
 
-/// Connections waiting to be accepted.
-const BACKLOG: u32 = 1024;
 /// How long connections are taken after the order to end: the balancer looks once a second
 /// and goes by its second miss.
 const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
@@ -131,10 +132,18 @@
     settings: NodeSettings,
     dropped: crate::log_pipe::DropCount,
 ) -> Result<(), LaunchFault> {
-    let callers = listen(settings.front)?;
-    let balancer = listen(settings.readiness)?;
-    let peer_listener = listen(settings.peers)?;
-    let metrics_listener = listen(settings.metrics)?;
+    let callers = listen(settings.front).context(ListenSnafu {
+        address: settings.front,
+    })?;
+    let balancer = listen(settings.readiness).context(ListenSnafu {
+        address: settings.readiness,
+    })?;
+    let peer_listener = listen(settings.peers).context(ListenSnafu {
+        address: settings.peers,
+    })?;
+    let metrics_listener = listen(settings.metrics).context(ListenSnafu {
+        address: settings.metrics,
+    })?;
     let grace = settings.grace;
     let node = SchedulerNode::new(settings, dropped);
     log_event!(
@@ -159,7 +168,7 @@
         closing,
     ));
     tokio::spawn(reload_on_hangup(Arc::clone(&node)));
-    wait_for_signal().await?;
+    wait_for_end().await.context(StartSnafu)?;
     log_event!(Info, "stopping", node = node.settings.name);
     node.leaving.send_replace(true);
     owner::hand_over(&node).await;
@@ -188,22 +197,3 @@
         }
     }
 }
-
-fn listen(address: SocketAddr) -> Result<TcpListener, LaunchFault> {
-    let socket = TcpSocket::new_v4().context(ListenSnafu { address })?;
-    socket
-        .set_reuseaddr(true)
-        .context(ListenSnafu { address })?;
-    socket.bind(address).context(ListenSnafu { address })?;
-    socket.listen(BACKLOG).context(ListenSnafu { address })
-}
-
-async fn wait_for_signal() -> Result<(), LaunchFault> {
-    let mut terminate = signal(SignalKind::terminate()).context(StartSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).context(StartSnafu)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod platform_link;
 pub mod platform_message;
 pub mod problem_details;
+pub mod process_edge;
 mod reset_connector;
 pub mod store_link;
 pub mod target_message;
