Start a new job only where ownership was sure when it came in

Ruled out: the records of lost workers (the job was new to both).

Change: a job that comes in later than the owner's key surely stands waits until a renewal confirms it; jobs of before are the next owner's older jobs and wait there for unheard workers. The test fails without the rule, by its argument alone: nothing else holds the job back.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -235,7 +235,12 @@
         let age = wall_ms.saturating_sub(record.accepted_ms);
         let name = record.name.clone();
         let pool = record.pool.clone();
-        let mut job = LiveJob::new(Arc::new(record), now_ms.saturating_sub(age), run_base);
+        let mut job = LiveJob::new(
+            Arc::new(record),
+            now_ms.saturating_sub(age),
+            now_ms,
+            run_base,
+        );
         if let Some(progress) = progress {
             job.restore(progress, wall_ms);
         }
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -107,6 +107,7 @@
     pub(super) ended_ms: Option<u64>,
     pub(super) end_recorded: bool,
     pub(super) arrived_ms: u64,
+    pub(super) taken_ms: u64,
     pub(super) from_before: bool,
     pub(super) held_back: bool,
     pub(super) run_base: u32,
@@ -115,7 +116,13 @@
 }
 
 impl LiveJob {
-    pub(super) fn new(record: Arc<JobRecord>, arrived_ms: u64, run_base: u32) -> Self {
+    /// A job that arrived, and was taken in by this owner, at these times.
+    pub(super) fn new(
+        record: Arc<JobRecord>,
+        arrived_ms: u64,
+        taken_ms: u64,
+        run_base: u32,
+    ) -> Self {
         Self {
             record,
             occurrences: BTreeMap::new(),
@@ -124,6 +131,7 @@
             ended_ms: None,
             end_recorded: false,
             arrived_ms,
+            taken_ms,
             from_before: run_base > 0,
             held_back: false,
             run_base,
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -18,8 +18,15 @@
 const MISSES_MAX: usize = 12;
 
 impl FleetSchedule {
-    /// Starts what can start, in the order of the rule, and reserves its room.
-    pub fn plan_starts(&mut self, now_ms: u64, wall_ms: u64) -> Vec<WorkerOrder> {
+    /// Starts what can start, in the order of the rule, and reserves its room. Until
+    /// `sole_until_ms` this surely was the only owner: a job that came in later may be
+    /// started by another one too, and waits until ownership is confirmed again.
+    pub fn plan_starts(
+        &mut self,
+        now_ms: u64,
+        wall_ms: u64,
+        sole_until_ms: u64,
+    ) -> Vec<WorkerOrder> {
         let pools: Vec<_> = self
             .active
             .iter()
@@ -28,7 +35,7 @@
             .collect();
         let mut orders = Vec::new();
         for pool in pools {
-            self.plan_pool(&pool, now_ms, wall_ms, &mut orders);
+            self.plan_pool(&pool, (now_ms, wall_ms), sole_until_ms, &mut orders);
         }
         orders
     }
@@ -36,8 +43,8 @@
     fn plan_pool(
         &mut self,
         pool: &PoolName,
-        now_ms: u64,
-        wall_ms: u64,
+        (now_ms, wall_ms): (u64, u64),
+        sole_until_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) {
         let unseen = self.workers.values().any(|seat| {
@@ -51,6 +58,9 @@
             let Some(job) = self.jobs.get_mut(name) else {
                 continue;
             };
+            if job.taken_ms >= sole_until_ms {
+                continue;
+            }
             job.open_due(wall_ms);
             // What may run unseen starts nowhere else, unless copies are allowed.
             job.held_back = unseen && job.from_before;
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -149,7 +149,7 @@
 
     /// Starts what can start, and reports it as at work.
     fn run(&mut self) {
-        for order in self.schedule.plan_starts(self.now_ms, WALL_MS) {
+        for order in self.schedule.plan_starts(self.now_ms, WALL_MS, u64::MAX) {
             let WorkerOrder::Start(start) = order else {
                 continue;
             };
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -113,7 +113,7 @@
 }
 
 fn starts(schedule: &mut FleetSchedule, now_ms: u64) -> Vec<StartOrder> {
-    let orders = schedule.plan_starts(now_ms, WALL_MS).into_iter();
+    let orders = schedule.plan_starts(now_ms, WALL_MS, u64::MAX).into_iter();
     let starts = orders.filter_map(|order| match order {
         WorkerOrder::Start(start) => Some(start),
         WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
@@ -454,6 +454,24 @@
     it_starts_anew_if_it_is_not(false);
 }
 
+/// A job that came in when another owner may have had the schedule waits until ownership is
+/// confirmed again; one that came in before does not.
+fn doubtful_job_waits(taken_ms: u64, at_once: usize) {
+    let mut schedule = schedule(&["w-1"]);
+    schedule.add_job(job("new", vec![step(1)]), None, 0, taken_ms, WALL_MS);
+    let sole_until_ms = NOW_MS;
+    let now_ms = NOW_MS + 500;
+    let first = schedule.plan_starts(now_ms, WALL_MS, sole_until_ms);
+    assert_eq!(first.len(), at_once, "while in doubt");
+    let confirmed = schedule.plan_starts(now_ms + 10, WALL_MS, now_ms + 1_000);
+    assert_eq!(first.len() + confirmed.len(), 1, "once confirmed");
+}
+
+named_cases! { doubtful_job_waits:
+    a_job_of_before_the_doubt_goes_on(NOW_MS - 1, 1);
+    a_job_of_after_it_waits(NOW_MS + 300, 0);
+}
+
 /// A worker recorded as lost gets nothing new before another record took effect.
 fn lost_worker_waits_for_its_record(recorded: bool) {
     let mut schedule = schedule(&["w-1"]);
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -88,11 +88,11 @@
             && uptime_ms() < self.authority_until_ms.load(Ordering::Relaxed)
     }
 
-    /// Whether the owner's key surely still stands, so that there is no other owner.
-    pub(super) fn is_sole_owner(&self) -> bool {
+    /// Until when the owner's key surely stands, so that there is no other owner.
+    pub(super) fn sole_until_ms(&self) -> u64 {
         let length = |time: Duration| u64::try_from(time.as_millis()).unwrap_or_default();
         let until_ms = self.authority_until_ms.load(Ordering::Relaxed);
-        uptime_ms() + length(AUTHORITY) < until_ms + length(OWNER_LEASE)
+        (until_ms + length(OWNER_LEASE)).saturating_sub(length(AUTHORITY))
     }
 
     /// Whether this process no longer owns the schedule.
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -204,14 +204,15 @@
             continue;
         }
         let now_ms = uptime_ms();
+        let sole_until_ms = leadership.sole_until_ms();
         let orders = {
             let mut schedule = lock(&leadership.schedule);
             let mut orders = if ticked {
-                schedule.tick(now_ms, leadership.is_sole_owner())
+                schedule.tick(now_ms, now_ms < sole_until_ms)
             } else {
                 Vec::new()
             };
-            orders.extend(schedule.plan_starts(now_ms, unix_millis()));
+            orders.extend(schedule.plan_starts(now_ms, unix_millis(), sole_until_ms));
             orders
         };
         leadership.dispatch(orders);
