Send no order that was given up; carry what is unseen through a hand-over

Change: an order is checked against the schedule when it is sent; a hand-over tells how long owners before may still act. Tests: held_up_order of schedule_test fails without the check; seed 211 is a case of soak_test.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// How long runs that earlier owners started may still go on unseen, in milliseconds.
+    pub fn unseen_left_ms(&self, now_ms: u64) -> u64 {
+        self.unseen_until_ms.saturating_sub(now_ms)
+    }
+
     /// Puts the teams' ceilings in force.
     pub fn set_table(&mut self, table: &QueueTable) {
         for (name, row) in &table.teams {
--- a/crates/domain/src/schedule/start_answers.rs
+++ b/crates/domain/src/schedule/start_answers.rs
@@ -2,8 +2,10 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule, live_job::RunPhase, task_name::TaskName,
-        worker_order::StopOrder,
+        fleet_schedule::FleetSchedule,
+        live_job::RunPhase,
+        task_name::TaskName,
+        worker_order::{StartOrder, StopOrder},
     },
     crate::names::WorkerName,
 };
@@ -44,6 +46,20 @@
 }
 
 impl FleetSchedule {
+    /// Whether an order to start a task still stands. One that was held up, as while the
+    /// process was frozen, may have been given up and followed by another elsewhere.
+    pub fn is_ordered(&self, order: &StartOrder) -> bool {
+        let task = self
+            .jobs
+            .get(&order.task.job)
+            .and_then(|job| job.task(&order.task));
+        task.is_some_and(|task| {
+            task.runs.iter().any(|run| {
+                run.run == order.run && run.worker == order.worker && run.phase == RunPhase::Ordered
+            })
+        })
+    }
+
     /// Takes in how a worker answered an order to start a task.
     pub fn start_answered(
         &mut self,
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -275,6 +275,27 @@
     nothing_of_a_new_life(Some(2), 0);
 }
 
+/// An order that was held up until its run was given up no longer stands.
+fn held_up_order(given_up: bool) {
+    let mut schedule = schedule(&["w-1", "w-2"]);
+    add(&mut schedule, job("held-up", vec![step(1)]));
+    let started = starts(&mut schedule, NOW_MS);
+    let order = &started[0];
+    assert!(schedule.grant(&order.worker, NOW_MS), "a lease");
+    let now_ms = NOW_MS + 2 * LEASE_MS;
+    if given_up {
+        schedule.worker_silent(&order.worker);
+        schedule.tick(now_ms, true);
+        assert_eq!(starts(&mut schedule, now_ms).len(), 1, "started elsewhere");
+    }
+    assert_eq!(schedule.is_ordered(order), !given_up);
+}
+
+named_cases! { held_up_order:
+    it_stands_while_its_run_does(false);
+    it_falls_with_its_run(true);
+}
+
 /// A start without an answer is ruled out by a stop before the task starts elsewhere.
 fn unanswered_start(listed_later: bool) {
     let mut schedule = schedule(&["w-1", "w-2"]);
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -34,6 +34,9 @@
     pub(crate) term: u32,
     /// Instances, and how long ago each was ordered, in milliseconds.
     pub(crate) ordered: Vec<(InstanceName, u64)>,
+    /// How long owners before it may still act on workers that it did not hear, with what
+    /// they started there, in milliseconds.
+    pub(crate) unseen_left_ms: u64,
 }
 
 /// The schedule while this process owns it.
@@ -191,7 +194,12 @@
             .map(|(instance, at)| (instance.clone(), now_ms.saturating_sub(*at)))
             .filter(|(_, age)| u128::from(*age) < recent.as_millis())
             .collect();
-        let Ok(value) = serde_json::to_vec(&HandOver { term, ordered }) else {
+        let hand_over = HandOver {
+            term,
+            ordered,
+            unseen_left_ms: lock(&self.schedule).unseen_left_ms(now_ms),
+        };
+        let Ok(value) = serde_json::to_vec(&hand_over) else {
             return;
         };
         let write = KvWrite::default().write(HAND_OVER_KEY, &value, 0);
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -59,7 +59,7 @@
         .hand_over
         .clone()
         .filter(|hand_over| hand_over.term + 1 == claim.term);
-    restore(&node, &leadership, &stored, claim, handed_over.is_some());
+    restore(&node, &leadership, &stored, claim, handed_over.as_ref());
     log_event!(
         Info,
         "schedule-read",
@@ -154,21 +154,17 @@
     leadership: &Leadership,
     stored: &StoredSchedule,
     claim: OwnerClaim,
-    handed_over: bool,
+    handed_over: Option<&HandOver>,
 ) {
     let first = claim.term == 1;
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or_default();
     let now_ms = uptime_ms();
     let lease_ms = millis(WORKER_LEASE.min(node.settings.worker_lease_max));
-    let earlier_owner_ms = if handed_over {
-        0
-    } else {
-        millis(AUTHORITY.saturating_sub(OWNER_LEASE))
-    };
-    let unseen_until_ms = if first {
-        0
-    } else {
-        now_ms + earlier_owner_ms + lease_ms + lease_ms / 50 + UNSEEN_SLACK_MS
+    let lease_left_ms = lease_ms + lease_ms / 50 + UNSEEN_SLACK_MS;
+    let unseen_until_ms = match handed_over {
+        _ if first => 0,
+        Some(handed_over) => now_ms + lease_left_ms.max(handed_over.unseen_left_ms),
+        None => now_ms + millis(AUTHORITY.saturating_sub(OWNER_LEASE)) + lease_left_ms,
     };
     let mut schedule = FleetSchedule::new(OrderRule::default(), lease_ms, unseen_until_ms);
     if let Some(table) = node.table_now() {
--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -81,6 +81,10 @@
     order: &StartOrder,
     reachable: bool,
 ) {
+    if !lock(&leadership.schedule).is_ordered(order) {
+        log_event!(Info, "start-overtaken", task = order.task, run = order.run);
+        return;
+    }
     let lease_until_ms = side.lease_until(node);
     let reply = match lease_until_ms {
         Some(until)
--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -229,10 +229,13 @@
     });
 }
 
+// Seed 211: a frozen owner sent an order that was waiting in it after the task had been
+// started elsewhere.
 named_cases! { soak:
     seed_1(1);
     seed_2(2);
     seed_3(3);
+    seed_211(211);
 }
 
 /// Plays the seeds that the environment names, and tells each that fails.
