--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -229,8 +229,8 @@
     });
 }
 
-// Seed 211: a frozen owner sent an order that was waiting in it after the task had been
-// started elsewhere.
+// Seed 211: an owner frozen for longer than its workers' leases; the emulator's judge once
+// counted a run whose lease had run out as still going on.
 named_cases! { soak:
     seed_1(1);
     seed_2(2);
