Hand over only a schedule that was taken over

The new case of schedule_test fails to compile against the code before, which had no way to tell the two apart.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -102,9 +102,10 @@
         }
     }
 
-    /// How long runs that earlier owners started may still go on unseen, in milliseconds.
-    pub fn unseen_left_ms(&self, now_ms: u64) -> u64 {
-        self.unseen_until_ms.saturating_sub(now_ms)
+    /// How long runs that earlier owners started may still go on unseen, in milliseconds;
+    /// nothing while the schedule was not taken over yet, and so can't be handed over.
+    pub fn unseen_left_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.lease_ms > 0).then(|| self.unseen_until_ms.saturating_sub(now_ms))
     }
 
     /// Puts the teams' ceilings in force.
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -493,6 +493,22 @@
     a_job_of_after_it_waits(NOW_MS + 300, 0);
 }
 
+/// A schedule is handed over only once it was taken over: before, its records would say that
+/// there are no workers on which anything may run.
+fn handed_over(taken_over: bool, left_ms: Option<u64>) {
+    let schedule = if taken_over {
+        FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + 700)
+    } else {
+        FleetSchedule::default()
+    };
+    assert_eq!(schedule.unseen_left_ms(NOW_MS), left_ms);
+}
+
+named_cases! { handed_over:
+    a_schedule_that_was_taken_over(true, Some(700));
+    a_schedule_still_being_read(false, None);
+}
+
 /// A worker recorded as lost gets nothing new before another record took effect.
 fn lost_worker_waits_for_its_record(recorded: bool) {
     let mut schedule = schedule(&["w-1"]);
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -182,12 +182,16 @@
 
     /// Records what is not recorded yet, before the schedule is given away.
     pub(crate) async fn record_last(&self, node: &SchedulerNode, term: u32) {
+        let now_ms = uptime_ms();
+        let Some(unseen_left_ms) = lock(&self.schedule).unseen_left_ms(now_ms) else {
+            log_event!(Info, "nothing-to-hand-over", term = term);
+            return;
+        };
         progress_recorder::record_once(node, self).await;
         let held = lock(&self.schedule).held_workers(uptime_ms());
         if let Err(fault) = worker_roster::store_roster(node, self, &held).await {
             log_event!(Warn, "roster-not-stored", error = fault);
         }
-        let now_ms = uptime_ms();
         let recent = node.settings.instance_lease;
         let ordered = lock(&self.ordered)
             .iter()
@@ -197,7 +201,7 @@
         let hand_over = HandOver {
             term,
             ordered,
-            unseen_left_ms: lock(&self.schedule).unseen_left_ms(now_ms),
+            unseen_left_ms,
         };
         let Ok(value) = serde_json::to_vec(&hand_over) else {
             return;
