Count an instance as down while an order without an answer may be in force

Change: a refusal after a lost answer leaves the instance counted and asks again. The new case of instance_plan_test fails without it. Still open: after a takeover the next owner does not know of an order without an answer.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -124,9 +124,21 @@
         }
     }
 
-    /// Takes note that an instance's maintenance surely did not begin, and is due later.
-    pub fn maintenance_refused(&mut self, instance: &InstanceName, number: u64, gone: bool) {
+    /// Takes note that an order for an instance's maintenance was refused. Tells whether an
+    /// earlier order, whose answer was lost, may be in force: then the instance counts as
+    /// down, which may be why it was refused, and has to be asked for again. Else it is due.
+    pub fn maintenance_refused(
+        &mut self,
+        instance: &InstanceName,
+        number: u64,
+        gone: bool,
+    ) -> bool {
         if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
+            let unanswered =
+                wave.begun.contains_key(instance) && !wave.confirmed.contains(instance);
+            if unanswered && !gone {
+                return true;
+            }
             wave.begun.remove(instance);
             wave.back.remove(instance);
             wave.cordoned.remove(instance);
@@ -134,6 +146,7 @@
                 wave.due.retain(|due| due != instance);
             }
         }
+        false
     }
 
     /// How far a wave is.
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -510,7 +510,8 @@
     }
     let maintained = stage.maintained;
     if refused {
-        stage.plan.maintenance_refused(&host_name(0), 1, false);
+        let open = stage.plan.maintenance_refused(&host_name(0), 1, false);
+        assert!(!open, "it was confirmed");
     }
     for _ in 0..60 {
         stage.step();
@@ -527,3 +528,28 @@
     a_wave_without_refusals(false);
     a_wave_with_one(true);
 }
+
+/// A refusal after an order whose answer was lost frees no place in the wave: the refused
+/// instance may be down by that order.
+fn refused_after_lost_answer(gone: bool, at_work: usize) {
+    let mut stage = FleetStage::new(3, 0);
+    stage.hear(&[]);
+    stage
+        .plan
+        .take_wave(wave(3, 1), None, stage.now_ms, WALL_MS);
+    stage.loses_answers = true;
+    while stage.maintained == 0 {
+        stage.step();
+    }
+    let down = (0..3).find(|host| stage.pools[*host].2.is_some());
+    let down = host_name(down.expect("one is down"));
+    let open = stage.plan.maintenance_refused(&down, 1, gone);
+    assert_eq!(open, !gone, "asked for again");
+    stage.step();
+    assert_eq!(stage.maintained, at_work, "ordered");
+}
+
+named_cases! { refused_after_lost_answer:
+    it_still_counts_as_down(false, 1);
+    one_that_is_gone_does_not(true, 2);
+}
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -233,13 +233,14 @@
             false
         }
         InstanceOrder::Maintain { instance, wave } => {
+            let mut ask_again = matches!(answer, Err(CloudFault::Unsure { .. }));
             if may_be_done {
                 plan.maintenance_begun(instance, *wave, answer.is_ok(), now_ms);
             } else {
                 let gone = matches!(answer, Err(CloudFault::NoInstance));
-                plan.maintenance_refused(instance, *wave, gone);
+                ask_again = plan.maintenance_refused(instance, *wave, gone);
             }
-            if matches!(answer, Err(CloudFault::Unsure { .. })) {
+            if ask_again {
                 open.push(OpenOrder {
                     instance: instance.clone(),
                     wave: *wave,
