--- a/crates/load/tests/whole_path_test.rs
+++ b/crates/load/tests/whole_path_test.rs
@@ -80,7 +80,8 @@
     let report = run_load(&deployment.view(), &plan, EntryChoice::InTurn).await;
     assert_eq!(
         (report.answered, report.wrong, report.lost),
-        (report.sent, 0, 0)
+        (report.sent, 0, 0),
+        "{report:?}"
     );
     let until = tokio::time::Instant::now() + Duration::from_secs(20);
     loop {
