Order instances side by side, at the platform's rate; record maintenance before it is ordered

The log shows one order each 15 ms: orders went out one after another, 64 a second, where the platform takes 215. A plan of a hundred orders was up to 1.5 s old when its last one was sent. Ruled out: the platform's refusals (no 429 in the log), the owner's processor (0.16 of 0.5 cores at most).

Change: each order is a task of its own; the plan gives out no more orders than the platform takes in a second (OrderBudget), and an instance counts as ordered, its worker cordoned, from the plan on. Before an order for maintenance is sent the wave's record names it (asked), so that an owner that takes over counts the instance as down and orders it again, but only where the steps that last can miss it. An unconfirmed instance counts as down until it is confirmed.

New cases in instance_plan_test: the rate, what the next owner knows, no second order over tasks that can't be missed, cordons of planned moves.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -4,6 +4,7 @@
     super::{
         fleet_schedule::{FleetSchedule, PoolLoad},
         maintenance_wave::WaveState,
+        order_budget::OrderBudget,
         pool_need::wanted_instances,
         worker_order::WorkerOrder,
     },
@@ -68,6 +69,15 @@
     },
 }
 
+impl InstanceOrder {
+    /// The instance that it is for.
+    pub fn instance(&self) -> &InstanceName {
+        match self {
+            Self::Move { instance, .. } | Self::Maintain { instance, .. } => instance,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct InstanceSeat {
     pub(super) pool: PoolName,
@@ -75,6 +85,8 @@
     pub(super) worker: Option<WorkerName>,
     pub(super) idle_since_ms: Option<u64>,
     pub(super) ordered_ms: Option<u64>,
+    /// The pool that it leaves by a move that is not confirmed.
+    leaves: Option<PoolName>,
 }
 
 /// Instances, their waves, and what pools need.
@@ -88,6 +100,9 @@
     pub(super) peaks: FastMap<PoolName, usize>,
     pub(super) upkeep_ms: u64,
     pub(super) reach: usize,
+    /// Instances with an order that was sent and not answered yet.
+    pub(super) under_way: FastSet<InstanceName>,
+    budget: OrderBudget,
 }
 
 impl InstancePlan {
@@ -104,6 +119,7 @@
         Self {
             upkeep_ms,
             reach,
+            budget: OrderBudget::new(orders_per_s),
             ..Self::default()
         }
     }
@@ -133,6 +149,7 @@
                     worker: None,
                     idle_since_ms: None,
                     ordered_ms: None,
+                    leaves: None,
                 });
             if seat
                 .ordered_ms
@@ -144,7 +161,11 @@
             seat.up = up;
         }
         for wave in &mut self.waves {
-            for (name, begun_ms) in &wave.begun {
+            let confirmed = wave
+                .begun
+                .iter()
+                .filter(|(name, _)| wave.confirmed.contains(*name));
+            for (name, begun_ms) in confirmed {
                 let up = self.instances.get(name).is_none_or(|seat| seat.up);
                 if up && now_ms >= begun_ms + self.upkeep_ms {
                     wave.back.insert(name.clone());
@@ -153,14 +174,36 @@
         }
     }
 
-    /// Takes note that an instance was ordered, or may have been ordered, to a pool.
+    /// Takes note that an instance was moved to a pool.
     pub fn moved(&mut self, instance: &InstanceName, pool: &PoolName, now_ms: u64) {
+        self.under_way.remove(instance);
         if let Some(seat) = self.instances.get_mut(instance) {
             seat.pool = pool.clone();
             seat.up = false;
             seat.worker = None;
             seat.idle_since_ms = None;
             seat.ordered_ms = Some(now_ms);
+            seat.leaves = None;
+        }
+    }
+
+    /// Takes note that a move got no answer: what the platform lists decides in a while, and
+    /// the worker takes no work until then.
+    pub fn move_unsure(&mut self, instance: &InstanceName, now_ms: u64) {
+        self.under_way.remove(instance);
+        if let Some(seat) = self.instances.get_mut(instance) {
+            seat.ordered_ms = Some(now_ms);
+        }
+    }
+
+    /// Takes note that a move was refused.
+    pub fn move_refused(&mut self, instance: &InstanceName) {
+        self.under_way.remove(instance);
+        if let Some(seat) = self.instances.get_mut(instance)
+            && let Some(left) = seat.leaves.take()
+        {
+            seat.pool = left;
+            seat.ordered_ms = None;
         }
     }
 
@@ -192,8 +235,9 @@
         lines.collect()
     }
 
-    /// What to order next, of instances and of workers that are emptied. Cordons workers in
-    /// the schedule on the way.
+    /// What to order next, of instances and of workers that are emptied: no more than the
+    /// platform takes. Each instance counts as ordered until its order is answered, and its
+    /// worker takes no work.
     pub fn plan(
         &mut self,
         schedule: &mut FleetSchedule,
@@ -201,20 +245,48 @@
     ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
         self.note_idle(schedule, now_ms);
         self.resting.retain(|_, until_ms| now_ms < *until_ms);
-        let (mut orders, stops) = self.plan_maintenance(schedule, now_ms);
-        let taken: FastSet<InstanceName> = orders
-            .iter()
-            .map(|order| match order {
-                InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. } => {
-                    instance.clone()
-                }
-            })
-            .collect();
-        orders.extend(self.plan_moves(schedule, &taken, now_ms));
+        let left = self.budget.left(now_ms);
+        let (mut orders, stops) = self.plan_maintenance(schedule, now_ms, left);
+        self.begin(&mut orders, now_ms);
+        let mut moves = self.plan_moves(schedule, now_ms);
+        self.begin(&mut moves, now_ms);
+        for order in &moves {
+            if let InstanceOrder::Move { instance, pool } = order {
+                self.move_begins(instance, pool, schedule, now_ms);
+            }
+        }
+        orders.extend(moves);
         (orders, stops)
     }
 
-    fn note_idle(&mut self, schedule: &FleetSchedule, now_ms: u64) {
+    /// Keeps as many orders as the platform takes now, and counts them as under way.
+    pub(super) fn begin(&mut self, orders: &mut Vec<InstanceOrder>, now_ms: u64) {
+        orders.truncate(self.budget.left(now_ms));
+        self.budget.take(now_ms, orders.len());
+        let instances = orders.iter().map(|order| order.instance().clone());
+        self.under_way.extend(instances);
+    }
+
+    fn move_begins(
+        &mut self,
+        instance: &InstanceName,
+        pool: &PoolName,
+        schedule: &mut FleetSchedule,
+        now_ms: u64,
+    ) {
+        let Some(seat) = self.instances.get_mut(instance) else {
+            return;
+        };
+        if let Some(worker) = &seat.worker {
+            schedule.note_taken_down(worker);
+        }
+        seat.leaves = Some(std::mem::replace(&mut seat.pool, pool.clone()));
+        seat.up = false;
+        seat.idle_since_ms = None;
+        seat.ordered_ms = Some(now_ms);
+    }
+
+    fn note_idle(&mut self, schedule: &mut FleetSchedule, now_ms: u64) {
         let mut lives: FastMap<InstanceName, (u64, WorkerName, PoolName)> = FastMap::default();
         for seat in schedule.workers() {
             let Some(instance) = &seat.listed.instance else {
@@ -231,6 +303,15 @@
         }
         for (name, seat) in &mut self.instances {
             seat.worker = lives.get(name).map(|(_, worker, _)| worker.clone());
+            let believed = seat
+                .ordered_ms
+                .is_none_or(|at| now_ms >= at + ORDER_MEMORY_MS);
+            if believed && !self.under_way.contains(name) && seat.leaves.take().is_some() {
+                // The move without an answer had its time: a worker that stayed takes work.
+                if let Some(worker) = &seat.worker {
+                    schedule.set_cordon(worker, false);
+                }
+            }
             // A worker that is heard is a newer sign than the list.
             seat.up |= lives.get(name).is_some_and(|(_, worker, pool)| {
                 *pool == seat.pool && schedule.worker(worker).is_some_and(|seat| seat.heard)
@@ -249,12 +330,7 @@
         }
     }
 
-    fn plan_moves(
-        &mut self,
-        schedule: &FleetSchedule,
-        taken: &FastSet<InstanceName>,
-        now_ms: u64,
-    ) -> Vec<InstanceOrder> {
+    fn plan_moves(&mut self, schedule: &FleetSchedule, now_ms: u64) -> Vec<InstanceOrder> {
         let Some(spare) = self.spare.clone() else {
             return Vec::new();
         };
@@ -286,8 +362,8 @@
         }
         // The pool that lacks most comes first.
         lacking.sort_by(|a, b| b.cmp(a));
-        let mut free = self.free_instances(&spare, taken);
-        let idle = self.idle_instances(&spare, taken);
+        let mut free = self.free_instances(&spare);
+        let idle = self.idle_instances(&spare);
         let mut lent = FastSet::default();
         let mut orders = Vec::new();
         for (lack, pool) in lacking {
@@ -345,12 +421,15 @@
         peak.saturating_sub(self.reach).min(equal_part)
     }
 
-    fn free_instances(&self, spare: &PoolName, taken: &FastSet<InstanceName>) -> Vec<InstanceName> {
+    pub(super) fn may_order(&self, instance: &InstanceName) -> bool {
+        !self.under_way.contains(instance) && !self.resting.contains_key(instance)
+    }
+
+    fn free_instances(&self, spare: &PoolName) -> Vec<InstanceName> {
         let mut free: Vec<InstanceName> = self
             .instances
             .iter()
-            .filter(|(name, seat)| seat.up && seat.pool == *spare && !taken.contains(*name))
-            .filter(|(name, _)| !self.resting.contains_key(*name))
+            .filter(|(name, seat)| seat.up && seat.pool == *spare && self.may_order(name))
             .map(|(name, _)| name.clone())
             .collect();
         free.sort();
@@ -358,16 +437,11 @@
     }
 
     /// Idle instances outside the spare pool, those first that have been idle longest.
-    fn idle_instances(
-        &self,
-        spare: &PoolName,
-        taken: &FastSet<InstanceName>,
-    ) -> Vec<(u64, InstanceName, PoolName)> {
+    fn idle_instances(&self, spare: &PoolName) -> Vec<(u64, InstanceName, PoolName)> {
         let mut idle: Vec<(u64, InstanceName, PoolName)> = self
             .instances
             .iter()
-            .filter(|(name, seat)| seat.pool != *spare && !taken.contains(*name))
-            .filter(|(name, _)| !self.resting.contains_key(*name))
+            .filter(|(name, seat)| seat.pool != *spare && self.may_order(name))
             .filter_map(|(name, seat)| Some((seat.idle_since_ms?, name.clone(), seat.pool.clone())))
             .collect();
         idle.sort();
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -45,6 +45,9 @@
     pub number: u64,
     /// Instances whose maintenance has begun.
     pub begun: Vec<InstanceName>,
+    /// Instances whose maintenance was ordered, or is about to be, without an answer yet.
+    #[serde(default)]
+    pub asked: Vec<InstanceName>,
     /// Whether all of it is done.
     pub completed: bool,
     /// When it was first seen, in milliseconds since the Unix epoch.
@@ -58,6 +61,9 @@
     pub(super) due: Vec<InstanceName>,
     pub(super) begun: FastMap<InstanceName, u64>,
     pub(super) confirmed: FastSet<InstanceName>,
+    /// Instances with an order whose answer was lost, or was another owner's: they may be
+    /// down, and are ordered again until there is an answer.
+    pub(super) unanswered: FastSet<InstanceName>,
     pub(super) back: FastSet<InstanceName>,
     pub(super) cordoned: FastMap<InstanceName, u64>,
     pub(super) completed: bool,
@@ -87,12 +93,15 @@
         let passed_ms = wall_ms.saturating_sub(since_wall_ms);
         let hurry_after_ms = duration_ms * HURRY_PERCENT / 100;
         let begun = recorded.map_or(&[][..], |progress| &progress.begun);
+        let asked = recorded.map_or(&[][..], |progress| &progress.asked);
+        let down = begun.iter().chain(asked);
         self.waves.push(WaveState {
             number,
             at_once,
             due,
-            begun: begun.iter().map(|name| (name.clone(), now_ms)).collect(),
+            begun: down.map(|name| (name.clone(), now_ms)).collect(),
             confirmed: begun.iter().cloned().collect(),
+            unanswered: asked.iter().cloned().collect(),
             back: FastSet::default(),
             cordoned: FastMap::default(),
             completed: recorded.is_some_and(|progress| progress.completed),
@@ -110,10 +119,14 @@
         confirmed: bool,
         now_ms: u64,
     ) {
+        self.under_way.remove(instance);
         if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
             wave.begun.insert(instance.clone(), now_ms);
             if confirmed {
                 wave.confirmed.insert(instance.clone());
+                wave.unanswered.remove(instance);
+            } else {
+                wave.unanswered.insert(instance.clone());
             }
             wave.cordoned.remove(instance);
         }
@@ -133,12 +146,12 @@
         number: u64,
         gone: bool,
     ) -> bool {
+        self.under_way.remove(instance);
         if let Some(wave) = self.waves.iter_mut().find(|wave| wave.number == number) {
-            let unanswered =
-                wave.begun.contains_key(instance) && !wave.confirmed.contains(instance);
-            if unanswered && !gone {
+            if wave.unanswered.contains(instance) && !gone {
                 return true;
             }
+            wave.unanswered.remove(instance);
             wave.begun.remove(instance);
             wave.back.remove(instance);
             wave.cordoned.remove(instance);
@@ -155,6 +168,12 @@
         Some(WaveProgress {
             number,
             begun: wave.confirmed.iter().cloned().collect(),
+            asked: wave
+                .begun
+                .keys()
+                .filter(|name| !wave.confirmed.contains(*name))
+                .cloned()
+                .collect(),
             completed: wave.completed,
             since_wall_ms: wave.since_wall_ms,
         })
@@ -203,11 +222,34 @@
         ended
     }
 
-    /// What to take down next, and which tasks that last to stop so that more can follow.
+    /// Orders for maintenance that got no answer, to be sent again: of those instances that
+    /// may be taken down now, should the order not have been carried out before.
+    pub fn ask_again(&mut self, schedule: &FleetSchedule, now_ms: u64) -> Vec<InstanceOrder> {
+        let mut orders = Vec::new();
+        for wave in &self.waves {
+            for instance in &wave.unanswered {
+                let worker = self.worker_of(instance);
+                if self.may_order(instance)
+                    && worker.is_none_or(|worker| schedule.may_take_down(worker))
+                {
+                    orders.push(InstanceOrder::Maintain {
+                        instance: instance.clone(),
+                        wave: wave.number,
+                    });
+                }
+            }
+        }
+        self.begin(&mut orders, now_ms);
+        orders
+    }
+
+    /// What to take down next, no more than `most`, and which tasks that last to stop so that
+    /// more can follow.
     pub(super) fn plan_maintenance(
         &mut self,
         schedule: &mut FleetSchedule,
         now_ms: u64,
+        most: usize,
     ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
         let mut orders = Vec::new();
         let mut stops = Vec::new();
@@ -215,19 +257,24 @@
             waves,
             instances,
             resting,
+            under_way,
             ..
         } = self;
         for wave in waves.iter_mut().filter(|wave| !wave.completed) {
             let mut room = wave.at_once.saturating_sub(wave.down());
-            for (name, worker) in wave.due_now(instances, resting, schedule) {
+            for (name, worker) in wave.due_now(instances, resting, under_way, schedule) {
                 if room == 0 {
                     break;
                 }
                 if wave.is_ready(&name, worker.as_ref(), schedule, now_ms) {
+                    if orders.len() >= most {
+                        break;
+                    }
                     room -= 1;
                     if let Some(worker) = &worker {
                         schedule.note_taken_down(worker);
                     }
+                    wave.begun.insert(name.clone(), now_ms);
                     orders.push(InstanceOrder::Maintain {
                         instance: name,
                         wave: wave.number,
@@ -254,12 +301,14 @@
         &self,
         instances: &FastMap<InstanceName, InstanceSeat>,
         resting: &FastMap<InstanceName, u64>,
+        under_way: &FastSet<InstanceName>,
         schedule: &FleetSchedule,
     ) -> Vec<(InstanceName, Option<WorkerName>)> {
         let mut due: Vec<_> = self
             .due
             .iter()
             .filter(|name| !self.begun.contains_key(*name) && !resting.contains_key(*name))
+            .filter(|name| !under_way.contains(*name))
             .filter_map(|name| {
                 let seat = instances.get(name).filter(|seat| seat.up)?;
                 let worker = seat.worker.as_ref();
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -9,6 +9,7 @@
 mod job_progress;
 mod live_job;
 mod maintenance_wave;
+mod order_budget;
 mod placement;
 mod pool_need;
 mod queue_table;
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -553,3 +553,155 @@
     it_still_counts_as_down(false, 1);
     one_that_is_gone_does_not(true, 2);
 }
+
+/// A peak asks for many instances: they are ordered together, and in no second more than the
+/// platform takes.
+fn orders_keep_the_rate(orders_per_s: f64, most_in_a_second: usize, least_in_all: usize) {
+    let mut stage = FleetStage::with_orders(3, 60, orders_per_s);
+    stage.hear(&[]);
+    stage
+        .schedule
+        .add_job(job("peak", step(100, 32_000)), None, 0, NOW_MS, WALL_MS);
+    let mut sent: Vec<(u64, usize)> = Vec::new();
+    for _ in 0..10 {
+        let orders = stage.step().len();
+        sent.push((stage.now_ms, orders));
+        let second: usize = sent
+            .iter()
+            .filter(|(at, _)| at + 1_000 > stage.now_ms)
+            .map(|(_, count)| count)
+            .sum();
+        assert!(second <= most_in_a_second, "{second} orders in a second");
+    }
+    let all: usize = sent.iter().map(|(_, count)| count).sum();
+    assert!(all >= least_in_all, "{all} orders");
+    assert!(
+        sent[0].1 >= most_in_a_second.min(least_in_all) / 2,
+        "{sent:?}"
+    );
+}
+
+named_cases! { orders_keep_the_rate:
+    ten_a_second(10.0, 10, 19);
+    all_that_is_lacking_at_once(200.0, 200, 50);
+}
+
+/// An order without an answer is known to the next owner: the instance counts as down, and is
+/// ordered again once the steps that last can miss it.
+fn next_owner_knows_what_was_asked(answered: bool) {
+    let mut stage = FleetStage::new(3, 0);
+    stage.hear(&[]);
+    stage
+        .plan
+        .take_wave(wave(3, 1), None, stage.now_ms, WALL_MS);
+    let (orders, _) = stage.plan.plan(&mut stage.schedule, stage.now_ms);
+    let [InstanceOrder::Maintain { instance, .. }] = &orders[..] else {
+        panic!("one order for maintenance, not {orders:?}");
+    };
+    if answered {
+        stage
+            .plan
+            .maintenance_begun(instance, 1, true, stage.now_ms);
+    }
+    let recorded = stage.plan.progress(1).expect("the wave");
+    assert_eq!(recorded.asked.contains(instance), !answered, "recorded");
+
+    let mut next = FleetStage::new(3, 0);
+    next.hear(&[]);
+    next.plan
+        .take_wave(wave(3, 1), Some(&recorded), next.now_ms, WALL_MS);
+    next.list();
+    let (orders, _) = next.plan.plan(&mut next.schedule, next.now_ms);
+    assert_eq!(orders, Vec::new(), "one is down, or may be");
+    next.now_ms += UPKEEP_MS * 2;
+    next.list();
+    let again = next.plan.ask_again(&next.schedule, next.now_ms);
+    assert_eq!(again.len(), usize::from(!answered));
+    assert!(again.iter().all(|order| order.instance() == instance));
+    let twice = next.plan.ask_again(&next.schedule, next.now_ms);
+    assert_eq!(twice, Vec::new(), "it is under way");
+    let (orders, _) = next.plan.plan(&mut next.schedule, next.now_ms);
+    assert_eq!(orders.len(), usize::from(answered), "the next one");
+}
+
+named_cases! { next_owner_knows_what_was_asked:
+    an_order_without_an_answer(false);
+    an_order_with_one(true);
+}
+
+/// An instance whose maintenance may not have been carried out is not taken down over tasks
+/// that can't be missed.
+fn asked_again_only_where_missable(others_at_work: bool) {
+    let mut stage = FleetStage::new(2, 0);
+    stage.hear(&[]);
+    let lasting = StepPlan {
+        long_running: true,
+        may_miss: Some(1),
+        anti_affinity: Some(1),
+        ..step(2, 2_000)
+    };
+    stage
+        .schedule
+        .add_job(job("lasts", lasting), None, 0, NOW_MS, WALL_MS);
+    stage.run();
+    if others_at_work {
+        stage.hear(&[]);
+    }
+    let asked = WaveProgress {
+        number: 1,
+        begun: Vec::new(),
+        asked: vec![host_name(0)],
+        completed: false,
+        since_wall_ms: WALL_MS,
+    };
+    stage
+        .plan
+        .take_wave(wave(2, 1), Some(&asked), stage.now_ms, WALL_MS);
+    stage.plan.plan(&mut stage.schedule, stage.now_ms);
+    let again = stage.plan.ask_again(&stage.schedule, stage.now_ms);
+    assert_eq!(again.len(), usize::from(others_at_work));
+}
+
+named_cases! { asked_again_only_where_missable:
+    the_other_task_is_at_work(true);
+    the_other_task_is_not_at_work_yet(false);
+}
+
+/// A worker takes no work from the moment its instance's move is planned; it does again after
+/// the move was refused, or a while after a move without an answer left it where it was.
+fn planned_move_keeps_work_away(refused: bool, wait_ms: u64, takes_work: bool) {
+    let mut stage = FleetStage::new(5, 0);
+    stage.hear(&[]);
+    let order = loop {
+        stage.now_ms += STEP_MS;
+        stage.list();
+        let (orders, _) = stage.plan.plan(&mut stage.schedule, stage.now_ms);
+        if let Some(order) = orders.first() {
+            break order.clone();
+        }
+    };
+    let host = (0..5).find(|host| host_name(*host) == *order.instance());
+    let worker = worker_name(host.expect("a known host"), 1);
+    let open = |stage: &FleetStage| {
+        let seat = stage.schedule.worker(&worker).expect("it is listed");
+        seat.takes_work(stage.now_ms)
+    };
+    assert!(!open(&stage), "planned");
+    if refused {
+        stage.plan.move_refused(order.instance());
+        stage.schedule.set_cordon(&worker, false);
+    } else {
+        stage.plan.move_unsure(order.instance(), stage.now_ms);
+    }
+    stage.now_ms += wait_ms;
+    stage.list();
+    stage.plan.rest(order.instance(), stage.now_ms + UPKEEP_MS);
+    stage.plan.plan(&mut stage.schedule, stage.now_ms);
+    assert_eq!(open(&stage), takes_work);
+}
+
+named_cases! { planned_move_keeps_work_away:
+    after_a_refusal(true, 0, true);
+    without_an_answer(false, 500, false);
+    a_while_after_no_answer(false, 3_500, true);
+}
--- /dev/null
+++ b/crates/scheduler/src/leading/instance_calls.rs
@@ -0,0 +1,107 @@
+//! Orders for instances on their way to the platform, one task for each.
+
+use {
+    super::leadership::Leadership,
+    crate::node::{lock, uptime_ms},
+    dotterelshore_domain::schedule::{InstanceOrder, InstancePlan},
+    dotterelshore_platform::{CloudFault, CloudLink},
+    dotterelshore_wire::log_event,
+    tokio::task::JoinSet,
+};
+
+/// An order and what the platform answered.
+type AnsweredOrder = (InstanceOrder, u64, Result<(), CloudFault>);
+
+/// Orders that were sent and not answered yet.
+#[derive(Debug)]
+pub(super) struct InstanceCalls {
+    cloud: CloudLink,
+    calls: JoinSet<AnsweredOrder>,
+}
+
+impl InstanceCalls {
+    pub(super) fn new(cloud: CloudLink) -> Self {
+        Self {
+            cloud,
+            calls: JoinSet::new(),
+        }
+    }
+
+    /// Sends an order. The caller has asked whether it still may.
+    pub(super) fn send(&mut self, leadership: &Leadership, order: InstanceOrder) {
+        let token = leadership.token();
+        leadership.note_ordered(order.instance());
+        let cloud = self.cloud.clone();
+        self.calls.spawn(async move {
+            let answer = match &order {
+                InstanceOrder::Move { instance, pool } => {
+                    cloud.move_instance(instance, pool, token).await
+                }
+                InstanceOrder::Maintain { instance, wave } => {
+                    cloud.maintain(instance, *wave, token).await
+                }
+            };
+            (order, token, answer)
+        });
+    }
+
+    /// The next order that was answered, or given up; waits for ever while none is under way.
+    pub(super) async fn next_answered(&mut self) -> AnsweredOrder {
+        loop {
+            match self.calls.join_next().await {
+                Some(Ok(answered)) => return answered,
+                Some(Err(error)) => log_event!(Error, "instance-call-ended", error = error),
+                None => std::future::pending().await,
+            }
+        }
+    }
+}
+
+/// Takes an answer into the plan and the schedule.
+pub(super) fn settle(
+    leadership: &Leadership,
+    plan: &mut InstancePlan,
+    (order, token, answer): AnsweredOrder,
+) {
+    let outcome = match &answer {
+        Ok(()) => "done".to_owned(),
+        Err(fault) => fault.to_string(),
+    };
+    log_event!(
+        Info,
+        "instance-ordered",
+        order = format!("{order:?}"),
+        token = token,
+        outcome = outcome
+    );
+    if answer == Err(CloudFault::Fenced) {
+        leadership.note_fence(token);
+    }
+    let unsure = matches!(answer, Err(CloudFault::Unsure { .. }));
+    let now_ms = uptime_ms();
+    let worker = plan.worker_of(order.instance()).cloned();
+    let mut keeps_cordon = answer.is_ok() || unsure;
+    match &order {
+        InstanceOrder::Move { instance, pool } => match &answer {
+            Ok(()) => plan.moved(instance, pool, now_ms),
+            Err(CloudFault::Unsure { .. }) => plan.move_unsure(instance, now_ms),
+            Err(_) => plan.move_refused(instance),
+        },
+        InstanceOrder::Maintain { instance, wave } => {
+            if answer.is_ok() || unsure {
+                plan.maintenance_begun(instance, *wave, answer.is_ok(), now_ms);
+            } else {
+                let gone = matches!(answer, Err(CloudFault::NoInstance));
+                keeps_cordon = plan.maintenance_refused(instance, *wave, gone);
+            }
+        }
+    }
+    if let Some(worker) = worker {
+        let mut schedule = lock(&leadership.schedule);
+        if answer.is_ok() {
+            schedule.instance_ordered(&worker, now_ms);
+        } else if !keeps_cordon {
+            schedule.set_cordon(&worker, false);
+        }
+    }
+}
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        instance_calls::{InstanceCalls, settle},
         leadership::{HandOver, Leadership},
         takeover::parsed,
     },
@@ -10,12 +11,9 @@
         owner::{OUTLASTS_CLAIM, OwnerClaim},
         store::wave_key,
     },
-    dotterelshore_domain::{
-        names::InstanceName,
-        schedule::{InstanceOrder, InstancePlan, WaveProgress},
-    },
+    dotterelshore_domain::schedule::{InstanceOrder, InstancePlan, WaveProgress},
     dotterelshore_platform::{
-        CLOUD_TIMEOUT, CloudFault, CloudLink, KvFault, KvWrite, encode_wave_status, wave_status_key,
+        CLOUD_TIMEOUT, CloudLink, KvFault, KvWrite, encode_wave_status, wave_status_key,
     },
     dotterelshore_wire::{event_log::unix_millis, log_event},
     std::{
@@ -33,13 +31,6 @@
 /// Time between log lines on what holds up a wave.
 const TELL_PERIOD: Duration = Duration::from_secs(2);
 
-/// An order for maintenance whose answer was lost; it is repeated until it is answered.
-#[derive(Debug)]
-struct OpenOrder {
-    instance: InstanceName,
-    wave: u64,
-}
-
 /// Plans and orders until aborted.
 pub(super) async fn keep_instances(
     node: Arc<SchedulerNode>,
@@ -66,12 +57,20 @@
     for (instance, age_ms) in handed_over.into_iter().flat_map(|handed| handed.ordered) {
         plan.rest(&instance, uptime_ms() + lease_ms.saturating_sub(age_ms));
     }
-    let mut open = Vec::new();
+    let mut calls = InstanceCalls::new(cloud.clone());
+    let mut recorded = true;
     let mut listed_at: Option<Instant> = None;
     let mut told_at = Instant::now();
     let mut ticks = node.timer.every(PLAN_PERIOD);
     loop {
-        ticks.next().await;
+        tokio::select! {
+            answered = calls.next_answered() => {
+                recorded &= !matches!(answered.0, InstanceOrder::Maintain { .. });
+                settle(&leadership, &mut plan, answered);
+                continue;
+            }
+            () = ticks.next() => {}
+        }
         if !leadership.may_order() {
             continue;
         }
@@ -95,27 +94,45 @@
             }
         }
         tell_waves(&node, &leadership, &plan, &mut told_at);
-        repeat_open(&leadership, &cloud, &mut plan, &mut open).await;
         let (orders, stops) = {
+            let now_ms = uptime_ms();
             let mut schedule = lock(&leadership.schedule);
-            plan.plan(&mut schedule, uptime_ms())
+            let mut orders = plan.ask_again(&schedule, now_ms);
+            let (planned, stops) = plan.plan(&mut schedule, now_ms);
+            orders.extend(planned);
+            (orders, stops)
         };
         leadership.dispatch(stops);
-        let mut begun = false;
+        let maintains = |order: &InstanceOrder| matches!(order, InstanceOrder::Maintain { .. });
+        let completed = plan.newly_completed();
+        if orders.iter().any(maintains) || !completed.is_empty() || !recorded {
+            // An owner that takes over has to know what may be down before it is ordered.
+            recorded = store_waves(&node, &leadership, &plan).await;
+        }
         for order in orders {
-            if !leadership.may_order() {
-                break;
+            if leadership.may_order() && (recorded || !maintains(&order)) {
+                calls.send(&leadership, order);
+            } else {
+                withdraw(&leadership, &mut plan, &order);
             }
-            begun |= carry_out(&leadership, &cloud, &mut plan, &mut open, order).await;
         }
-        let completed = if open.is_empty() {
-            plan.newly_completed()
-        } else {
-            Vec::new()
-        };
-        if begun || !completed.is_empty() {
-            store_waves(&node, &leadership, &plan).await;
+    }
+}
+
+/// Takes back an order that was planned and not sent.
+fn withdraw(leadership: &Leadership, plan: &mut InstancePlan, order: &InstanceOrder) {
+    let worker = plan.worker_of(order.instance()).cloned();
+    let may_be_down = match order {
+        InstanceOrder::Move { instance, .. } => {
+            plan.move_refused(instance);
+            false
+        }
+        InstanceOrder::Maintain { instance, wave } => {
+            plan.maintenance_refused(instance, *wave, false)
         }
+    };
+    if let Some(worker) = worker.filter(|_| !may_be_down) {
+        lock(&leadership.schedule).set_cordon(&worker, false);
     }
 }
 
@@ -168,85 +185,9 @@
     }
 }
 
-async fn repeat_open(
-    leadership: &Leadership,
-    cloud: &CloudLink,
-    plan: &mut InstancePlan,
-    open: &mut Vec<OpenOrder>,
-) {
-    for order in std::mem::take(open) {
-        let OpenOrder { instance, wave } = order;
-        let order = InstanceOrder::Maintain { instance, wave };
-        carry_out(leadership, cloud, plan, open, order).await;
-    }
-}
-
-/// Gives one order. Tells whether a maintenance began, or may have begun.
-async fn carry_out(
-    leadership: &Leadership,
-    cloud: &CloudLink,
-    plan: &mut InstancePlan,
-    open: &mut Vec<OpenOrder>,
-    order: InstanceOrder,
-) -> bool {
-    let token = leadership.token();
-    let (InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. }) = &order;
-    leadership.note_ordered(instance);
-    let answer = match &order {
-        InstanceOrder::Move { pool, .. } => cloud.move_instance(instance, pool, token).await,
-        InstanceOrder::Maintain { wave, .. } => cloud.maintain(instance, *wave, token).await,
-    };
-    let outcome = match &answer {
-        Ok(()) => "done".to_owned(),
-        Err(fault) => fault.to_string(),
-    };
-    log_event!(
-        Info,
-        "instance-ordered",
-        order = format!("{order:?}"),
-        token = token,
-        outcome = outcome
-    );
-    if answer == Err(CloudFault::Fenced) {
-        leadership.note_fence(token);
-    }
-    let may_be_done = matches!(answer, Ok(()) | Err(CloudFault::Unsure { .. }));
-    if let Some(worker) = plan.worker_of(instance).cloned() {
-        let mut schedule = lock(&leadership.schedule);
-        if answer.is_ok() {
-            schedule.instance_ordered(&worker, uptime_ms());
-        } else if !may_be_done {
-            schedule.set_cordon(&worker, false);
-        }
-    }
-    let now_ms = uptime_ms();
-    match &order {
-        InstanceOrder::Move { instance, pool } => {
-            if may_be_done {
-                plan.moved(instance, pool, now_ms);
-            }
-            false
-        }
-        InstanceOrder::Maintain { instance, wave } => {
-            let mut ask_again = matches!(answer, Err(CloudFault::Unsure { .. }));
-            if may_be_done {
-                plan.maintenance_begun(instance, *wave, answer.is_ok(), now_ms);
-            } else {
-                let gone = matches!(answer, Err(CloudFault::NoInstance));
-                ask_again = plan.maintenance_refused(instance, *wave, gone);
-            }
-            if ask_again {
-                open.push(OpenOrder {
-                    instance: instance.clone(),
-                    wave: *wave,
-                });
-            }
-            may_be_done
-        }
-    }
-}
-
-async fn store_waves(node: &SchedulerNode, leadership: &Leadership, plan: &InstancePlan) {
+/// Records how far the waves are. Tells whether all of it is recorded.
+async fn store_waves(node: &SchedulerNode, leadership: &Leadership, plan: &InstancePlan) -> bool {
+    let mut whole = true;
     let orders = node.waves.borrow().clone();
     for progress in orders
         .iter()
@@ -267,6 +208,8 @@
                 wave = progress.number,
                 error = fault
             );
+            whole = false;
         }
     }
+    whole
 }
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -1,5 +1,6 @@
 //! What the owner of the schedule does: take over, plan, order, record.
 
+mod instance_calls;
 mod instance_task;
 mod job_follow;
 mod leadership;
