--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -115,8 +115,15 @@
     }
 
     /// Takes in a worker's listing. A new life of it, or of its instance, ends all that
-    /// ran before.
-    pub fn upsert_worker(&mut self, listed: ListedWorker) {
+    /// ran before. Tells whether the listing was news.
+    pub fn upsert_worker(&mut self, listed: ListedWorker) -> bool {
+        if self
+            .workers
+            .get(&listed.name)
+            .is_some_and(|seat| seat.present && seat.listed == listed)
+        {
+            return false;
+        }
         let replaced: Vec<_> = self
             .workers
             .values()
@@ -141,6 +148,7 @@
             .or_insert_with(|| WorkerSeat::new(listed.clone(), unseen_until));
         seat.listed = listed;
         seat.present = true;
+        true
     }
 
     /// Takes note that the platform no longer lists a worker. What it runs may go on
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -599,3 +599,18 @@
     a_lasting_run_at_work_goes_on(lasting(1, 1), &[100.0, 100.0, 100.0, 100.0], false);
     a_lasting_run_that_never_begins_is_stopped(lasting(1, 1), &[0.0, 0.0, 0.0, 0.0], true);
 }
+
+/// A worker's heartbeat that says nothing new is told apart from one that does.
+fn listing_is_news(change: fn(&mut ListedWorker), news: bool) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    assert!(schedule.upsert_worker(worker("w-1")), "the first one");
+    let mut next = worker("w-1");
+    change(&mut next);
+    assert_eq!(schedule.upsert_worker(next), news);
+}
+
+named_cases! { listing_is_news:
+    the_same_again(|_| {}, false);
+    it_drains(|listed| listed.draining = true, true);
+    another_life(|listed| listed.born_ms += 1, true);
+}
--- a/crates/scheduler/src/leading/owner_log.rs
+++ b/crates/scheduler/src/leading/owner_log.rs
@@ -4,7 +4,7 @@
 use {
     super::leadership::Leadership,
     crate::{
-        node::SchedulerNode,
+        node::{SchedulerNode, uptime_ms},
         store::{OWNER_KEY, OWNER_WRITES_KEY},
     },
     dotterelshore_platform::{KvFault, KvWrite},
@@ -12,6 +12,10 @@
     tokio::sync::Mutex as AsyncMutex,
 };
 
+/// Time for a write, in milliseconds, beyond which it is logged: what the store takes when it
+/// is slow, and half of what a caller's objective allows for all.
+const SLOW_MS: u64 = 250;
+
 /// The chain of the owner's writes. Each expects the revision that the one before left at
 /// [`OWNER_WRITES_KEY`], and the owner's key.
 #[derive(Debug, Default)]
@@ -32,7 +36,30 @@
         leadership: &Leadership,
         write: KvWrite,
     ) -> Result<(), KvFault> {
+        let asked_ms = uptime_ms();
         let mut last = self.last.lock().await;
+        let begun_ms = uptime_ms();
+        let answer = self.commit_next(node, leadership, write, &mut last).await;
+        let ended_ms = uptime_ms();
+        if ended_ms > asked_ms + SLOW_MS {
+            log_event!(
+                Info,
+                "owner-write-slow",
+                waited_ms = begun_ms.saturating_sub(asked_ms),
+                took_ms = ended_ms.saturating_sub(begun_ms),
+                done = answer.is_ok()
+            );
+        }
+        answer
+    }
+
+    async fn commit_next(
+        &self,
+        node: &SchedulerNode,
+        leadership: &Leadership,
+        write: KvWrite,
+        last: &mut Option<u64>,
+    ) -> Result<(), KvFault> {
         let revision = match *last {
             Some(revision) => revision,
             None => read_revision(node).await?,
--- a/crates/scheduler/src/leading/worker_roster.rs
+++ b/crates/scheduler/src/leading/worker_roster.rs
@@ -68,6 +68,9 @@
                 FollowStep::Whole(rows) => take_worker_rows(&mut schedule, &rows),
                 FollowStep::Change(WatchEvent::Written(row)) => {
                     if let Some(worker) = read_worker(&row) {
+                        if !schedule.upsert_worker(worker.clone()) {
+                            return;
+                        }
                         log_event!(
                             Info,
                             "worker-listed",
@@ -76,7 +79,6 @@
                             born = worker.born_ms,
                             draining = worker.draining
                         );
-                        schedule.upsert_worker(worker);
                         leadership.roster.notify_one();
                     } else if let Some(name) = worker_of_key(&row.key) {
                         schedule.unlist_worker(&name, uptime_ms());
