Record orders for instances before they are sent; a new owner orders at once

Change: orders are recorded in the owner's chain of writes before they are sent, with the progress of waves, so that only an owner can record and the next one reads which instances may have an order under way. Those rest for the users' lease_ms and the length of a call; all others are ordered at once. The hand-over no longer carries instances, and only waves that changed are written. In an outage of the store no instance is ordered.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -165,15 +165,16 @@
     /// How far a wave is.
     pub fn progress(&self, number: u64) -> Option<WaveProgress> {
         let wave = self.waves.iter().find(|wave| wave.number == number)?;
+        let sorted = |names: &mut dyn Iterator<Item = &InstanceName>| {
+            let mut names: Vec<_> = names.cloned().collect();
+            names.sort();
+            names
+        };
+        let open = |name: &&InstanceName| !wave.confirmed.contains(*name);
         Some(WaveProgress {
             number,
-            begun: wave.confirmed.iter().cloned().collect(),
-            asked: wave
-                .begun
-                .keys()
-                .filter(|name| !wave.confirmed.contains(*name))
-                .cloned()
-                .collect(),
+            begun: sorted(&mut wave.confirmed.iter()),
+            asked: sorted(&mut wave.begun.keys().filter(open)),
             completed: wave.completed,
             since_wall_ms: wave.since_wall_ms,
         })
@@ -206,8 +207,9 @@
         .collect()
     }
 
-    /// Waves that have come to their end since the last call.
-    pub fn newly_completed(&mut self) -> Vec<u64> {
+    /// Takes note of waves that have come to their end, and returns those that have since the
+    /// last call.
+    pub fn complete_waves(&mut self) -> Vec<u64> {
         let mut ended = Vec::new();
         for wave in &mut self.waves {
             let done = wave
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -323,7 +323,7 @@
     }
     assert!(stage.schedule.state(&name).is_some(), "the job is known");
     assert_eq!(stage.maintained, 6, "each instance once");
-    assert_eq!(stage.plan.newly_completed(), vec![1]);
+    assert_eq!(stage.plan.complete_waves(), vec![1]);
     let progress: WaveProgress = stage.plan.progress(1).expect("the wave");
     assert_eq!(progress.begun.len(), 6);
 }
@@ -487,7 +487,7 @@
     }
     assert_eq!(stage.maintained, 4, "ordered");
     assert!(stage.down_most <= 4, "at once");
-    assert_eq!(stage.plan.newly_completed().is_empty(), loses_answers);
+    assert_eq!(stage.plan.complete_waves().is_empty(), loses_answers);
     let recorded = stage.plan.progress(1).expect("the wave").begun.len();
     assert_eq!(recorded, if loses_answers { 0 } else { 4 });
 }
@@ -595,7 +595,7 @@
         .plan
         .take_wave(wave(3, 1), None, stage.now_ms, WALL_MS);
     let (orders, _) = stage.plan.plan(&mut stage.schedule, stage.now_ms);
-    let [InstanceOrder::Maintain { instance, .. }] = &orders[..] else {
+    let [InstanceOrder::Maintain { instance, .. }] = &*orders else {
         panic!("one order for maintenance, not {orders:?}");
     };
     if answered {
--- a/crates/scheduler/src/leading/instance_calls.rs
+++ b/crates/scheduler/src/leading/instance_calls.rs
@@ -30,7 +30,6 @@
     /// Sends an order. The caller has asked whether it still may.
     pub(super) fn send(&mut self, leadership: &Leadership, order: InstanceOrder) {
         let token = leadership.token();
-        leadership.note_ordered(order.instance());
         let cloud = self.cloud.clone();
         self.calls.spawn(async move {
             let answer = match &order {
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -3,18 +3,20 @@
 use {
     super::{
         instance_calls::{InstanceCalls, settle},
-        leadership::{HandOver, Leadership},
+        leadership::Leadership,
+        order_record::OrderRecord,
         takeover::parsed,
     },
     crate::{
         node::{SchedulerNode, lock, millis, uptime_ms},
-        owner::{OUTLASTS_CLAIM, OwnerClaim},
+        owner::OwnerClaim,
         store::wave_key,
     },
-    dotterelshore_domain::schedule::{InstanceOrder, InstancePlan, WaveProgress},
-    dotterelshore_platform::{
-        CLOUD_TIMEOUT, CloudLink, KvFault, KvWrite, encode_wave_status, wave_status_key,
+    dotterelshore_domain::{
+        names::InstanceName,
+        schedule::{InstanceOrder, InstancePlan, WaveProgress},
     },
+    dotterelshore_platform::{CLOUD_TIMEOUT, CloudLink, KvFault},
     dotterelshore_wire::{event_log::unix_millis, log_event},
     std::{
         sync::Arc,
@@ -26,8 +28,8 @@
 const PLAN_PERIOD: Duration = Duration::from_millis(150);
 /// Time between readings of the platform's list while nothing is under way.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
-/// Added to the wait for an earlier owner's orders, for clocks and links.
-const ORDER_SLACK: Duration = Duration::from_millis(300);
+/// Time that an order of an earlier owner may be under way, with some slack for clocks.
+const EARLIER_ORDERS: Duration = CLOUD_TIMEOUT.saturating_add(Duration::from_millis(300));
 /// Time between log lines on what holds up a wave.
 const TELL_PERIOD: Duration = Duration::from_secs(2);
 
@@ -36,36 +38,29 @@
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
     claim: OwnerClaim,
-    handed_over: Option<HandOver>,
+    ordered: Vec<InstanceName>,
 ) {
     let Some(authority) = node.settings.cloud.clone() else {
         log_event!(Info, "no-interface-to-instances");
         return;
     };
-    if claim.term > 1 && handed_over.is_none() {
-        // An earlier owner orders until its authority ends, and an order of it may be under
-        // way for the length of a call.
-        let earlier = OUTLASTS_CLAIM + CLOUD_TIMEOUT + ORDER_SLACK;
-        let since_claim = Duration::from_millis(uptime_ms().saturating_sub(claim.sent_ms));
-        let wait = node.settings.instance_lease.max(earlier);
-        tokio::time::sleep(wait.saturating_sub(since_claim)).await;
-    }
     let cloud = CloudLink::new(authority, node.settings.name.to_string());
     let upkeep_ms = millis(node.settings.upkeep);
     let mut plan = InstancePlan::new(upkeep_ms, node.settings.instance_orders_per_s);
-    let lease_ms = millis(node.settings.instance_lease);
-    for (instance, age_ms) in handed_over.into_iter().flat_map(|handed| handed.ordered) {
-        plan.rest(&instance, uptime_ms() + lease_ms.saturating_sub(age_ms));
+    // Earlier owners' orders were recorded before they were sent, and only an owner can
+    // record: what they may still have under way is for these instances.
+    let rest_until_ms = claim.sent_ms + millis(node.settings.instance_lease + EARLIER_ORDERS);
+    for instance in ordered {
+        plan.rest(&instance, rest_until_ms);
     }
     let mut calls = InstanceCalls::new(cloud.clone());
-    let mut recorded = true;
+    let mut record = OrderRecord::default();
     let mut listed_at: Option<Instant> = None;
     let mut told_at = Instant::now();
     let mut ticks = node.timer.every(PLAN_PERIOD);
     loop {
         tokio::select! {
             answered = calls.next_answered() => {
-                recorded &= !matches!(answered.0, InstanceOrder::Maintain { .. });
                 settle(&leadership, &mut plan, answered);
                 continue;
             }
@@ -79,7 +74,7 @@
             spare.map(|row| row.name.clone())
         });
         plan.set_spare(spare);
-        take_waves(&node, &leadership, &mut plan).await;
+        take_waves(&node, &mut plan).await;
         if listed_at.is_none_or(|at| at.elapsed() >= LIST_PERIOD) {
             match cloud.instances().await {
                 Ok(list) => {
@@ -103,14 +98,10 @@
             (orders, stops)
         };
         leadership.dispatch(stops);
-        let maintains = |order: &InstanceOrder| matches!(order, InstanceOrder::Maintain { .. });
-        let completed = plan.newly_completed();
-        if orders.iter().any(maintains) || !completed.is_empty() || !recorded {
-            // An owner that takes over has to know what may be down before it is ordered.
-            recorded = store_waves(&node, &leadership, &plan).await;
-        }
+        plan.complete_waves();
+        let recorded = record.store(&node, &leadership, &plan, &orders).await;
         for order in orders {
-            if leadership.may_order() && (recorded || !maintains(&order)) {
+            if recorded && leadership.may_order() {
                 calls.send(&leadership, order);
             } else {
                 withdraw(&leadership, &mut plan, &order);
@@ -136,7 +127,7 @@
     }
 }
 
-async fn take_waves(node: &SchedulerNode, leadership: &Leadership, plan: &mut InstancePlan) {
+async fn take_waves(node: &SchedulerNode, plan: &mut InstancePlan) {
     let orders = node.waves.borrow().clone();
     for order in orders {
         if plan.progress(order.number).is_some() {
@@ -151,9 +142,6 @@
             }
         };
         plan.take_wave(order, recorded.as_ref(), uptime_ms(), unix_millis());
-        if recorded.is_none() {
-            store_waves(node, leadership, plan).await;
-        }
     }
 }
 
@@ -184,32 +172,3 @@
         }
     }
 }
-
-/// Records how far the waves are. Tells whether all of it is recorded.
-async fn store_waves(node: &SchedulerNode, leadership: &Leadership, plan: &InstancePlan) -> bool {
-    let mut whole = true;
-    let orders = node.waves.borrow().clone();
-    for progress in orders
-        .iter()
-        .filter_map(|order| plan.progress(order.number))
-    {
-        let Ok(value) = serde_json::to_vec(&progress) else {
-            continue;
-        };
-        let status = encode_wave_status(progress.completed);
-        let write = KvWrite::default()
-            .write(wave_key(progress.number), &value, 0)
-            .write(wave_status_key(progress.number), &status, 0);
-        if let Err(fault) = leadership.log.commit(node, leadership, write).await {
-            node.metrics.count_retry("wave-record");
-            log_event!(
-                Info,
-                "wave-not-recorded",
-                wave = progress.number,
-                error = fault
-            );
-            whole = false;
-        }
-    }
-    whole
-}
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -9,7 +9,7 @@
     },
     dotterelshore_domain::{
         collections::FastMap,
-        names::{InstanceName, WorkerName},
+        names::WorkerName,
         schedule::{FleetSchedule, QueueTable, WorkerOrder},
     },
     dotterelshore_platform::KvWrite,
@@ -22,15 +22,12 @@
     tokio::sync::{Notify, mpsc},
 };
 
-/// What an owner that leaves in order tells the next one: that it orders nothing more, and
-/// which instances it ordered lately.
+/// What an owner that leaves in order tells the next one: that it orders nothing more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) struct HandOver {
     /// Its term.
     pub(crate) term: u32,
-    /// Instances, and how long ago each was ordered, in milliseconds.
-    pub(crate) ordered: Vec<(InstanceName, u64)>,
     /// How long owners before it may still act on workers that it did not hear, with what
     /// they started there, in milliseconds.
     pub(crate) unseen_left_ms: u64,
@@ -54,7 +51,6 @@
     ended: AtomicBool,
     fenced: Notify,
     workers: Mutex<FastMap<WorkerName, mpsc::UnboundedSender<WorkerOrder>>>,
-    ordered: Mutex<FastMap<InstanceName, u64>>,
 }
 
 impl Leadership {
@@ -71,7 +67,6 @@
             ended: AtomicBool::new(false),
             fenced: Notify::new(),
             workers: Mutex::new(FastMap::default()),
-            ordered: Mutex::new(FastMap::default()),
         };
         leadership.renewed(claim.sent_ms);
         leadership
@@ -170,11 +165,6 @@
         }
     }
 
-    /// Takes note that an instance is about to be ordered.
-    pub(super) fn note_ordered(&self, instance: &InstanceName) {
-        lock(&self.ordered).insert(instance.clone(), uptime_ms());
-    }
-
     /// Records what is not recorded yet, before the schedule is given away.
     pub(crate) async fn record_last(&self, node: &SchedulerNode, term: u32) {
         let now_ms = uptime_ms();
@@ -187,15 +177,8 @@
         if let Err(fault) = worker_roster::store_roster(node, self, &held).await {
             log_event!(Warn, "roster-not-stored", error = fault);
         }
-        let recent_ms = millis(node.settings.instance_lease);
-        let ordered = lock(&self.ordered)
-            .iter()
-            .map(|(instance, at)| (instance.clone(), now_ms.saturating_sub(*at)))
-            .filter(|(_, age)| *age < recent_ms)
-            .collect();
         let hand_over = HandOver {
             term,
-            ordered,
             unseen_left_ms,
         };
         let Ok(value) = serde_json::to_vec(&hand_over) else {
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -4,6 +4,7 @@
 mod instance_task;
 mod job_follow;
 mod leadership;
+mod order_record;
 mod owner_log;
 mod progress_recorder;
 mod takeover;
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -11,11 +11,11 @@
     crate::{
         node::{SchedulerNode, lock, millis, uptime_ms},
         owner::{OUTLASTS_CLAIM, OwnerClaim},
-        store::{HAND_OVER_KEY, HELD_KEY, JOB_PREFIX, PROGRESS_PREFIX},
+        store::{HAND_OVER_KEY, HELD_KEY, JOB_PREFIX, ORDERED_KEY, PROGRESS_PREFIX},
     },
     dotterelshore_domain::{
         collections::FastMap,
-        names::JobName,
+        names::{InstanceName, JobName},
         schedule::{FleetSchedule, HeldWorker, OrderRule, ProgressRecord},
     },
     dotterelshore_platform::{KeyRow, KvFault, KvPage, WORKER_PREFIX},
@@ -47,6 +47,7 @@
 struct StoredSchedule {
     held: Vec<HeldWorker>,
     hand_over: Option<HandOver>,
+    ordered: Vec<InstanceName>,
     workers: KvPage,
     progress: FastMap<JobName, ProgressRecord>,
     jobs: KvPage,
@@ -87,7 +88,7 @@
     let (n, l) = both();
     tasks.spawn(async move { sweep(n, l).await });
     let (n, l) = both();
-    tasks.spawn(async move { keep_instances(n, l, claim, handed_over).await });
+    tasks.spawn(async move { keep_instances(n, l, claim, stored.ordered).await });
     while let Some(ended) = tasks.join_next().await {
         if let Err(error) = ended {
             log_event!(Error, "leading-task-ended", error = error);
@@ -96,9 +97,10 @@
 }
 
 async fn read_stored(node: &SchedulerNode) -> StoredSchedule {
-    let (held, hand_over, workers, progress, jobs) = tokio::join!(
+    let (held, hand_over, ordered, workers, progress, jobs) = tokio::join!(
         until_read(node, "held", || read_if_there(node, HELD_KEY)),
         until_read(node, "hand-over", || read_if_there(node, HAND_OVER_KEY)),
+        until_read(node, "ordered", || read_if_there(node, ORDERED_KEY)),
         until_read(node, "workers", || node.kv.read_all(WORKER_PREFIX)),
         until_read(node, "progress", || node.kv.read_all(PROGRESS_PREFIX)),
         until_read(node, "jobs", || node.kv.read_all(JOB_PREFIX)),
@@ -111,6 +113,7 @@
     StoredSchedule {
         held: held.unwrap_or_default(),
         hand_over: hand_over.and_then(|row| parsed(&row)),
+        ordered: ordered.and_then(|row| parsed(&row)).unwrap_or_default(),
         workers,
         progress: progress.collect(),
         jobs,
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -14,6 +14,8 @@
 pub(crate) const TERM_KEY: &str = "dotterelshore/term";
 /// What an owner that left in order told the next one.
 pub(crate) const HAND_OVER_KEY: &str = "dotterelshore/hand-over";
+/// Instances that an owner ordered lately, or was about to.
+pub(crate) const ORDERED_KEY: &str = "dotterelshore/ordered";
 /// Rises with each write of an owner, so that they take effect in order.
 pub(crate) const OWNER_WRITES_KEY: &str = "dotterelshore/writes";
 /// Workers on which an owner may have left something running.
