End the lives of workers whose instance has gone on without them

Change: the platform's list of instances tells which life an instance carries. An unlisted worker that is not heard ends at once if its instance moves, is maintained, is in another pool or carries another life; one whose instance is only down is waited for as before. The pools' log lines count the unseen workers.

New cases: replaced_life.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -35,8 +35,10 @@
 pub enum InstanceActivity {
     /// It works, or stands by in the spare pool.
     Up,
-    /// It moves, is maintained, or is down.
+    /// It moves or is maintained: nothing of before runs there.
     Away,
+    /// It is down, or in a state that is not known here.
+    Down,
 }
 
 /// An instance as the platform lists it.
@@ -48,6 +50,8 @@
     pub pool: PoolName,
     /// What it is doing.
     pub activity: InstanceActivity,
+    /// The worker's life on it, where told.
+    pub worker: Option<WorkerName>,
 }
 
 /// An order for an instance.
@@ -224,8 +228,9 @@
                 .filter(|seat| seat.idle_since_ms.is_some())
                 .count();
             format!(
-                "{pool}:instances={},up={up},idle={idle},wanted={},running={},waiting={},arriving={}",
+                "{pool}:instances={},up={up},idle={idle},unseen={},wanted={},running={},waiting={},arriving={}",
                 own.count(),
+                schedule.unseen_workers(pool, now_ms).count(),
                 wanted_instances(load),
                 load.reserved_milli / 1000,
                 load.waiting_milli / 1000,
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -16,6 +16,7 @@
 mod run_reports;
 mod start_answers;
 mod task_name;
+mod worker_lives;
 mod worker_order;
 mod worker_seat;
 mod worker_takedown;
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -47,12 +47,7 @@
         sole_until_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) {
-        let unseen = self.workers.values().any(|seat| {
-            seat.listed.pool == *pool
-                && !seat.heard
-                && !seat.accounted
-                && now_ms <= seat.lease_until_ms
-        });
+        let unseen = self.unseen_workers(pool, now_ms).next().is_some();
         let mut waiting = Vec::new();
         for name in self.active.get(pool).into_iter().flatten() {
             let Some(job) = self.jobs.get_mut(name) else {
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -142,6 +142,7 @@
                     name: host_name(host),
                     pool: pool.clone(),
                     activity,
+                    worker: None,
                 }
             });
         self.plan.take_list(rows.collect(), self.now_ms);
@@ -705,3 +706,42 @@
     without_an_answer(false, 500, false);
     a_while_after_no_answer(false, 3_500, true);
 }
+
+/// What an earlier owner left on a worker that is no longer listed starts again as soon as the
+/// platform lists its instance elsewhere; a worker that may only be cut off keeps it back.
+fn replaced_life(listed_pool: &str, activity: InstanceActivity, life: Option<u64>, starts: bool) {
+    let mut stage = FleetStage::new(2, 0);
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + LEASE_MS);
+    schedule.add_job(job("before", step(1, 2_000)), None, 1_000, NOW_MS, WALL_MS);
+    for host in 0..2 {
+        let seat = stage.schedule.worker(&worker_name(host, 1));
+        let listed = seat.expect("it is listed").listed.clone();
+        schedule.upsert_worker(listed);
+    }
+    let gone = worker_name(0, 1);
+    schedule.unlist_worker(&gone, NOW_MS);
+    stage.schedule = schedule;
+    let heard = WorkerReport::default();
+    stage
+        .schedule
+        .report(&worker_name(1, 1), &heard, NOW_MS, WALL_MS);
+    let orders = stage.schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX);
+    assert_eq!(orders, Vec::new(), "it may run where nobody was heard");
+    let row = ListedInstance {
+        name: host_name(0),
+        pool: pool(listed_pool),
+        activity,
+        worker: life.map(|life| worker_name(0, life)),
+    };
+    stage.schedule.end_replaced_lives(&[row]);
+    let orders = stage.schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX);
+    assert_eq!(orders.len(), usize::from(starts));
+}
+
+named_cases! { replaced_life:
+    its_instance_is_in_another_pool("spare", InstanceActivity::Up, None, true);
+    its_instance_moves("proofs", InstanceActivity::Away, None, true);
+    its_instance_carries_another_life("proofs", InstanceActivity::Up, Some(2), true);
+    its_instance_carries_it_still("proofs", InstanceActivity::Up, Some(1), false);
+    its_instance_is_down("proofs", InstanceActivity::Down, None, false);
+}
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -78,6 +78,11 @@
         if listed_at.is_none_or(|at| at.elapsed() >= LIST_PERIOD) {
             match cloud.instances().await {
                 Ok(list) => {
+                    let ended = lock(&leadership.schedule).end_replaced_lives(&list);
+                    if !ended.is_empty() {
+                        log_event!(Info, "lives-replaced", workers = ended.len());
+                        leadership.plan.notify_one();
+                    }
                     plan.take_list(list, uptime_ms());
                     listed_at = Some(Instant::now());
                 }
