Order unanswered maintenance again one by one, and empty those instances first

Change: an instance that is ordered again counts as down from then on; those that can't be missed are emptied as due ones are; a call that starts after authority ended, as after a freeze, sends nothing.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -264,6 +264,10 @@
         (orders, stops)
     }
 
+    pub(super) fn orders_left(&mut self, now_ms: u64) -> usize {
+        self.budget.left(now_ms)
+    }
+
     /// Keeps as many orders as the platform takes now, and counts them as under way.
     pub(super) fn begin(&mut self, orders: &mut Vec<InstanceOrder>, now_ms: u64) {
         orders.truncate(self.budget.left(now_ms));
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -226,19 +226,25 @@
 
     /// Orders for maintenance that got no answer, to be sent again: of those instances that
     /// may be taken down now, should the order not have been carried out before.
-    pub fn ask_again(&mut self, schedule: &FleetSchedule, now_ms: u64) -> Vec<InstanceOrder> {
+    pub fn ask_again(&mut self, schedule: &mut FleetSchedule, now_ms: u64) -> Vec<InstanceOrder> {
+        let most = self.orders_left(now_ms);
         let mut orders = Vec::new();
         for wave in &self.waves {
             for instance in &wave.unanswered {
-                let worker = self.worker_of(instance);
-                if self.may_order(instance)
-                    && worker.is_none_or(|worker| schedule.may_take_down(worker))
-                {
-                    orders.push(InstanceOrder::Maintain {
-                        instance: instance.clone(),
-                        wave: wave.number,
-                    });
+                if orders.len() >= most || !self.may_order(instance) {
+                    continue;
                 }
+                if let Some(worker) = self.worker_of(instance) {
+                    if !schedule.may_take_down(worker) {
+                        continue;
+                    }
+                    // Of two that carry tasks of one step, the second has to wait.
+                    schedule.note_taken_down(worker);
+                }
+                orders.push(InstanceOrder::Maintain {
+                    instance: instance.clone(),
+                    wave: wave.number,
+                });
             }
         }
         self.begin(&mut orders, now_ms);
@@ -263,6 +269,13 @@
             ..
         } = self;
         for wave in waves.iter_mut().filter(|wave| !wave.completed) {
+            let unanswered: Vec<_> = wave.unanswered.iter().cloned().collect();
+            for name in unanswered.iter().filter(|name| !under_way.contains(*name)) {
+                let worker = instances.get(name).and_then(|seat| seat.worker.as_ref());
+                if let Some(worker) = worker.filter(|worker| !schedule.may_take_down(worker)) {
+                    stops.extend(wave.empty(name, worker, schedule, now_ms));
+                }
+            }
             let mut room = wave.at_once.saturating_sub(wave.down());
             for (name, worker) in wave.due_now(instances, resting, under_way, schedule) {
                 if room == 0 {
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -196,6 +196,12 @@
         }
     }
 
+    /// Sends unanswered orders again; each is carried out.
+    fn ask_again(&mut self) {
+        let orders = self.plan.ask_again(&mut self.schedule, self.now_ms);
+        self.carry_out(&orders);
+    }
+
     /// One plan and what follows; returns the orders for instances.
     fn step(&mut self) -> Vec<InstanceOrder> {
         self.now_ms += STEP_MS;
@@ -210,7 +216,20 @@
         }
         self.list();
         let (orders, stops) = self.plan.plan(&mut self.schedule, self.now_ms);
-        for order in &orders {
+        self.carry_out(&orders);
+        let down = self
+            .pools
+            .iter()
+            .filter(|(.., away)| away.is_some())
+            .count();
+        self.down_most = self.down_most.max(down);
+        self.hear(&stops);
+        self.run();
+        orders
+    }
+
+    fn carry_out(&mut self, orders: &[InstanceOrder]) {
+        for order in orders {
             let (InstanceOrder::Move { instance, .. } | InstanceOrder::Maintain { instance, .. }) =
                 order;
             let host = (0..self.pools.len()).find(|host| host_name(*host) == *instance);
@@ -232,15 +251,6 @@
                 }
             }
         }
-        let down = self
-            .pools
-            .iter()
-            .filter(|(.., away)| away.is_some())
-            .count();
-        self.down_most = self.down_most.max(down);
-        self.hear(&stops);
-        self.run();
-        orders
     }
 }
 
@@ -616,10 +626,10 @@
     assert_eq!(orders, Vec::new(), "one is down, or may be");
     next.now_ms += UPKEEP_MS * 2;
     next.list();
-    let again = next.plan.ask_again(&next.schedule, next.now_ms);
+    let again = next.plan.ask_again(&mut next.schedule, next.now_ms);
     assert_eq!(again.len(), usize::from(!answered));
     assert!(again.iter().all(|order| order.instance() == instance));
-    let twice = next.plan.ask_again(&next.schedule, next.now_ms);
+    let twice = next.plan.ask_again(&mut next.schedule, next.now_ms);
     assert_eq!(twice, Vec::new(), "it is under way");
     let (orders, _) = next.plan.plan(&mut next.schedule, next.now_ms);
     assert_eq!(orders.len(), usize::from(answered), "the next one");
@@ -659,7 +669,7 @@
         .plan
         .take_wave(wave(2, 1), Some(&asked), stage.now_ms, WALL_MS);
     stage.plan.plan(&mut stage.schedule, stage.now_ms);
-    let again = stage.plan.ask_again(&stage.schedule, stage.now_ms);
+    let again = stage.plan.ask_again(&mut stage.schedule, stage.now_ms);
     assert_eq!(again.len(), usize::from(others_at_work));
 }
 
@@ -668,6 +678,48 @@
     the_other_task_is_not_at_work_yet(false);
 }
 
+/// Of instances that may be down by unanswered orders and carry tasks of one step, no more are
+/// ordered again at once than that step may miss.
+fn asked_again_one_by_one(may_miss: u32, at_once: usize) {
+    let mut stage = FleetStage::new(3, 0);
+    stage.hear(&[]);
+    let lasting = StepPlan {
+        long_running: true,
+        may_miss: Some(may_miss),
+        anti_affinity: Some(1),
+        ..step(3, 2_000)
+    };
+    stage
+        .schedule
+        .add_job(job("lasts", lasting), None, 0, NOW_MS, WALL_MS);
+    stage.run();
+    stage.hear(&[]);
+    let asked = WaveProgress {
+        number: 1,
+        begun: Vec::new(),
+        asked: (0..3).map(host_name).collect(),
+        completed: false,
+        since_wall_ms: WALL_MS,
+    };
+    stage
+        .plan
+        .take_wave(wave(3, 3), Some(&asked), stage.now_ms, WALL_MS);
+    stage.plan.plan(&mut stage.schedule, stage.now_ms);
+    let again = stage.plan.ask_again(&mut stage.schedule, stage.now_ms);
+    assert_eq!(again.len(), at_once);
+    stage.carry_out(&again);
+    for _ in 0..80 {
+        stage.ask_again();
+        stage.step();
+    }
+    assert_eq!(stage.maintained, 3, "the others follow");
+}
+
+named_cases! { asked_again_one_by_one:
+    one_may_be_missed(1, 1);
+    two_may_be_missed(2, 2);
+}
+
 /// A worker takes no work from the moment its instance's move is planned; it does again after
 /// the move was refused, or a while after a move without an answer left it where it was.
 fn planned_move_keeps_work_away(refused: bool, wait_ms: u64, takes_work: bool) {
--- a/crates/scheduler/src/leading/instance_calls.rs
+++ b/crates/scheduler/src/leading/instance_calls.rs
@@ -6,6 +6,7 @@
     dotterelshore_domain::schedule::{InstanceOrder, InstancePlan},
     dotterelshore_platform::{CloudFault, CloudLink},
     dotterelshore_wire::log_event,
+    std::sync::Arc,
     tokio::task::JoinSet,
 };
 
@@ -27,11 +28,17 @@
         }
     }
 
-    /// Sends an order. The caller has asked whether it still may.
-    pub(super) fn send(&mut self, leadership: &Leadership, order: InstanceOrder) {
+    /// Sends an order, unless authority has ended by then.
+    pub(super) fn send(&mut self, leadership: &Arc<Leadership>, order: InstanceOrder) {
         let token = leadership.token();
         let cloud = self.cloud.clone();
+        let leadership = Arc::clone(leadership);
         self.calls.spawn(async move {
+            if !leadership.may_order() {
+                // The process may have been frozen since the order was planned.
+                let detail = "authority has ended".to_owned();
+                return (order, token, Err(CloudFault::NotDone { detail }));
+            }
             let answer = match &order {
                 InstanceOrder::Move { instance, pool } => {
                     cloud.move_instance(instance, pool, token).await
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -97,7 +97,7 @@
         let (orders, stops) = {
             let now_ms = uptime_ms();
             let mut schedule = lock(&leadership.schedule);
-            let mut orders = plan.ask_again(&schedule, now_ms);
+            let mut orders = plan.ask_again(&mut schedule, now_ms);
             let (planned, stops) = plan.plan(&mut schedule, now_ms);
             orders.extend(planned);
             (orders, stops)
