Find a way round for entries that the store turns away; take cut-off ones out of rotation

A data centre was cut off with the owner in it; its entries handed jobs to that owner, which tried to record them for 900 ms each and could not tell their fate. Callers came back at once and used up their tries.

Change: each entry keeps a row with its address in the store, under a lease. One that the store does not answer asks a few others whether it answers them: through one that it answers jobs are recorded, cancelled and looked up; if none hears it, it is an outage and callers are refused at once with a time to come back; if no entry answers, this one is cut off, is not ready and closes callers' connections, so that the balancer leads them to entries that can serve. An entry that can't record for another says so at once. A cheap look each 700 ms notices the loss without traffic, and the first lost answer starts the search.

--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -7,9 +7,7 @@
         log_pipe::start_log,
         metrics,
         node::SchedulerNode,
-        owner, peers,
-        store::probe_store,
-        table_follow,
+        owner, peers, store_path, table_follow,
     },
     clap::{Parser, Subcommand},
     dotterelshore_platform::{NodeSettings, SettingsFault, read_settings},
@@ -154,7 +152,7 @@
         incarnation = node.incarnation
     );
     table_follow::start(&node);
-    tokio::spawn(probe_store(Arc::clone(&node)));
+    store_path::start(&node);
     owner::start(&node);
     peers::start(&node, peer_listener);
     tokio::spawn(metrics::serve_metrics(Arc::clone(&node), metrics_listener));
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -2,18 +2,16 @@
 
 use {
     crate::{
-        job_records::{record_cancel, record_job},
+        job_records::{record_cancel, record_job, stored_state},
         node::SchedulerNode,
-        peers::{OwnerCall, OwnerReply, RecordOutcome, ask_owner, record_by_owner},
-        store::{cancel_key, job_key, progress_key},
+        peers::{PeerCall, PeerReply, RecordOutcome, ask_owner, record_elsewhere, state_elsewhere},
+        store_path::StorePath,
     },
     dotterelshore_domain::{
         names::JobName,
-        schedule::{JobPlan, JobRecord, JobState, ProgressRecord, QueueRow, RouteFault},
-    },
-    dotterelshore_platform::{
-        KvFault, caller_key, decode_plan, pending_body, state_body, time_left_ms,
+        schedule::{JobPlan, JobRecord, QueueRow, RouteFault},
     },
+    dotterelshore_platform::{caller_key, decode_plan, pending_body, state_body, time_left_ms},
     dotterelshore_wire::{
         event_log::unix_millis,
         http_server::{BodyFault, WholeAnswer, plain_answer, serve, whole_body},
@@ -92,10 +90,16 @@
         );
     }
     let mut answer = plain_answer(answered.status, "application/json", answered.body);
+    let headers = answer.headers_mut();
     if let Some(seconds) = answered.retry_after_s {
-        answer
-            .headers_mut()
-            .insert(header::RETRY_AFTER, header::HeaderValue::from(seconds));
+        headers.insert(header::RETRY_AFTER, header::HeaderValue::from(seconds));
+    }
+    if answered.status == 503 && node.store_path() == StorePath::CutOff {
+        // On a new connection the caller reaches an entry that can serve it.
+        headers.insert(
+            header::CONNECTION,
+            header::HeaderValue::from_static("close"),
+        );
     }
     answer
 }
@@ -181,7 +185,7 @@
     }
 }
 
-/// Records a job, by the owner where the store turns this entry away. It is refused only
+/// Records a job, by another entry where the store turns this one away. It is refused only
 /// while no write of it can take effect any more; a write whose fate stays unknown is
 /// answered as such, early enough to be repeated.
 async fn submit(
@@ -196,7 +200,7 @@
             record_job(node, &record).await
         };
         if here == RecordOutcome::NotStored {
-            record_by_owner(node, OwnerCall::Submit(Box::new(record))).await
+            record_elsewhere(node, PeerCall::Submit(Box::new(record))).await
         } else {
             here
         }
@@ -218,7 +222,7 @@
                 outcome = record_cancel(node, job).await;
             }
             if outcome == RecordOutcome::Unsure {
-                outcome = record_by_owner(node, OwnerCall::Cancel(job.clone())).await;
+                outcome = record_elsewhere(node, PeerCall::Cancel(job.clone())).await;
             }
             match outcome {
                 RecordOutcome::Stored => return CallAnswer::good("{}".to_owned()),
@@ -237,57 +241,41 @@
 
 /// Where a job stands, by the owner, or by the store if the owner can't tell.
 async fn state(node: &SchedulerNode, job: &JobName) -> CallAnswer {
-    let asked = ask_owner(node, OwnerCall::State(job.clone())).await;
-    if let Some(OwnerReply::State(Some(state))) = asked {
+    let asked = ask_owner(node, PeerCall::State(job.clone())).await;
+    if let Some(PeerReply::State(Some(state))) = asked {
         return CallAnswer::good(state_body(state));
     }
-    match stored_state(node, job).await {
-        Ok(Some(state)) => CallAnswer::good(state_body(state)),
-        Ok(None) => CallAnswer::refused(410, "no-job"),
-        Err(fault) => {
-            log_event!(Info, "state-unknown", job = job, error = fault);
-            CallAnswer::refused(503, "store-away").after(RETRY_AFTER_START_S)
-        }
-    }
-}
-
-async fn stored_state(node: &SchedulerNode, job: &JobName) -> Result<Option<JobState>, KvFault> {
-    let absent_is_none = |read: Result<_, KvFault>| match read {
-        Ok(row) => Ok(Some(row)),
-        Err(KvFault::NoKey) => Ok(None),
-        Err(fault) => Err(fault),
+    let stored = if node.store_is_away() {
+        state_elsewhere(node, job).await
+    } else {
+        stored_state(node, job)
+            .await
+            .inspect_err(|fault| log_event!(Info, "state-unknown", job = job, error = fault))
+            .ok()
     };
-    if absent_is_none(node.kv.read(&job_key(job)).await)?.is_none() {
-        return Ok(None);
-    }
-    let progress = absent_is_none(node.kv.read(&progress_key(job)).await)?;
-    let progress =
-        progress.and_then(|row| serde_json::from_slice::<ProgressRecord>(&row.value).ok());
-    if let Some(ended) = progress.as_ref().and_then(|progress| progress.ended) {
-        return Ok(Some(ended));
-    }
-    if absent_is_none(node.kv.read(&cancel_key(job)).await)?.is_some() {
-        return Ok(Some(JobState::Cancelled));
+    match stored {
+        Some(Some(state)) => CallAnswer::good(state_body(state)),
+        Some(None) => CallAnswer::refused(410, "no-job"),
+        None => CallAnswer::refused(503, "store-away").after(RETRY_AFTER_START_S),
     }
-    Ok(Some(match progress {
-        Some(_) => JobState::Running,
-        None => JobState::Queued,
-    }))
 }
 
 async fn pending(node: &SchedulerNode, queue: &QueueRow) -> CallAnswer {
-    match ask_owner(node, OwnerCall::Pending(queue.name.clone())).await {
-        Some(OwnerReply::Pending(pending)) => CallAnswer::good(pending_body(pending)),
+    match ask_owner(node, PeerCall::Pending(queue.name.clone())).await {
+        Some(PeerReply::Pending(pending)) => CallAnswer::good(pending_body(pending)),
         _ => CallAnswer::refused(503, "owner-unknown").after(RETRY_AFTER_START_S),
     }
 }
 
-/// Tells the balancer whether new connections are welcome.
+/// Tells the balancer whether new connections are welcome: not at an entry that is cut off
+/// from the store and from other entries, while those can serve.
 pub(crate) async fn serve_readiness(node: Arc<SchedulerNode>, listener: TcpListener) {
     // The balancer goes on asking until the process ends.
     let (_never, closing) = tokio::sync::watch::channel(false);
     let answer = move |_request: Request<Incoming>| {
-        let ready = node.table_now().is_some() && !*node.leaving.borrow();
+        let ready = node.table_now().is_some()
+            && !*node.leaving.borrow()
+            && node.store_path() != StorePath::CutOff;
         async move { plain_answer(if ready { 200 } else { 503 }, "text/plain", "") }
     };
     serve(listener, answer, closing).await;
--- a/crates/scheduler/src/job_records.rs
+++ b/crates/scheduler/src/job_records.rs
@@ -4,9 +4,12 @@
     crate::{
         node::SchedulerNode,
         peers::RecordOutcome,
-        store::{cancel_key, job_key},
+        store::{cancel_key, job_key, progress_key},
+    },
+    dotterelshore_domain::{
+        names::JobName,
+        schedule::{JobRecord, JobState, ProgressRecord},
     },
-    dotterelshore_domain::{names::JobName, schedule::JobRecord},
     dotterelshore_platform::{KvFault, KvWrite},
     dotterelshore_wire::{log_event, timer_hub::spread_pause},
     std::time::Duration,
@@ -49,7 +52,7 @@
                 );
                 return RecordOutcome::Stored;
             }
-            Err(KvFault::Unsure { .. } | KvFault::Unreadable { .. }) => {}
+            Err(KvFault::Unsure { .. } | KvFault::Unreadable { .. }) => node.missed_store(),
             Err(_) if attempt > 0 => {}
             Err(fault) => {
                 log_event!(Info, "job-not-stored", job = record.name, error = fault);
@@ -84,3 +87,31 @@
         }
     }
 }
+
+/// Where a job stands by the store; nothing if it has no such job.
+pub(crate) async fn stored_state(
+    node: &SchedulerNode,
+    job: &JobName,
+) -> Result<Option<JobState>, KvFault> {
+    let absent_is_none = |read: Result<_, KvFault>| match read {
+        Ok(row) => Ok(Some(row)),
+        Err(KvFault::NoKey) => Ok(None),
+        Err(fault) => Err(fault),
+    };
+    if absent_is_none(node.kv.read(&job_key(job)).await)?.is_none() {
+        return Ok(None);
+    }
+    let progress = absent_is_none(node.kv.read(&progress_key(job)).await)?;
+    let progress =
+        progress.and_then(|row| serde_json::from_slice::<ProgressRecord>(&row.value).ok());
+    if let Some(ended) = progress.as_ref().and_then(|progress| progress.ended) {
+        return Ok(Some(ended));
+    }
+    if absent_is_none(node.kv.read(&cancel_key(job)).await)?.is_some() {
+        return Ok(Some(JobState::Cancelled));
+    }
+    Ok(Some(match progress {
+        Some(_) => JobState::Running,
+        None => JobState::Queued,
+    }))
+}
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod peers;
 mod store;
+mod store_path;
 mod table_follow;
 
 use std::process::ExitCode;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -3,15 +3,15 @@
 use {
     crate::{
         leading::Leadership, log_pipe::DropCount, metrics::NodeMetrics, owner::OwnerNotice,
-        peers::OwnerLink,
+        peers::OwnerLink, store_path::StorePath,
     },
     dotterelshore_domain::schedule::{QueueTable, WaveOrder},
     dotterelshore_platform::{KvLink, NodeSettings},
-    dotterelshore_wire::timer_hub::TimerHub,
+    dotterelshore_wire::{log_event, timer_hub::TimerHub},
     nix::time::{ClockId, clock_gettime},
     std::{
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -48,6 +48,7 @@
     /// When the store last answered, in [`uptime_ms`].
     pub(crate) store_heard_ms: AtomicU64,
     store_away: AtomicBool,
+    path: Mutex<StorePath>,
     /// Wakes the task that looks for the store's return.
     pub(crate) store_missed: Notify,
     /// The timer service.
@@ -71,6 +72,7 @@
             leaving: watch::Sender::new(false),
             store_heard_ms: AtomicU64::new(0),
             store_away: AtomicBool::new(false),
+            path: Mutex::new(StorePath::Direct),
             store_missed: Notify::new(),
             timer: TimerHub::start(),
             metrics: NodeMetrics::new(dropped),
@@ -92,6 +94,7 @@
     pub(crate) fn heard_store(&self) {
         self.store_heard_ms.store(uptime_ms(), Ordering::Relaxed);
         self.store_away.store(false, Ordering::Relaxed);
+        self.take_path(StorePath::Direct);
     }
 
     /// Takes note that the store did not answer.
@@ -100,6 +103,24 @@
         self.store_missed.notify_one();
     }
 
+    /// By which way the store is reached.
+    pub(crate) fn store_path(&self) -> StorePath {
+        *lock(&self.path)
+    }
+
+    /// Takes note of the way by which the store is reached.
+    pub(crate) fn take_path(&self, path: StorePath) {
+        let before = std::mem::replace(&mut *lock(&self.path), path);
+        if before != path {
+            log_event!(
+                Info,
+                "store-path",
+                now = format!("{path:?}"),
+                before = format!("{before:?}")
+            );
+        }
+    }
+
     /// Whether the store failed to answer last.
     pub(crate) fn store_is_away(&self) -> bool {
         self.store_away.load(Ordering::Relaxed)
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -5,7 +5,7 @@
     dotterelshore_domain::names::JobName,
     dotterelshore_platform::{KeyRow, KvFault, WatchEvent},
     dotterelshore_wire::{log_event, timer_hub::spread_pause},
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
 };
 
 /// The owner of the schedule, under a lease.
@@ -20,6 +20,8 @@
 pub(crate) const OWNER_WRITES_KEY: &str = "dotterelshore/writes";
 /// Workers on which an owner may have left something running.
 pub(crate) const HELD_KEY: &str = "dotterelshore/held";
+/// Entries, each under a lease, and where they answer one another.
+pub(crate) const ENTRY_PREFIX: &str = "dotterelshore/entry/";
 /// Accepted jobs, and marks of cancelled ones.
 pub(crate) const JOB_PREFIX: &str = "dotterelshore/job/";
 /// How far jobs are.
@@ -34,8 +36,6 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_200);
 /// How long a watch waits while the store is lost, so that its return is soon noticed.
 const LOST_WAIT: Duration = Duration::ZERO;
-/// Pause between looks for the store's return.
-const PROBE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a call to the store failed.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -79,21 +79,6 @@
     }
 }
 
-/// Looks for the store's return whenever it failed to answer, so that callers are served
-/// again as soon as it is back.
-pub(crate) async fn probe_store(node: Arc<SchedulerNode>) {
-    loop {
-        node.store_missed.notified().await;
-        while node.store_is_away() {
-            tokio::time::sleep(spread_pause(PROBE_PAUSE)).await;
-            match node.kv.read(OWNER_KEY).await {
-                Ok(_) | Err(KvFault::NoKey) => node.heard_store(),
-                Err(_) => node.metrics.count_retry("store-probe"),
-            }
-        }
-    }
-}
-
 /// A step in following a prefix.
 #[derive(Debug)]
 pub(crate) enum FollowStep {
