Test the ways round a lost store on the emulator

Cases: an entry that is turned away, busy or silent, records and looks up jobs through another one; one that is cut off leaves the rotation and refuses at once; in an outage of the store all stay.

--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -4,12 +4,12 @@
 
 use {
     bytes::Bytes,
-    dotterelshore_emulator::StoreTrouble,
+    dotterelshore_emulator::{SchedulerProcess, StoreTrouble},
     dotterelshore_testkit::named_cases,
     hyper::Method,
     nix::sys::signal::Signal,
     serde_json::json,
-    stage::{FleetStage, lasting, run, two_steps},
+    stage::{FleetStage, lasting, program, run, two_steps},
     std::time::Duration,
 };
 
@@ -335,3 +335,96 @@
     too_long_a_task_text(4_001, 400);
     too_large_a_body(70_000, 413);
 }
+
+/// How long an entry may take to notice that the store turns it away, and to find a way: two
+/// looks, and the time that a silent store takes to be given up.
+const WAY_TIME: Duration = Duration::from_secs(4);
+/// Entries read where the others are within this time of their start.
+const ROLL_TIME: Duration = Duration::from_secs(6);
+
+/// An entry that the store turns away serves its callers through another one, also while the
+/// owner is frozen, and stays ready.
+fn turned_away_entry_serves(trouble: StoreTrouble) {
+    run(async {
+        let mut stage = FleetStage::start(1, 1).await;
+        let doors = [stage.fleet.open_door().await, stage.fleet.open_door().await];
+        for (number, door) in doors.iter().enumerate() {
+            let name = format!("by-door-{number}");
+            let node = SchedulerProcess::start_by(door, program(), stage.folder.path(), &name);
+            stage.nodes.push(node);
+        }
+        tokio::time::sleep(ROLL_TIME).await;
+        doors[1].trouble(trouble);
+        stage.nodes[0].signal(Signal::SIGSTOP);
+        let turned_away = &stage.nodes[2];
+        let job = "00000000000000d1";
+        let accepted = stage.within(WAY_TIME, async || {
+            let answer = stage
+                .fleet
+                .submit(turned_away, job, &two_steps("works", 2))
+                .await;
+            answer.status == 200
+        });
+        assert!(accepted.await, "it records jobs\n{}", turned_away.log());
+        let known = stage.fleet.state(turned_away, job).await;
+        assert_eq!(known.status, 200, "it knows the job: {known:?}");
+        let unknown = stage.fleet.state(turned_away, "00000000000000d2").await;
+        assert_eq!(unknown.status, 410, "and that there is no other");
+        assert_eq!(stage.fleet.readiness(turned_away).await, 200);
+        stage.nodes[0].signal(Signal::SIGCONT);
+        stage.check();
+    });
+}
+
+named_cases! { turned_away_entry_serves:
+    through_another_while_the_store_is_busy(StoreTrouble::Busy);
+    through_another_while_the_store_is_silent(StoreTrouble::Silent);
+}
+
+/// An entry that reaches neither the store nor other entries leaves the rotation and refuses
+/// at once; in an outage that all share each stays in it.
+fn lost_store_and_rotation(others_gone: bool, ready: u16) {
+    run(async {
+        let mut stage = FleetStage::start(3, 1).await;
+        let door = stage.fleet.open_door().await;
+        let cut = SchedulerProcess::start_by(&door, program(), stage.folder.path(), "cut");
+        tokio::time::sleep(ROLL_TIME).await;
+        assert_eq!(stage.fleet.readiness(&cut).await, 200, "before");
+        door.trouble(StoreTrouble::Silent);
+        if others_gone {
+            for node in &stage.nodes {
+                node.signal(Signal::SIGSTOP);
+            }
+        } else {
+            stage.fleet.trouble_store(StoreTrouble::Silent);
+        }
+        let told = stage.within(WAY_TIME, async || {
+            let path = if others_gone { "CutOff" } else { "Outage" };
+            cut.log().contains(&format!("now={path}"))
+        });
+        assert!(told.await, "{}", cut.log());
+        assert_eq!(stage.fleet.readiness(&cut).await, ready);
+        let began = std::time::Instant::now();
+        let refused = stage
+            .fleet
+            .submit(&cut, "00000000000000d3", &two_steps("works", 1))
+            .await;
+        assert_eq!(refused.status, 503, "{refused:?}");
+        assert!(refused.retry_after_s.is_some(), "told when to come back");
+        assert!(began.elapsed() < Duration::from_millis(300), "at once");
+        door.trouble(StoreTrouble::None);
+        stage.fleet.trouble_store(StoreTrouble::None);
+        for node in &stage.nodes {
+            node.signal(Signal::SIGCONT);
+        }
+        let back = stage.within(WAY_TIME, async || stage.fleet.readiness(&cut).await == 200);
+        assert!(back.await, "back in rotation");
+        stage.nodes.push(cut);
+        stage.check();
+    });
+}
+
+named_cases! { lost_store_and_rotation:
+    one_that_is_cut_off_leaves(true, 503);
+    in_an_outage_all_stay(false, 200);
+}
--- a/crates/scheduler/tests/stage/mod.rs
+++ b/crates/scheduler/tests/stage/mod.rs
@@ -26,9 +26,8 @@
     pub(crate) async fn start(nodes: usize, workers: usize) -> Self {
         let fleet = EmulatedFleet::start(workers).await;
         let folder = tempfile::tempdir().expect("a folder");
-        let program = Path::new(env!("CARGO_BIN_EXE_dotterelshore-scheduler"));
         let nodes = (0..nodes).map(|number| {
-            SchedulerProcess::start(&fleet, program, folder.path(), &format!("e{number}"))
+            SchedulerProcess::start(&fleet, program(), folder.path(), &format!("e{number}"))
         });
         let stage = Self {
             nodes: nodes.collect(),
@@ -98,6 +97,11 @@
     }
 }
 
+/// The program under test.
+pub(crate) fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_dotterelshore-scheduler"))
+}
+
 /// A job of two steps, the second after the first.
 pub(crate) fn two_steps(text: &str, count: u32) -> Value {
     let step = json!({"count": count, "cpu": 1000, "mem_mb": 100, "estimate_ms": 250});
