Empty instances of tasks that last from the start of a wave; place work on others first

Change: an instance that runs nothing but tasks that last is emptied as soon as one of these may be missed, early in the wave too; work is placed on instances that no wave takes down before others.

The case two_tasks_of_each_step_on_all fails without the early moves, due_workers_come_last without the placement.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -251,6 +251,16 @@
         orders
     }
 
+    fn due_workers(&self) -> FastSet<WorkerName> {
+        let running = self.waves.iter().filter(|wave| !wave.completed);
+        let due = running.flat_map(|wave| {
+            let open = |name: &&InstanceName| !wave.begun.contains_key(*name);
+            wave.due.iter().filter(open)
+        });
+        due.filter_map(|name| self.worker_of(name).cloned())
+            .collect()
+    }
+
     /// What to take down next, no more than `most`, and which tasks that last to stop so that
     /// more can follow.
     pub(super) fn plan_maintenance(
@@ -261,6 +271,7 @@
     ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
         let mut orders = Vec::new();
         let mut stops = Vec::new();
+        schedule.set_due(&self.due_workers());
         let Self {
             waves,
             instances,
@@ -359,7 +370,9 @@
     }
 
     /// Keeps new tasks away from an instance's worker, if not too many are being emptied, and
-    /// stops tasks that last there, as far as they may be missed.
+    /// stops tasks that last there, as far as they may be missed. Early in the wave a worker
+    /// that runs nothing else is emptied as soon as one of its tasks may be missed: these have
+    /// to move once in any case, and few of a step may move at a time.
     fn empty(
         &mut self,
         name: &InstanceName,
@@ -367,21 +380,37 @@
         schedule: &mut FleetSchedule,
         now_ms: u64,
     ) -> Vec<WorkerOrder> {
-        let most = if now_ms < self.hurry_ms {
-            CORDONS_EARLY
-        } else {
-            self.at_once
-        };
+        let may_end_here = schedule.may_take_down(worker);
         if !self.cordoned.contains_key(name) {
+            let hurries = now_ms >= self.hurry_ms;
+            let most = if hurries { self.at_once } else { CORDONS_EARLY };
+            let moves_on = !hurries && !may_end_here && schedule.runs_only_lasting(worker);
+            if moves_on {
+                let stops = schedule.evacuate(worker, now_ms);
+                if !stops.is_empty() {
+                    self.cordon(name, worker, schedule, now_ms);
+                }
+                return stops;
+            }
             if self.cordoned.len() >= most {
                 return Vec::new();
             }
-            self.cordoned.insert(name.clone(), now_ms);
-            schedule.set_cordon(worker, true);
+            self.cordon(name, worker, schedule, now_ms);
         }
-        if schedule.may_take_down(worker) {
+        if may_end_here {
             return Vec::new();
         }
         schedule.evacuate(worker, now_ms)
     }
+
+    fn cordon(
+        &mut self,
+        name: &InstanceName,
+        worker: &WorkerName,
+        schedule: &mut FleetSchedule,
+        now_ms: u64,
+    ) {
+        self.cordoned.insert(name.clone(), now_ms);
+        schedule.set_cordon(worker, true);
+    }
 }
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -219,6 +219,7 @@
     /// The worker for a task: near its data first, then the fullest that has room, so
     /// that large tasks find room too and idle instances can leave the pool. Tasks that
     /// last are spread so far that one instance taken down ends no more than may be missed.
+    /// Instances that a wave still takes down come last, so that they become idle.
     fn choose_worker(
         &self,
         open: &[WorkerName],
@@ -243,7 +244,7 @@
                 .is_none_or(|rack| seat.has_label(rack.as_str()));
             let crowded = plan.long_running && same_step(seat, task) >= plan.most_together();
             let free = free_share(seat.used, seat.listed.capacity);
-            (!near, crowded, free)
+            (!near, crowded, seat.due, free)
         };
         let seats = open.iter().filter_map(|name| self.workers.get(name));
         let best = seats.filter(fits).min_by_key(rank)?;
--- a/crates/domain/src/schedule/worker_seat.rs
+++ b/crates/domain/src/schedule/worker_seat.rs
@@ -153,6 +153,8 @@
     pub recorded_end: u64,
     /// Whether new tasks are kept away because the instance will be taken down.
     pub cordoned: bool,
+    /// Whether its instance is still to be taken down by a wave that runs.
+    pub(super) due: bool,
     /// Whether an order that takes its instance down is under way or was confirmed.
     pub(super) taking_down: bool,
     /// Until when its removal from the list is taken as the work of an order for its
@@ -178,6 +180,7 @@
             seen_end: 0,
             recorded_end: 0,
             cordoned: false,
+            due: false,
             taking_down: false,
             taken_down_until_ms: 0,
             failures: 0,
--- a/crates/domain/src/schedule/worker_takedown.rs
+++ b/crates/domain/src/schedule/worker_takedown.rs
@@ -8,7 +8,7 @@
         worker_order::WorkerOrder,
         worker_seat::WorkerSeat,
     },
-    crate::names::WorkerName,
+    crate::{collections::FastSet, names::WorkerName},
 };
 
 /// How long after an order for its instance a worker's removal from the list is taken as
@@ -24,6 +24,14 @@
         }
     }
 
+    /// Sets which workers' instances are still to be taken down by waves that run: work goes
+    /// to the others as far as they have room.
+    pub(super) fn set_due(&mut self, due: &FastSet<WorkerName>) {
+        for (name, seat) in &mut self.workers {
+            seat.due = due.contains(name);
+        }
+    }
+
     /// Takes note that an order for a worker's instance was confirmed. If the order had been
     /// carried out before, this life of the worker goes on: it is over once it is unlisted.
     pub fn instance_ordered(&mut self, name: &WorkerName, now_ms: u64) {
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -2,11 +2,12 @@
 
 use {
     dotterelshore_domain::{
+        collections::FastMap,
         names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
         schedule::{
             FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan, JobPlan, JobRecord,
             ListedInstance, ListedWorker, OrderRule, Resources, RunningRow, StartReply, StepPlan,
-            WaveOrder, WaveProgress, WorkerOrder, WorkerReport,
+            TaskName, WaveOrder, WaveProgress, WorkerOrder, WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
@@ -81,6 +82,8 @@
     down_most: usize,
     maintained: usize,
     loses_answers: bool,
+    startup_ms: u64,
+    started: FastMap<(TaskName, u32), u64>,
 }
 
 impl FleetStage {
@@ -101,6 +104,8 @@
             down_most: 0,
             maintained: 0,
             loses_answers: false,
+            startup_ms: 0,
+            started: FastMap::default(),
         };
         for host in 0..hosts {
             stage.join(host);
@@ -154,6 +159,8 @@
             let WorkerOrder::Start(start) = order else {
                 continue;
             };
+            self.started
+                .insert((start.task.clone(), start.run), self.now_ms);
             let reply = StartReply::Started { clock_ms: 1 };
             self.schedule
                 .start_answered(&start.worker, &start.task, start.run, reply, self.now_ms);
@@ -173,12 +180,16 @@
                 .runs
                 .iter()
                 .filter(|(task, run)| !gone((*task).clone(), **run));
-            let running = rows.map(|(task, run)| RunningRow {
-                task: task.clone(),
-                run: *run,
-                saved: Arc::from(""),
-                percent: 100.0,
-                figure: 0.0,
+            let running = rows.map(|(task, run)| {
+                let begun = self.started.get(&(task.clone(), *run));
+                let works = begun.is_none_or(|at| self.now_ms >= at + self.startup_ms);
+                RunningRow {
+                    task: task.clone(),
+                    run: *run,
+                    saved: Arc::from(""),
+                    percent: if works { 100.0 } else { 0.0 },
+                    figure: 0.0,
+                }
             });
             let report = WorkerReport {
                 born_ms: None,
@@ -797,3 +808,65 @@
     its_instance_carries_it_still("proofs", InstanceActivity::Up, Some(1), false);
     its_instance_is_down("proofs", InstanceActivity::Down, None, false);
 }
+
+/// Early in a wave, tasks that last leave instances that carry several of them, each step within
+/// what it may miss, so that the wave is done in its time.
+fn lasting_tasks_move_early(jobs: usize, count: u32, cpu_milli: u64) {
+    let mut stage = FleetStage::new(6, 4);
+    stage.startup_ms = 1_200;
+    stage.hear(&[]);
+    let lasting = StepPlan {
+        long_running: true,
+        may_miss: Some(1),
+        ..step(count, cpu_milli)
+    };
+    for number in 0..jobs {
+        let text = format!("lasts-{number}");
+        stage
+            .schedule
+            .add_job(job(&text, lasting.clone()), None, 0, NOW_MS, WALL_MS);
+    }
+    for _ in 0..20 {
+        stage.step();
+    }
+    stage
+        .plan
+        .take_wave(wave(6, 6), None, stage.now_ms, WALL_MS);
+    let in_time = 20_000 / STEP_MS;
+    for _ in 0..in_time {
+        stage.step();
+    }
+    assert_eq!(stage.maintained, 6, "maintained in the wave's time");
+}
+
+named_cases! { lasting_tasks_move_early:
+    two_tasks_of_a_step_on_some(6, 8, 6_000);
+    two_tasks_of_each_step_on_all(4, 12, 5_000);
+}
+
+/// Work goes to workers whose instances a wave does not take down, as far as they have room.
+fn due_workers_come_last(tasks: u32, on_due: usize) {
+    let mut stage = FleetStage::new(4, 0);
+    stage.hear(&[]);
+    let mut busy = wave(2, 1);
+    busy.instances = vec![host_name(0), host_name(1)];
+    stage.plan.take_wave(busy, None, stage.now_ms, WALL_MS);
+    for host in 0..2 {
+        stage.plan.rest(&host_name(host), NOW_MS + UPKEEP_MS);
+    }
+    stage.plan.plan(&mut stage.schedule, stage.now_ms);
+    stage
+        .schedule
+        .add_job(job("works", step(tasks, 16_000)), None, 0, NOW_MS, WALL_MS);
+    stage.run();
+    let runs = |host| {
+        let seat = stage.schedule.worker(&worker_name(host, 1));
+        seat.expect("it is listed").runs.len()
+    };
+    assert_eq!(runs(0) + runs(1), on_due);
+}
+
+named_cases! { due_workers_come_last:
+    others_have_room(8, 0);
+    others_are_full(10, 2);
+}
