Pace tasks that fill by the tails of those that serve beside them

Change: FillerPace, additive increase and multiplicative decrease on each worker, by the highest tail against its target; looks at such workers wait half a second; an order without an answer is given again, and a new owner tells every filler its pace.

Measured: filler_pace_test: under a steady disturbance no tail is over its target for the users' 4 s while fillers work, and they get a part of what is left.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -49,6 +49,8 @@
     pub(super) since_ms: u64,
     pub(super) percent: f64,
     pub(super) moved_ms: u64,
+    /// The pace it was last told, in percent; nothing where that is not known.
+    pub(super) paced: Option<u32>,
 }
 
 impl TaskRun {
@@ -61,6 +63,7 @@
             since_ms: now_ms,
             percent: 0.0,
             moved_ms: now_ms,
+            paced: Some(100),
         }
     }
 
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs of several steps, scheduled on the workers of a fleet.
 
 mod arrival_rate;
+mod filler_pace;
 mod fleet_schedule;
 mod held_workers;
 mod instance_plan;
@@ -22,6 +23,7 @@
 mod worker_takedown;
 
 pub use {
+    filler_pace::FillerPace,
     fleet_schedule::{FleetSchedule, PoolLoad, ProgressBatch},
     instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -71,6 +71,7 @@
             self.take_row(worker, row, report.clock_ms, now_ms, &mut orders);
         }
         self.drop_missing(worker, report);
+        orders.extend(self.pace_fillers(worker, report, now_ms));
         if let Some(seat) = self.workers.get_mut(worker) {
             seat.heard = true;
             seat.reachable = true;
@@ -251,6 +252,7 @@
             since_ms: now_ms,
             percent: row.percent,
             moved_ms: now_ms,
+            paced: None,
         };
         let wanted = open && !done && alone;
         if !wanted {
--- a/crates/domain/src/schedule/worker_seat.rs
+++ b/crates/domain/src/schedule/worker_seat.rs
@@ -1,7 +1,7 @@
 //! A worker as the scheduler knows it.
 
 use {
-    super::{job_plan::Resources, task_name::TaskName},
+    super::{filler_pace::FillerPace, job_plan::Resources, task_name::TaskName},
     crate::{
         collections::FastMap,
         names::{CentreName, InstanceName, PoolName, WorkerName},
@@ -160,6 +160,8 @@
     /// Until when its removal from the list is taken as the work of an order for its
     /// instance, which ended all that ran there; in scheduler milliseconds.
     pub(super) taken_down_until_ms: u64,
+    /// The pace of tasks that fill there.
+    pub(super) pace: FillerPace,
     failures: u32,
     pass_over_until_ms: u64,
 }
@@ -183,6 +185,7 @@
             due: false,
             taking_down: false,
             taken_down_until_ms: 0,
+            pace: FillerPace::default(),
             failures: 0,
             pass_over_until_ms: 0,
         }
--- /dev/null
+++ b/crates/domain/tests/filler_pace_test.rs
@@ -0,0 +1,204 @@
+//! Fillers beside tasks that serve: how their pace follows the tails.
+
+use {
+    dotterelshore_domain::{
+        names::{CentreName, JobName, PoolName, QueueName, WorkerName},
+        schedule::{
+            FillerPace, FleetSchedule, JobPlan, JobRecord, ListedWorker, OrderRule, Resources,
+            RunningRow, StartReply, StepPlan, WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    std::sync::Arc,
+};
+
+/// Time between reports in these tests, in milliseconds.
+const REPORT_MS: u64 = 500;
+/// By the users' rules a task must not be over its target for this long by the fillers' doing,
+/// in milliseconds.
+const HARM_MS: u64 = 4_000;
+/// Some time of the schedule's clock, in milliseconds.
+const NOW_MS: u64 = 100_000;
+/// Some time of day, in milliseconds since the Unix epoch.
+const WALL_MS: u64 = 1_700_000_000_000;
+
+/// A tail, in percent of its target, as fillers at some pace make it.
+fn tail(alone: f64, by_fillers: f64, pace: &FillerPace) -> f64 {
+    alone + by_fillers * f64::from(pace.percent()) / 100.0
+}
+
+/// Under a steady load the tail comes under its target in time and stays there, and the fillers
+/// get what is left.
+fn pace_settles(alone: f64, by_fillers: f64, least: u32, most: u32) {
+    let mut pace = FillerPace::default();
+    let mut over_since = None;
+    let mut lowest = 100;
+    let mut highest = 0;
+    for step in 0..120u64 {
+        let now_ms = NOW_MS + step * REPORT_MS;
+        let told = tail(alone, by_fillers, &pace);
+        if told >= 100.0 && pace.percent() > 0 {
+            let since = *over_since.get_or_insert(now_ms);
+            assert!(now_ms - since < HARM_MS, "over since {since}");
+        } else {
+            over_since = None;
+        }
+        pace.take_tail(told, now_ms);
+        if step > 40 {
+            lowest = lowest.min(pace.percent());
+            highest = highest.max(pace.percent());
+        }
+    }
+    assert!(
+        lowest >= least && highest <= most,
+        "between {lowest} and {highest}"
+    );
+}
+
+named_cases! { pace_settles:
+    no_disturbance_leaves_full_pace(40.0, 10.0, 100, 100);
+    a_strong_disturbance_leaves_a_part(50.0, 100.0, 10, 49);
+    a_tail_over_its_target_by_itself_stops_them(120.0, 30.0, 0, 0);
+}
+
+/// A burst of load slows the fillers at once, and they recover after it.
+fn pace_recovers(burst_steps: u64, steps_to_recover: u64) {
+    let mut pace = FillerPace::default();
+    for step in 0..burst_steps {
+        pace.take_tail(150.0, NOW_MS + step * REPORT_MS);
+    }
+    assert!(pace.percent() < 20, "{} in the burst", pace.percent());
+    for step in 0..steps_to_recover {
+        pace.take_tail(30.0, NOW_MS + (burst_steps + step) * REPORT_MS);
+    }
+    assert_eq!(pace.percent(), 100);
+}
+
+named_cases! { pace_recovers:
+    a_short_burst(2, 24);
+    a_long_one(20, 24);
+}
+
+fn record(text: &str, plan: StepPlan) -> JobRecord {
+    JobRecord {
+        name: JobName::try_from(text).expect("a name"),
+        queue: QueueName::try_from("lasting").expect("a name"),
+        pool: PoolName::try_from("proofs").expect("a name"),
+        team: None,
+        accepted_ms: WALL_MS,
+        priority: 0,
+        attempts: 2,
+        stretch: 1.6,
+        target_latency_ms: 600,
+        advised: false,
+        plan: JobPlan {
+            task_body: Arc::from(""),
+            steps: vec![plan],
+            times: 0,
+            start_at_ms: 0,
+            interval_ms: 0,
+        },
+    }
+}
+
+fn lasting(cpu_milli: u64) -> StepPlan {
+    StepPlan {
+        count: 1,
+        need: Resources {
+            cpu_milli,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        long_running: true,
+        ..StepPlan::default()
+    }
+}
+
+fn worker() -> ListedWorker {
+    ListedWorker {
+        name: WorkerName::try_from("w-1").expect("a name"),
+        born_ms: 1,
+        instance: None,
+        address: Arc::from("127.0.0.1:1"),
+        pool: PoolName::try_from("proofs").expect("a name"),
+        centre: CentreName::try_from("north").expect("a name"),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu_milli: 64_000,
+            memory_mb: 128_000,
+            gpus: 0,
+        },
+        draining: false,
+    }
+}
+
+/// A worker's report of a serving task's tail paces the filler beside it; an order that got no
+/// answer is given again, and an owner that took over tells every filler its pace.
+fn report_paces_fillers(tail_ms: f64, unanswered: bool, taken_over: bool, orders_given: usize) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), 4_000, 0);
+    schedule.upsert_worker(worker());
+    let name = worker().name;
+    let serves = StepPlan {
+        target_ms: Some(100),
+        ..lasting(4_000)
+    };
+    let fills = StepPlan {
+        fills: true,
+        ..lasting(60_000)
+    };
+    let run_base = if taken_over { 1_000 } else { 0 };
+    schedule.add_job(record("serves", serves), None, run_base, NOW_MS, WALL_MS);
+    schedule.add_job(record("fills", fills), None, run_base, NOW_MS, WALL_MS);
+    let mut rows = Vec::new();
+    let report = |rows: &[RunningRow], schedule: &mut FleetSchedule, step: u64| {
+        let report = WorkerReport {
+            born_ms: None,
+            clock_ms: NOW_MS + step * REPORT_MS,
+            running: rows.to_vec(),
+            finished: Vec::new(),
+        };
+        schedule.report(&name, &report, NOW_MS + step * REPORT_MS, WALL_MS)
+    };
+    let row = |task, run, figure| RunningRow {
+        task,
+        run,
+        saved: Arc::from(""),
+        percent: 100.0,
+        figure,
+    };
+    if taken_over {
+        rows.push(row("serves.0.0.0".parse().expect("a task"), 1, tail_ms));
+        rows.push(row("fills.0.0.0".parse().expect("a task"), 1, 8_000.0));
+    } else {
+        report(&[], &mut schedule, 0);
+        for order in schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX) {
+            let WorkerOrder::Start(start) = order else {
+                continue;
+            };
+            let reply = StartReply::Started { clock_ms: 1 };
+            schedule.start_answered(&start.worker, &start.task, start.run, reply, NOW_MS);
+            rows.push(row(start.task, start.run, tail_ms));
+        }
+        assert_eq!(rows.len(), 2, "both run");
+    }
+    let mut given = 0;
+    for step in 1..4 {
+        for order in report(&rows, &mut schedule, step) {
+            if let WorkerOrder::Pace(order, _) = order {
+                given += 1;
+                if unanswered && given == 1 {
+                    schedule.pace_unanswered(&order);
+                }
+            }
+        }
+    }
+    assert_eq!(given, orders_given);
+}
+
+named_cases! { report_paces_fillers:
+    a_low_tail_needs_no_order(20.0, false, false, 0);
+    a_tail_between_needs_none(80.0, false, false, 0);
+    a_tail_over_its_target_stops_the_filler(150.0, false, false, 2);
+    an_unanswered_order_is_given_again(150.0, true, false, 3);
+    a_new_owner_tells_its_pace(80.0, false, true, 1);
+}
--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -58,8 +58,12 @@
                 }
             }
             WorkerOrder::Pace(order, percent) => {
+                if !leadership.may_order() {
+                    continue;
+                }
                 if let Err(fault) = link.pace(&order, percent, leadership.token()).await {
                     node.metrics.count_retry("pace");
+                    lock(&leadership.schedule).pace_unanswered(&order);
                     log_event!(
                         Info,
                         "pace-unanswered",
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -15,6 +15,9 @@
 /// How long a look at a worker's lists waits for an end. A worker that falls silent is
 /// noticed after about this time and some more.
 const LOOK_WAIT_MS: u64 = 1_500;
+/// How long a look waits where tasks fill beside others, whose tails are told for the last
+/// half second.
+const PACING_WAIT_MS: u64 = 500;
 /// Pause after each look, so that ends that come together are read together.
 const LOOK_PAUSE: Duration = Duration::from_millis(35);
 /// Pause after a look that was not answered.
@@ -155,10 +158,15 @@
     let lease_until_ms = side
         .lease_until(node)
         .filter(|_| !silent && schedule.grant(&side.name, uptime_ms()));
+    let wait_ms = if schedule.paces(&side.name) {
+        PACING_WAIT_MS
+    } else {
+        LOOK_WAIT_MS
+    };
     HoldTerms {
         lease_until_ms,
         fencing_token: token,
         recorded_end: schedule.acknowledged(&side.name),
-        wait_ms: lease_until_ms.map(|_| LOOK_WAIT_MS),
+        wait_ms: lease_until_ms.map(|_| wait_ms),
     }
 }
