Ask the adviser for queues that take advice

Change: the schedule says what to ask next (the most urgent step that waits without a ticket and room, thirty workers a question, what the users count into an objective) and keeps each step's tickets for the lives they were given for; a task of the owner asks, one question at a time, while everything else goes on. Starts carry their ticket; one that is refused, runs out or belongs to an earlier life is asked for again. Jobs that wait for advice hold up no others. How long tickets are valid is read from the configuration, not from the adviser's answer.

Measured: step_advice_test; on the emulator, whose workers refuse starts without the right ticket, jobs on one and on half of four workers end, with no start refused for its ticket.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -6,6 +6,7 @@
         job_order::JobUrgency,
         job_plan::StepPlan,
         job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
+        step_advice::StepAdvice,
         task_name::TaskName,
         worker_order::{StopOrder, WorkerOrder},
     },
@@ -113,6 +114,7 @@
     pub(super) tasks: Vec<TaskState>,
     pub(super) open: usize,
     pub(super) touched: bool,
+    pub(super) advice: StepAdvice,
 }
 
 /// A job under the scheduler's care.
@@ -204,6 +206,7 @@
             tasks: vec![TaskState::default(); step.count as usize],
             open: step.count as usize,
             touched: false,
+            advice: StepAdvice::default(),
         });
         self.occurrences
             .insert(self.next_occurrence, steps.collect());
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -16,6 +16,7 @@
 mod queue_table;
 mod run_reports;
 mod start_answers;
+mod step_advice;
 mod task_name;
 mod worker_lives;
 mod worker_order;
@@ -30,8 +31,9 @@
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
     job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
     maintenance_wave::{WaveOrder, WaveProgress},
-    queue_table::{FrontLimits, PoolRow, QueueRow, QueueTable, RouteFault, TeamRow},
+    queue_table::{AdviceTerms, FrontLimits, PoolRow, QueueRow, QueueTable, RouteFault, TeamRow},
     start_answers::{StartRefusal, StartReply},
+    step_advice::AdviceQuestion,
     task_name::TaskName,
     worker_order::{StartOrder, StopOrder, WorkerOrder},
     worker_seat::{
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -144,6 +144,10 @@
         let gang_saved = tasks.iter().find_map(|task| task.saved.clone());
         let mut placed: Vec<(TaskName, WorkerName, u32)> = Vec::new();
         let mut whole = true;
+        if !self.has_advice(name, (occurrence, step), open, now_ms) {
+            // It waits for the adviser, not for room.
+            return true;
+        }
         for index in idle {
             let task = TaskName {
                 job: name.clone(),
@@ -157,7 +161,7 @@
                     .is_none_or(|team| team.allows(plan.need))
             });
             let Some(worker) = allowed
-                .then(|| self.choose_worker(open, &plan, &task))
+                .then(|| self.choose_worker(open, &plan, &task, now_ms))
                 .flatten()
             else {
                 whole = false;
@@ -182,17 +186,38 @@
             } else {
                 job.task(&task).and_then(|task| task.saved.clone())
             };
+            let ticket = self.workers.get(&worker).and_then(|seat| {
+                let step = job.step(&task).filter(|_| job.record.advised)?;
+                step.advice.ticket(seat, now_ms).cloned()
+            });
             orders.push(WorkerOrder::Start(StartOrder {
                 worker,
                 task,
                 run,
                 body: Arc::clone(&job.record.plan.task_body),
                 saved,
+                ticket,
             }));
         }
         whole
     }
 
+    /// Whether a step needs no advice, or has it for some open worker.
+    fn has_advice(
+        &self,
+        name: &JobName,
+        (occurrence, step): (u32, usize),
+        open: &[WorkerName],
+        now_ms: u64,
+    ) -> bool {
+        let Some(job) = self.jobs.get(name).filter(|job| job.record.advised) else {
+            return true;
+        };
+        let step = &job.occurrences[&occurrence][step];
+        let mut seats = open.iter().filter_map(|name| self.workers.get(name));
+        seats.any(|seat| step.advice.ticket(seat, now_ms).is_some())
+    }
+
     fn begin_run(
         &mut self,
         task: &TaskName,
@@ -225,10 +250,14 @@
         open: &[WorkerName],
         plan: &StepPlan,
         task: &TaskName,
+        now_ms: u64,
     ) -> Option<WorkerName> {
         let need = plan.reserved();
+        let job = self.jobs.get(&task.job)?;
+        let advice = job.step(task).filter(|_| job.record.advised);
         let fits = |seat: &&WorkerSeat| {
             need.fits(seat.used, seat.listed.capacity)
+                && advice.is_none_or(|step| step.advice.ticket(seat, now_ms).is_some())
                 && plan
                     .requires
                     .as_ref()
--- a/crates/domain/src/schedule/queue_table.rs
+++ b/crates/domain/src/schedule/queue_table.rs
@@ -33,8 +33,16 @@
     pub target_latency_ms: u64,
     /// Whether work is taken without a team's key.
     pub public: bool,
-    /// Whether only an adviser knows which workers may run a step.
-    pub advised: bool,
+    /// The terms of the adviser, where only it knows which workers may run a step.
+    pub advice: Option<AdviceTerms>,
+}
+
+/// How the adviser answers for a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct AdviceTerms {
+    /// How long its tickets are valid, in milliseconds.
+    pub valid_ms: u64,
 }
 
 /// One pool of workers.
--- a/crates/domain/src/schedule/start_answers.rs
+++ b/crates/domain/src/schedule/start_answers.rs
@@ -80,6 +80,9 @@
             }
             StartReply::Refused(refusal) => {
                 self.release(task, worker, run);
+                if refusal == StartRefusal::Ticket {
+                    self.drop_ticket(worker, task);
+                }
                 if matches!(refusal, StartRefusal::NoRoom | StartRefusal::Unhealthy)
                     && let Some(seat) = self.workers.get_mut(worker)
                 {
--- a/crates/domain/src/schedule/worker_order.rs
+++ b/crates/domain/src/schedule/worker_order.rs
@@ -15,6 +15,8 @@
     pub body: Arc<str>,
     /// Where it resumes from.
     pub saved: Option<Arc<str>>,
+    /// The adviser's leave to run it there, where its queue takes advice.
+    pub ticket: Option<Arc<str>>,
 }
 
 /// An order to stop a run.
--- /dev/null
+++ b/crates/domain/tests/step_advice_test.rs
@@ -0,0 +1,224 @@
+//! Steps that only an adviser can place.
+
+use {
+    dotterelshore_domain::{
+        names::{CentreName, JobName, PoolName, QueueName, WorkerName},
+        schedule::{
+            AdviceQuestion, FleetSchedule, JobPlan, JobRecord, ListedWorker, OrderRule, Resources,
+            StartOrder, StartRefusal, StartReply, StepPlan, WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    std::sync::Arc,
+};
+
+/// How long workers are granted, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+/// How long tickets are valid, in milliseconds.
+const TICKET_MS: u64 = 2_000;
+/// Some time of the schedule's clock, in milliseconds.
+const NOW_MS: u64 = 100_000;
+/// Some time of day, in milliseconds since the Unix epoch.
+const WALL_MS: u64 = 1_700_000_000_000;
+
+fn worker(number: usize, born_ms: u64) -> ListedWorker {
+    ListedWorker {
+        name: WorkerName::try_from(format!("w-{number}")).expect("a name"),
+        born_ms,
+        instance: None,
+        address: Arc::from("127.0.0.1:1"),
+        pool: PoolName::try_from("proofs").expect("a name"),
+        centre: CentreName::try_from("north").expect("a name"),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu_milli: 4_000,
+            memory_mb: 128_000,
+            gpus: 0,
+        },
+        draining: false,
+    }
+}
+
+fn record(text: &str, count: u32, advised: bool) -> JobRecord {
+    let step = StepPlan {
+        count,
+        need: Resources {
+            cpu_milli: 2_000,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        estimate_ms: 800,
+        ..StepPlan::default()
+    };
+    JobRecord {
+        name: JobName::try_from(text).expect("a name"),
+        queue: QueueName::try_from("advised").expect("a name"),
+        pool: PoolName::try_from("proofs").expect("a name"),
+        team: None,
+        accepted_ms: WALL_MS,
+        priority: 0,
+        attempts: 2,
+        stretch: 1.6,
+        target_latency_ms: 600,
+        advised,
+        plan: JobPlan {
+            task_body: Arc::from(""),
+            steps: vec![step],
+            times: 0,
+            start_at_ms: 0,
+            interval_ms: 0,
+        },
+    }
+}
+
+/// A schedule of workers, an adviser that lets only some of them run steps, and a clock.
+struct AdviceStage {
+    schedule: FleetSchedule,
+    now_ms: u64,
+    good: Vec<usize>,
+    asked: usize,
+}
+
+impl AdviceStage {
+    fn new(workers: usize, good: &[usize]) -> Self {
+        let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+        for number in 0..workers {
+            let listed = worker(number, 1);
+            let name = listed.name.clone();
+            schedule.upsert_worker(listed);
+            schedule.report(&name, &WorkerReport::default(), NOW_MS, WALL_MS);
+        }
+        Self {
+            schedule,
+            now_ms: NOW_MS,
+            good: good.to_vec(),
+            asked: 0,
+        }
+    }
+
+    fn add(&mut self, text: &str, count: u32, advised: bool) {
+        let record = record(text, count, advised);
+        self.schedule.add_job(record, None, 0, self.now_ms, WALL_MS);
+    }
+
+    fn answer(&mut self, question: &AdviceQuestion) {
+        self.asked += 1;
+        let may = |name: &WorkerName| self.good.iter().any(|good| worker(*good, 1).name == *name);
+        let named = question.workers.iter().map(|(name, _)| name);
+        let tickets: Vec<_> = named
+            .filter(|name| may(name))
+            .map(|name| (name.clone(), Arc::from(format!("t-{name}"))))
+            .collect();
+        self.schedule
+            .take_advice(question, &tickets, self.now_ms + TICKET_MS);
+    }
+
+    /// Asks as long as there is something to ask, up to a bound.
+    fn ask(&mut self) {
+        for _ in 0..20 {
+            let Some(question) = self.schedule.next_question(self.now_ms) else {
+                return;
+            };
+            self.answer(&question);
+        }
+        panic!("it asks for ever");
+    }
+
+    fn starts(&mut self) -> Vec<StartOrder> {
+        let orders = self.schedule.plan_starts(self.now_ms, WALL_MS, u64::MAX);
+        let starts = orders.into_iter().filter_map(|order| match order {
+            WorkerOrder::Start(start) => Some(start),
+            _ => None,
+        });
+        starts.collect()
+    }
+}
+
+/// Tasks start only on workers that the adviser names, each with its ticket.
+fn advised_starts(workers: usize, good: &[usize], tasks: u32, started: usize) {
+    let mut stage = AdviceStage::new(workers, good);
+    stage.add("a", tasks, true);
+    assert_eq!(stage.starts(), Vec::new(), "nothing without advice");
+    let mut starts = Vec::new();
+    while starts.len() < started {
+        stage.ask();
+        let more = stage.starts();
+        assert!(!more.is_empty(), "{} started", starts.len());
+        starts.extend(more);
+    }
+    stage.ask();
+    assert_eq!(stage.starts(), Vec::new(), "no more than these");
+    for start in &starts {
+        let ticket = format!("t-{}", start.worker);
+        assert_eq!(start.ticket.as_deref(), Some(ticket.as_str()));
+    }
+    assert_eq!(
+        stage.schedule.next_question(stage.now_ms),
+        None,
+        "all asked"
+    );
+}
+
+named_cases! { advised_starts:
+    nobody_may(3, &[], 2, 0);
+    one_may(3, &[1], 2, 2);
+    one_may_and_is_full(3, &[1], 4, 2);
+    the_first_thirty_may_not(40, &[35, 39], 4, 4);
+}
+
+/// Jobs that wait for advice keep no room from others behind them.
+fn others_go_on(waiting: usize) {
+    let mut stage = AdviceStage::new(2, &[]);
+    for number in 0..waiting {
+        stage.add(&format!("a-{number}"), 2, true);
+    }
+    stage.add("plain", 2, false);
+    let starts = stage.starts();
+    assert_eq!(starts.len(), 2, "the plain job");
+    assert!(starts.iter().all(|start| start.ticket.is_none()));
+}
+
+named_cases! { others_go_on:
+    behind_one(1);
+    behind_many(30);
+}
+
+/// A ticket that runs out, that a worker refuses, or whose worker was born again is asked for
+/// anew; one that is valid serves all tasks of its step.
+fn ticket_life(change: fn(&mut AdviceStage, &StartOrder), asked_again: bool) {
+    let mut stage = AdviceStage::new(1, &[0]);
+    stage.add("a", 3, true);
+    stage.ask();
+    let mut starts = stage.starts();
+    assert_eq!(starts.len(), 2, "its room");
+    let first = starts.remove(0);
+    change(&mut stage, &first);
+    let asked = stage.asked;
+    stage.ask();
+    assert_eq!(stage.asked > asked, asked_again);
+    assert!(!stage.starts().is_empty(), "the third task");
+}
+
+fn refused(stage: &mut AdviceStage, start: &StartOrder, refusal: StartRefusal) {
+    let reply = StartReply::Refused(refusal);
+    let now_ms = stage.now_ms;
+    stage
+        .schedule
+        .start_answered(&start.worker, &start.task, start.run, reply, now_ms);
+}
+
+named_cases! { ticket_life:
+    a_refused_start_keeps_it(|stage, start| refused(stage, start, StartRefusal::Late), false);
+    a_refused_ticket_is_dropped(|stage, start| refused(stage, start, StartRefusal::Ticket), true);
+    it_runs_out(|stage, start| {
+        refused(stage, start, StartRefusal::Late);
+        stage.now_ms += TICKET_MS;
+    }, true);
+    its_worker_is_born_again(|stage, _| {
+        let listed = worker(0, 2);
+        stage.schedule.upsert_worker(listed);
+        let name = worker(0, 2).name;
+        let now_ms = stage.now_ms;
+        stage.schedule.report(&name, &WorkerReport::default(), now_ms, WALL_MS);
+    }, true);
+}
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -180,7 +180,7 @@
         attempts: queue.attempts,
         stretch: queue.stretch,
         target_latency_ms: queue.target_latency_ms,
-        advised: queue.advised,
+        advised: queue.advice.is_some(),
         plan,
     }
 }
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -1,5 +1,6 @@
 //! What the owner of the schedule does: take over, plan, order, record.
 
+mod advice_task;
 mod instance_calls;
 mod instance_task;
 mod job_follow;
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        advice_task::ask_for_advice,
         instance_task::keep_instances,
         job_follow::{follow_jobs, take_job_rows},
         leadership::{HandOver, Leadership},
@@ -88,6 +89,8 @@
     let (n, l) = both();
     tasks.spawn(async move { sweep(n, l).await });
     let (n, l) = both();
+    tasks.spawn(async move { ask_for_advice(n, l).await });
+    let (n, l) = both();
     tasks.spawn(async move { keep_instances(n, l, claim, stored.ordered).await });
     while let Some(ended) = tasks.join_next().await {
         if let Err(error) = ended {
--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -96,7 +96,7 @@
                 && leadership.may_order()
                 && lock(&leadership.schedule).grant(&side.name, uptime_ms()) =>
         {
-            link.start(order, until, leadership.token(), None).await
+            link.start(order, until, leadership.token()).await
         }
         // Not sent, so it surely does not run.
         _ => StartReply::Refused(StartRefusal::Late),
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -428,3 +428,33 @@
     one_that_is_cut_off_leaves(true, 503);
     in_an_outage_all_stay(false, 200);
 }
+
+/// Jobs of a queue that takes advice run where the adviser lets them, with its tickets, and no
+/// start goes out without one.
+fn advised_job_ends(workers: usize, tasks: u32) {
+    run(async {
+        let stage = FleetStage::start(2, workers).await;
+        let job = "00000000000000e1";
+        let accepted = stage
+            .fleet
+            .submit_advised(&stage.nodes[0], job, &two_steps("advised", tasks))
+            .await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let path = format!("/advised/{job}");
+        let completed = stage.within(stage::SETTLE, async || {
+            let told = stage
+                .fleet
+                .call(&stage.nodes[0], Method::GET, &path, KEY, Bytes::new())
+                .await;
+            told.body["state"] == "completed"
+        });
+        assert!(completed.await, "{}", stage.nodes[0].log());
+        assert!(stage.fleet.advice_given() >= 2, "one question a step");
+        stage.check();
+    });
+}
+
+named_cases! { advised_job_ends:
+    on_the_only_worker_named(1, 2);
+    on_half_of_the_workers(4, 8);
+}
