Know occurrences that another owner started before they are due here

The earlier owner's clock was ahead and had started the occurrence; the next one read it in a worker's list, did not know the occurrence yet, ordered the run to stop, and started it elsewhere when it came due some milliseconds later. In the same way an end of such an occurrence was acknowledged and forgotten.

Change: a row or an end that names a later occurrence opens it; only what is due is started. The case occurrence_started_ahead fails without it, for the run (ordered to stop) and for the end (started again).

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -127,6 +127,9 @@
     pub(super) record: Arc<JobRecord>,
     pub(super) occurrences: BTreeMap<u32, Vec<StepState>>,
     pub(super) next_occurrence: u32,
+    /// Occurrences whose time has come here. One that is not due may be open: another owner,
+    /// whose clock is ahead, started it.
+    due_occurrences: u32,
     pub(super) ended: Option<JobState>,
     pub(super) ended_ms: Option<u64>,
     pub(super) end_recorded: bool,
@@ -151,6 +154,7 @@
             record,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
+            due_occurrences: 0,
             ended: None,
             ended_ms: None,
             end_recorded: false,
@@ -175,11 +179,7 @@
         }
         self.open_due(wall_ms);
         for tally in &progress.tallies {
-            while self.next_occurrence <= tally.occurrence
-                && self.next_occurrence < self.record.plan.occurrences()
-            {
-                self.open_next();
-            }
+            self.open_to(tally.occurrence);
             let Some(step) = self
                 .occurrences
                 .get_mut(&tally.occurrence)
@@ -194,8 +194,19 @@
 
     /// Opens the occurrences that are due.
     pub(super) fn open_due(&mut self, wall_ms: u64) {
-        while self.next_occurrence < self.record.plan.occurrences()
-            && self.record.plan.due_ms(self.next_occurrence) <= wall_ms
+        while self.due_occurrences < self.record.plan.occurrences()
+            && self.record.plan.due_ms(self.due_occurrences) <= wall_ms
+        {
+            self.open_to(self.due_occurrences);
+            self.due_occurrences += 1;
+        }
+    }
+
+    /// Opens the occurrences up to one that a worker or a record names, due or not, so that
+    /// what runs or ended of it is known. What is not due starts no more tasks.
+    pub(super) fn open_to(&mut self, occurrence: u32) {
+        while self.next_occurrence <= occurrence
+            && self.next_occurrence < self.record.plan.occurrences()
         {
             self.open_next();
         }
@@ -221,8 +232,11 @@
         self.step(name)?.tasks.get(name.index as usize)
     }
 
-    /// Whether the steps that a step waits for are done.
+    /// Whether a step's occurrence is due and the steps that it waits for are done.
     pub(super) fn is_ready(&self, occurrence: u32, step: usize) -> bool {
+        if occurrence >= self.due_occurrences {
+            return false;
+        }
         let Some(steps) = self.occurrences.get(&occurrence) else {
             return false;
         };
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -96,10 +96,11 @@
         wall_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) -> bool {
-        let Some(job) = self.jobs.get(&end.task.job) else {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
             // The job's record may still be on its way from the store.
             return now_ms > self.unseen_until_ms;
         };
+        job.open_to(end.task.occurrence);
         if job.task(&end.task).is_none() {
             return true;
         }
@@ -211,6 +212,7 @@
         let copies = plan.is_some_and(|step| step.speculative);
         let fills = plan.is_some_and(|step| step.fills);
         job.begun = true;
+        job.open_to(row.task.occurrence);
         let Some(task) = job.task_mut(&row.task) else {
             orders.push(unwanted());
             return;
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -614,3 +614,53 @@
     it_drains(|listed| listed.draining = true, true);
     another_life(|listed| listed.born_ms += 1, true);
 }
+
+/// An occurrence that an earlier owner, whose clock is ahead, has started is known before it is
+/// due here: its runs go on, its ends count, and nothing of it is started twice or too early.
+fn occurrence_started_ahead(listed: bool, ended_there: bool, started_at_due: usize) {
+    let ahead_ms = 100;
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    for text in ["w-1", "w-2"] {
+        schedule.upsert_worker(worker(text));
+    }
+    let mut timed = job("timed", vec![step(1)]);
+    timed.plan.times = 2;
+    timed.plan.start_at_ms = WALL_MS - 1_000;
+    timed.plan.interval_ms = 1_000 + ahead_ms;
+    schedule.add_job(timed, None, 1_000, NOW_MS, WALL_MS);
+    let task = |occurrence| TaskName {
+        job: name("timed"),
+        occurrence,
+        step: 0,
+        index: 0,
+    };
+    let row = RunningRow {
+        task: task(1),
+        run: 1,
+        saved: Arc::from(""),
+        percent: 10.0,
+        figure: 0.0,
+    };
+    let mut report = WorkerReport {
+        clock_ms: 5,
+        ..WorkerReport::default()
+    };
+    report.finished.push(ended(1, &task(0), 1, EndKind::Done));
+    if ended_there {
+        report.finished.push(ended(2, &task(1), 1, EndKind::Done));
+    } else if listed {
+        report.running.push(row);
+    }
+    let orders = hear(&mut schedule, "w-1", &report);
+    assert_eq!(orders, Vec::new(), "it goes on");
+    hear(&mut schedule, "w-2", &WorkerReport::default());
+    assert_eq!(starts(&mut schedule, NOW_MS), Vec::new(), "it is not due");
+    let due = schedule.plan_starts(NOW_MS + ahead_ms, WALL_MS + ahead_ms, u64::MAX);
+    assert_eq!(due.len(), started_at_due, "{due:?}");
+}
+
+named_cases! { occurrence_started_ahead:
+    nothing_of_it_runs(false, false, 1);
+    it_runs(true, false, 0);
+    it_has_ended(false, true, 0);
+}
