Take down no instance whose worker was not heard yet

Read in the code: a worker that the new owner had not heard counted as running nothing, so that its instance could be taken down at once, or ordered again where an earlier order had no answer.

Change: an instance may be taken down only once what runs on its worker is known.

Measured: the cases of unheard_worker_stays_up fail before and pass after.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -248,7 +248,7 @@
         schedule: &mut FleetSchedule,
         now_ms: u64,
     ) -> (Vec<InstanceOrder>, Vec<WorkerOrder>) {
-        self.note_idle(schedule, now_ms);
+        self.note_workers(schedule, now_ms);
         self.resting.retain(|_, until_ms| now_ms < *until_ms);
         let left = self.budget.left(now_ms);
         let (mut orders, stops) = self.plan_maintenance(schedule, now_ms, left);
@@ -295,7 +295,8 @@
         seat.ordered_ms = Some(now_ms);
     }
 
-    fn note_idle(&mut self, schedule: &mut FleetSchedule, now_ms: u64) {
+    /// Takes note of each instance's worker and whether it has nothing to do.
+    pub(super) fn note_workers(&mut self, schedule: &mut FleetSchedule, now_ms: u64) {
         let mut lives: FastMap<InstanceName, (u64, WorkerName, PoolName)> = FastMap::default();
         for seat in schedule.workers() {
             let Some(instance) = &seat.listed.instance else {
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -227,6 +227,7 @@
     /// Orders for maintenance that got no answer, to be sent again: of those instances that
     /// may be taken down now, should the order not have been carried out before.
     pub fn ask_again(&mut self, schedule: &mut FleetSchedule, now_ms: u64) -> Vec<InstanceOrder> {
+        self.note_workers(schedule, now_ms);
         let most = self.orders_left(now_ms);
         let mut orders = Vec::new();
         for wave in &self.waves {
--- a/crates/domain/src/schedule/worker_takedown.rs
+++ b/crates/domain/src/schedule/worker_takedown.rs
@@ -54,12 +54,16 @@
             .is_none_or(|seat| seat.runs.keys().all(lasting))
     }
 
-    /// Whether a worker's instance may be taken down: every step that lasts misses no more
-    /// tasks then than it may, those that are not at work for any cause counted.
+    /// Whether a worker's instance may be taken down: what runs there is known, and every step
+    /// that lasts misses no more tasks then than it may, those that are not at work for any
+    /// cause counted.
     pub fn may_take_down(&self, name: &WorkerName) -> bool {
         let Some(seat) = self.workers.get(name) else {
             return true;
         };
+        if !seat.heard && !seat.accounted {
+            return false;
+        }
         seat.runs.keys().all(|task| {
             let Some(job) = self.jobs.get(&task.job) else {
                 return true;
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -870,3 +870,36 @@
     others_have_room(8, 0);
     others_are_full(10, 2);
 }
+
+/// An owner that took over takes down no instance whose worker it has not heard: what runs
+/// there is not known.
+fn unheard_worker_stays_up(asked: bool) {
+    let mut stage = FleetStage::new(2, 0);
+    let recorded = WaveProgress {
+        number: 1,
+        begun: Vec::new(),
+        asked: if asked {
+            vec![host_name(0)]
+        } else {
+            Vec::new()
+        },
+        completed: false,
+        since_wall_ms: WALL_MS,
+    };
+    stage
+        .plan
+        .take_wave(wave(1, 1), Some(&recorded), stage.now_ms, WALL_MS);
+    let orders = |stage: &mut FleetStage| {
+        let mut orders = stage.plan.ask_again(&mut stage.schedule, stage.now_ms);
+        orders.extend(stage.plan.plan(&mut stage.schedule, stage.now_ms).0);
+        orders
+    };
+    assert_eq!(orders(&mut stage), Vec::new(), "not heard yet");
+    stage.hear(&[]);
+    assert_eq!(orders(&mut stage).len(), 1, "heard, and idle");
+}
+
+named_cases! { unheard_worker_stays_up:
+    that_was_asked_by_an_earlier_owner(true);
+    that_is_due(false);
+}
