Count what may run unseen towards teams' ceilings

Change: jobs that are held back because of such workers count with each task that is ready and not known to run. The case unseen_runs_count starts 4 tasks before and 1 after.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -28,16 +28,20 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct TeamUse {
     pub(super) used: Resources,
+    /// What an earlier owner may have started that is not known here.
+    pub(super) unseen: Resources,
     pub(super) ceiling: Resources,
 }
 
 impl TeamUse {
     /// Whether this much more stays within the ceiling; a zero field is no limit.
     pub(super) fn allows(&self, need: Resources) -> bool {
+        let mut used = self.used;
+        used += self.unseen;
         let within = |used: u64, need: u64, limit: u64| limit == 0 || used + need <= limit;
-        within(self.used.cpu_milli, need.cpu_milli, self.ceiling.cpu_milli)
-            && within(self.used.memory_mb, need.memory_mb, self.ceiling.memory_mb)
-            && within(self.used.gpus, need.gpus, self.ceiling.gpus)
+        within(used.cpu_milli, need.cpu_milli, self.ceiling.cpu_milli)
+            && within(used.memory_mb, need.memory_mb, self.ceiling.memory_mb)
+            && within(used.gpus, need.gpus, self.ceiling.gpus)
     }
 }
 
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -4,7 +4,7 @@
     super::{
         fleet_schedule::PoolLoad,
         job_order::JobUrgency,
-        job_plan::StepPlan,
+        job_plan::{Resources, StepPlan},
         job_progress::{JobRecord, JobState, ProgressRecord, StepTally, TaskFailures},
         step_advice::StepAdvice,
         task_name::TaskName,
@@ -308,6 +308,23 @@
         }
     }
 
+    /// What its ready tasks need that are not known to run.
+    pub(super) fn ready_need(&self) -> Resources {
+        let mut need = Resources::default();
+        for (occurrence, steps) in &self.occurrences {
+            for (number, step) in steps.iter().enumerate() {
+                if step.open == 0 || !self.is_ready(*occurrence, number) {
+                    continue;
+                }
+                let one = self.record.plan.steps[number].need;
+                for _ in step.tasks.iter().filter(|task| task.idle()) {
+                    need += one;
+                }
+            }
+        }
+        need
+    }
+
     pub(super) fn urgency(&self) -> JobUrgency {
         let plan = &self.record.plan;
         let whole = plan.chain_ms(|_| false);
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -33,6 +33,7 @@
             .filter(|(_, jobs)| !jobs.is_empty())
             .map(|(pool, _)| pool.clone())
             .collect();
+        self.count_unseen(&pools, now_ms);
         let mut orders = Vec::new();
         for pool in pools {
             self.plan_pool(&pool, (now_ms, wall_ms), sole_until_ms, &mut orders);
@@ -40,6 +41,29 @@
         orders
     }
 
+    /// Holds back jobs of earlier owners in pools with workers that were not heard, and counts
+    /// what may run of them towards their teams' ceilings: each task that is ready and not
+    /// known to run.
+    fn count_unseen(&mut self, pools: &[PoolName], now_ms: u64) {
+        for team in self.teams.values_mut() {
+            team.unseen = Resources::default();
+        }
+        for pool in pools {
+            let unseen = self.unseen_workers(pool, now_ms).next().is_some();
+            for name in self.active.get(pool).into_iter().flatten() {
+                let Some(job) = self.jobs.get_mut(name) else {
+                    continue;
+                };
+                // What may run unseen starts nowhere else, unless copies are allowed.
+                job.held_back = unseen && job.from_before;
+                let team = job.record.team.as_ref().filter(|_| job.held_back);
+                if let Some(team) = team.and_then(|team| self.teams.get_mut(team)) {
+                    team.unseen += job.ready_need();
+                }
+            }
+        }
+    }
+
     fn plan_pool(
         &mut self,
         pool: &PoolName,
@@ -47,7 +71,6 @@
         sole_until_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) {
-        let unseen = self.unseen_workers(pool, now_ms).next().is_some();
         let mut waiting = Vec::new();
         for name in self.active.get(pool).into_iter().flatten() {
             let Some(job) = self.jobs.get_mut(name) else {
@@ -57,8 +80,6 @@
                 continue;
             }
             job.open_due(wall_ms);
-            // What may run unseen starts nowhere else, unless copies are allowed.
-            job.held_back = unseen && job.from_before;
             if first_idle(job) {
                 waiting.push((job.urgency().key(self.rule, now_ms), name.clone()));
             }
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -5,8 +5,8 @@
         names::{CentreName, InstanceName, PoolName, QueueName, WorkerName},
         schedule::{
             EndKind, EndedRun, FleetSchedule, HeldWorker, JobPlan, JobRecord, JobState,
-            ListedWorker, LostRuns, OrderRule, Resources, RunningRow, StartOrder, StartReply,
-            StepPlan, TaskName, WorkerOrder, WorkerReport,
+            ListedWorker, LostRuns, OrderRule, QueueTable, Resources, RunningRow, StartOrder,
+            StartReply, StepPlan, TaskName, TeamRow, WorkerOrder, WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
@@ -664,3 +664,49 @@
     it_runs(true, false, 0);
     it_has_ended(false, true, 0);
 }
+
+/// What may run on workers that the new owner has not heard counts towards a team's ceiling.
+fn unseen_runs_count(heard_all: bool, taken_over: bool, started: usize) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + LEASE_MS);
+    let team = || Some(name("alpha"));
+    let mut table = QueueTable::default();
+    table.teams.insert(
+        name("alpha"),
+        Arc::new(TeamRow {
+            name: name("alpha"),
+            weight: 1.0,
+            ceiling: Resources {
+                cpu_milli: 4 * step(1).need.cpu_milli,
+                ..Resources::default()
+            },
+            keys: Vec::new(),
+        }),
+    );
+    schedule.set_table(&table);
+    let mut unseen = worker("w-unseen");
+    unseen.pool = name("other");
+    schedule.upsert_worker(unseen);
+    schedule.upsert_worker(worker("w-1"));
+    hear(&mut schedule, "w-1", &WorkerReport::default());
+    let mut before = job("before", vec![step(3)]);
+    before.pool = name("other");
+    before.team = team();
+    let run_base = if taken_over { 1_000 } else { 0 };
+    schedule.add_job(before, None, run_base, NOW_MS, WALL_MS);
+    let mut new = job("new", vec![step(4)]);
+    new.team = team();
+    schedule.add_job(new, None, 0, NOW_MS, WALL_MS);
+    if heard_all {
+        schedule.unlist_worker(&name("w-unseen"), NOW_MS);
+        schedule.tick(NOW_MS + 2 * LEASE_MS, true);
+    }
+    let begun = starts(&mut schedule, NOW_MS);
+    let new_ones = begun.iter().filter(|order| order.task.job == name("new"));
+    assert_eq!(new_ones.count(), started);
+}
+
+named_cases! { unseen_runs_count:
+    three_may_run_unseen(false, true, 1);
+    none_can_run_any_more(true, true, 4);
+    none_was_started_by_an_earlier_owner(false, false, 4);
+}
