Record in several chains; end within the grace time, with the last log lines written

Change: the chain is one for workers, one for instances and four for the progress of jobs, each in order by itself; the steps of an end share one deadline; the process waits a moment for its log. The cases graceful_end_without_store fail before.

--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -4,7 +4,7 @@
     crate::{
         explain::{ExplainFault, begin_ms, explain, told},
         front,
-        log_pipe::start_log,
+        log_pipe::{LogCounts, start_log},
         metrics,
         node::SchedulerNode,
         owner, peers, store_path, table_follow,
@@ -26,6 +26,8 @@
 };
 
 /// How long connections are taken after the order to end: the balancer looks once a second
+/// Longest time for the last log lines to be written; two pauses of the writer.
+const LOG_TIME: Duration = Duration::from_millis(250);
 /// and goes by its second miss.
 const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
 /// Part of the grace time kept back for the last steps.
@@ -105,13 +107,13 @@
         Some(SchedulerCommand::Explain { id, logs, json }) => return tell(&id, &logs, json),
         None => {}
     }
-    let dropped = start_log(args.log);
+    let logged = start_log(args.log);
     let settings = read_settings()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(StartSnafu)?;
-    runtime.block_on(run_node(settings, dropped))
+    runtime.block_on(run_node(settings, logged))
 }
 
 fn tell(id: &str, logs: &[PathBuf], json: bool) -> Result<(), LaunchFault> {
@@ -126,10 +128,7 @@
     Ok(())
 }
 
-async fn run_node(
-    settings: NodeSettings,
-    dropped: crate::log_pipe::DropCount,
-) -> Result<(), LaunchFault> {
+async fn run_node(settings: NodeSettings, logged: LogCounts) -> Result<(), LaunchFault> {
     let callers = listen(settings.front).context(ListenSnafu {
         address: settings.front,
     })?;
@@ -143,7 +142,7 @@
         address: settings.metrics,
     })?;
     let grace = settings.grace;
-    let node = SchedulerNode::new(settings, dropped);
+    let node = SchedulerNode::new(settings, logged.clone());
     log_event!(
         Info,
         "started",
@@ -168,13 +167,15 @@
     tokio::spawn(reload_on_hangup(Arc::clone(&node)));
     wait_for_end().await.context(StartSnafu)?;
     log_event!(Info, "stopping", node = node.settings.name);
+    let began = tokio::time::Instant::now();
     node.leaving.send_replace(true);
     owner::hand_over(&node).await;
-    tokio::time::sleep(BALANCER_NOTICE).await;
+    tokio::time::sleep_until(began + BALANCER_NOTICE).await;
     close.send_replace(true);
-    let rest = grace.saturating_sub(BALANCER_NOTICE + GRACE_RESERVE);
-    let whole = tokio::time::timeout(rest, served).await.is_ok();
+    let end = began + grace.saturating_sub(GRACE_RESERVE);
+    let whole = tokio::time::timeout_at(end, served).await.is_ok();
     log_event!(Info, "stopped", node = node.settings.name, whole = whole);
+    logged.written(LOG_TIME).await;
     Ok(())
 }
 
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -1,7 +1,10 @@
 //! The schedule and the authority over it.
 
 use {
-    super::{owner_log::OwnerLog, progress_recorder, worker_roster},
+    super::{
+        owner_log::{LogChain, OwnerLog},
+        progress_recorder, worker_roster,
+    },
     crate::{
         node::{SchedulerNode, lock, millis, uptime_ms},
         owner::{AUTHORITY, OUTLASTS_CLAIM, OwnerClaim},
@@ -185,7 +188,7 @@
             return;
         };
         let write = KvWrite::default().write(HAND_OVER_KEY, &value, 0);
-        if let Err(fault) = self.log.commit(node, self, write).await {
+        if let Err(fault) = self.log.commit(node, self, LogChain::Roster, write).await {
             log_event!(Warn, "hand-over-not-stored", error = fault);
         }
     }
--- a/crates/scheduler/src/leading/order_record.rs
+++ b/crates/scheduler/src/leading/order_record.rs
@@ -1,7 +1,7 @@
 //! What the store holds of orders for instances, written before they are sent.
 
 use {
-    super::leadership::Leadership,
+    super::{leadership::Leadership, owner_log::LogChain},
     crate::{
         node::{SchedulerNode, millis, uptime_ms},
         store::{ORDERED_KEY, wave_key},
@@ -102,6 +102,9 @@
                 0,
             );
         }
-        leadership.log.commit(node, leadership, write).await
+        leadership
+            .log
+            .commit(node, leadership, LogChain::Instances, write)
+            .await
     }
 }
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -1,20 +1,27 @@
 //! Recording what ended, before workers are told to forget it.
 
 use {
-    super::leadership::Leadership,
+    super::{leadership::Leadership, owner_log::LogChain},
     crate::{
         node::{SchedulerNode, lock},
         store::{cancel_key, job_key, progress_key},
     },
-    dotterelshore_domain::{names::JobName, schedule::ProgressBatch},
+    dotterelshore_domain::{
+        names::JobName,
+        schedule::{ProgressBatch, ProgressRecord},
+    },
     dotterelshore_platform::{KvFault, KvWrite},
     dotterelshore_wire::{log_event, timer_hub::spread_pause},
+    futures_util::future::join_all,
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
 };
 
+/// A job and how far it is.
+type JobProgress = (JobName, ProgressRecord);
+
 /// Jobs recorded in one transaction; the store takes 32 entries, three of which order it.
 const JOBS_PER_WRITE: usize = 28;
 /// Jobs removed in one transaction, three keys each.
@@ -83,7 +90,27 @@
     leadership: &Leadership,
     batch: &ProgressBatch,
 ) -> Result<(), KvFault> {
-    for part in batch.records.chunks(JOBS_PER_WRITE) {
+    let mut chains: Vec<(LogChain, Vec<&JobProgress>)> = Vec::new();
+    for record in &batch.records {
+        let chain = LogChain::of_job(&record.0);
+        match chains.iter_mut().find(|(known, _)| *known == chain) {
+            Some((_, records)) => records.push(record),
+            None => chains.push((chain, vec![record])),
+        }
+    }
+    let writes = chains
+        .iter()
+        .map(|(chain, records)| write_chain(node, leadership, *chain, records));
+    join_all(writes).await.into_iter().collect()
+}
+
+async fn write_chain(
+    node: &SchedulerNode,
+    leadership: &Leadership,
+    chain: LogChain,
+    records: &[&JobProgress],
+) -> Result<(), KvFault> {
+    for part in records.chunks(JOBS_PER_WRITE) {
         let mut write = KvWrite::default();
         for (name, progress) in part {
             let value = serde_json::to_vec(progress).map_err(|error| KvFault::NotDone {
@@ -91,7 +118,10 @@
             })?;
             write = write.write(progress_key(name), &value, 0);
         }
-        leadership.log.commit(node, leadership, write).await?;
+        leadership
+            .log
+            .commit(node, leadership, chain, write)
+            .await?;
         for (name, progress) in part {
             if let Some(ended) = progress.ended {
                 log_event!(Info, "job-ended", job = name, state = format!("{ended:?}"));
@@ -103,6 +133,17 @@
 
 /// Removes jobs that nobody may ask for any more.
 pub(super) async fn remove_jobs(node: &SchedulerNode, leadership: &Leadership, jobs: &[JobName]) {
+    let mut jobs = jobs.to_vec();
+    jobs.sort_by_key(LogChain::of_job);
+    for part in jobs.chunk_by(|one, next| LogChain::of_job(one) == LogChain::of_job(next)) {
+        remove_part(node, leadership, part).await;
+    }
+}
+
+async fn remove_part(node: &SchedulerNode, leadership: &Leadership, jobs: &[JobName]) {
+    let Some(chain) = jobs.first().map(LogChain::of_job) else {
+        return;
+    };
     for part in jobs.chunks(JOBS_PER_REMOVAL) {
         let mut write = KvWrite::default();
         for name in part {
@@ -111,7 +152,8 @@
                 .delete(cancel_key(name))
                 .delete(progress_key(name));
         }
-        if let Err(fault) = leadership.log.commit(node, leadership, write).await {
+        let removed = leadership.log.commit(node, leadership, chain, write).await;
+        if let Err(fault) = removed {
             log_event!(Warn, "removal-failed", jobs = part.len(), error = fault);
         }
     }
--- a/crates/scheduler/src/leading/worker_roster.rs
+++ b/crates/scheduler/src/leading/worker_roster.rs
@@ -1,7 +1,7 @@
 //! Which workers there are, followed and recorded.
 
 use {
-    super::{leadership::Leadership, worker_task::start_worker},
+    super::{leadership::Leadership, owner_log::LogChain, worker_task::start_worker},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
         store::{AfterFault, FollowStep, HELD_KEY, follow},
@@ -145,7 +145,10 @@
             detail: error.to_string(),
         })?;
     let write = KvWrite::default().write(HELD_KEY, &value, 0);
-    leadership.log.commit(node, leadership, write).await?;
+    leadership
+        .log
+        .commit(node, leadership, LogChain::Roster, write)
+        .await?;
     lock(&leadership.schedule).roster_recorded(workers);
     Ok(())
 }
--- a/crates/scheduler/src/log_pipe.rs
+++ b/crates/scheduler/src/log_pipe.rs
@@ -20,14 +20,31 @@
 /// Pause after lines were written, so that lines are written many at a time.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Counts lines that a slow reader made the log drop.
+/// Pause between looks whether all lines are written, at the end of the process.
+const END_PAUSE: Duration = Duration::from_millis(10);
+
+/// Counts lines that wait to be written, and those that a slow reader made the log drop.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct DropCount(Arc<AtomicU64>);
+pub(crate) struct LogCounts {
+    dropped: Arc<AtomicU64>,
+    waiting: Arc<AtomicU64>,
+}
 
-impl DropCount {
+impl LogCounts {
     /// Lines dropped since the start.
-    pub(crate) fn get(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    pub(crate) fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Waits until every line is written, but no longer than `most`: the reader may have
+    /// stopped.
+    pub(crate) async fn written(&self, most: Duration) {
+        let all_written = async {
+            while self.waiting.load(Ordering::Relaxed) > 0 {
+                tokio::time::sleep(END_PAUSE).await;
+            }
+        };
+        let _late = tokio::time::timeout(most, all_written).await;
     }
 }
 
@@ -35,14 +52,18 @@
 struct LogPipe {
     lines: SyncSender<Vec<u8>>,
     line: Vec<u8>,
-    dropped: DropCount,
+    counts: LogCounts,
 }
 
 impl Write for LogPipe {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         self.line.extend_from_slice(buf);
-        if buf.ends_with(b"\n") && self.lines.try_send(std::mem::take(&mut self.line)).is_err() {
-            self.dropped.0.fetch_add(1, Ordering::Relaxed);
+        if buf.ends_with(b"\n") {
+            self.counts.waiting.fetch_add(1, Ordering::Relaxed);
+            if self.lines.try_send(std::mem::take(&mut self.line)).is_err() {
+                self.counts.waiting.fetch_sub(1, Ordering::Relaxed);
+                self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Ok(buf.len())
     }
@@ -53,10 +74,10 @@
 }
 
 /// Starts logging to standard output.
-pub(crate) fn start_log(level: LevelFilter) -> DropCount {
-    let dropped = DropCount::default();
+pub(crate) fn start_log(level: LevelFilter) -> LogCounts {
+    let counts = LogCounts::default();
     let (lines, waiting) = sync_channel(LINES_MAX);
-    let counted = dropped.clone();
+    let counted = counts.clone();
     let writer = thread::Builder::new()
         .name("log".to_owned())
         .stack_size(64 * 1024)
@@ -71,21 +92,23 @@
     let pipe = LogPipe {
         lines,
         line: Vec::new(),
-        dropped: dropped.clone(),
+        counts: counts.clone(),
     };
     if writer.is_err() || WriteLogger::init(level, config, pipe).is_err() {
         eprintln!("event=log-not-started");
     }
-    dropped
+    counts
 }
 
-fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &DropCount) {
+fn write_lines(waiting: &Receiver<Vec<u8>>, counts: &LogCounts) {
     let mut told = 0;
     while let Ok(mut text) = waiting.recv() {
+        let mut lines = 1;
         while let Ok(line) = waiting.try_recv() {
             text.extend_from_slice(&line);
+            lines += 1;
         }
-        let now = dropped.get();
+        let now = counts.dropped();
         if now > told {
             text.extend_from_slice(
                 format!("event=log-lines-dropped count={}\n", now - told).as_bytes(),
@@ -95,6 +118,7 @@
         if io::stdout().write_all(&text).is_err() {
             return;
         }
+        counts.waiting.fetch_sub(lines, Ordering::Relaxed);
         thread::sleep(WRITE_PAUSE);
     }
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        log_pipe::DropCount,
+        log_pipe::LogCounts,
         node::{SchedulerNode, lock, uptime_ms},
     },
     dotterelshore_wire::http_server::{plain_answer, serve},
@@ -49,12 +49,12 @@
     config_version: Gauge,
     store_age_ms: Gauge,
     lines_dropped: Gauge,
-    dropped: DropCount,
+    logged: LogCounts,
 }
 
 impl NodeMetrics {
     /// Everything at nought.
-    pub(crate) fn new(dropped: DropCount) -> Self {
+    pub(crate) fn new(logged: LogCounts) -> Self {
         let mut registry = Registry::with_prefix("dotterelshore");
         let refusals = Family::default();
         registry.register("refusals", "Refused calls by reason", refusals.clone());
@@ -102,7 +102,7 @@
             retries,
             starts,
             answers,
-            dropped,
+            logged,
         }
     }
 
@@ -141,7 +141,7 @@
             .load(std::sync::atomic::Ordering::Relaxed);
         self.store_age_ms
             .set(whole(uptime_ms().saturating_sub(heard)));
-        self.lines_dropped.set(whole(self.dropped.get()));
+        self.lines_dropped.set(whole(self.logged.dropped()));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!("event=metrics-failed error={error:?}");
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        leading::Leadership, log_pipe::DropCount, metrics::NodeMetrics, owner::OwnerNotice,
+        leading::Leadership, log_pipe::LogCounts, metrics::NodeMetrics, owner::OwnerNotice,
         peers::OwnerLink, store_path::StorePath,
     },
     dotterelshore_domain::schedule::{QueueTable, WaveOrder},
@@ -59,7 +59,7 @@
 
 impl SchedulerNode {
     /// A process with nothing known yet.
-    pub(crate) fn new(settings: NodeSettings, dropped: DropCount) -> Arc<Self> {
+    pub(crate) fn new(settings: NodeSettings, logged: LogCounts) -> Arc<Self> {
         let kv = KvLink::new(settings.store.clone(), STORE_TIMEOUT);
         Arc::new(Self {
             kv,
@@ -75,7 +75,7 @@
             path: Mutex::new(StorePath::Direct),
             store_missed: Notify::new(),
             timer: TimerHub::start(),
-            metrics: NodeMetrics::new(dropped),
+            metrics: NodeMetrics::new(logged),
             settings,
         })
     }
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -16,8 +16,8 @@
 pub(crate) const HAND_OVER_KEY: &str = "dotterelshore/hand-over";
 /// Instances that an owner ordered lately, or was about to.
 pub(crate) const ORDERED_KEY: &str = "dotterelshore/ordered";
-/// Rises with each write of an owner, so that they take effect in order.
-pub(crate) const OWNER_WRITES_KEY: &str = "dotterelshore/writes";
+/// Keys that rise with each write of an owner, one a chain, so that these take effect in order.
+pub(crate) const OWNER_WRITES_PREFIX: &str = "dotterelshore/writes/";
 /// Workers on which an owner may have left something running.
 pub(crate) const HELD_KEY: &str = "dotterelshore/held";
 /// Entries, each under a lease, and where they answer one another.
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -277,6 +277,7 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         assert_eq!(first.ended(), Some(true), "{}", first.log());
+        assert!(first.log().contains("event=stopped"), "{}", first.log());
         if job_running {
             assert!(stage.reaches("00000000000000a7", "completed").await);
         }
@@ -284,6 +285,34 @@
     });
 }
 
+/// An owner ends in time also while the store is silent, so that it can't hand over, and a
+/// caller keeps a connection open.
+fn graceful_end_without_store(trouble: StoreTrouble) {
+    run(async {
+        let mut stage = FleetStage::start(2, 1).await;
+        stage.fleet.trouble_store(trouble);
+        let open = tokio::net::TcpStream::connect(stage.nodes[0].front())
+            .await
+            .expect("it takes connections");
+        stage.nodes[0].signal(Signal::SIGTERM);
+        let mut first = stage.nodes.remove(0);
+        let until = std::time::Instant::now() + GRACE_TIME;
+        while first.ended().is_none() && std::time::Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(first.ended(), Some(true), "{}", first.log());
+        assert!(first.log().contains("event=stopped"), "{}", first.log());
+        drop(open);
+        stage.fleet.trouble_store(StoreTrouble::None);
+        stage.check();
+    });
+}
+
+named_cases! { graceful_end_without_store:
+    while_it_is_silent(StoreTrouble::Silent);
+    while_it_is_slow(StoreTrouble::Slow(Duration::from_millis(600)));
+}
+
 named_cases! { graceful_end:
     with_nothing_to_do(false);
     with_a_job_running(true);
