Waves: look often while lasting tasks start, empty busy instances where time is short

Change: a worker on which a task that lasts starts is looked at each 250 ms; where the tasks of some step can't move in the time that is left, three seconds a lot, busy instances are emptied early too.

New cases: beside_other_work fails without the early emptying, looks_while_starting.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -20,6 +20,10 @@
 /// Instances of a wave that are emptied at the same time before it hurries.
 const CORDONS_EARLY: usize = 1;
 
+/// Time for one task that lasts to move, in milliseconds: to be stopped, started elsewhere and
+/// at work there, some two seconds, and half as much for moves that have to wait.
+const MOVE_OUT_MS: u64 = 3_000;
+
 /// How long a due instance waits for its running tasks to end before they are cut off, in
 /// milliseconds. Longer than most tasks of the users, some two seconds.
 const CORDON_MS: u64 = 2_500;
@@ -69,6 +73,7 @@
     pub(super) completed: bool,
     pub(super) since_wall_ms: u64,
     pub(super) hurry_ms: u64,
+    until_ms: u64,
 }
 
 impl InstancePlan {
@@ -107,6 +112,7 @@
             completed: recorded.is_some_and(|progress| progress.completed),
             since_wall_ms,
             hurry_ms: now_ms + hurry_after_ms.saturating_sub(passed_ms),
+            until_ms: now_ms + duration_ms.saturating_sub(passed_ms),
         });
     }
 
@@ -373,7 +379,8 @@
     /// Keeps new tasks away from an instance's worker, if not too many are being emptied, and
     /// stops tasks that last there, as far as they may be missed. Early in the wave a worker
     /// that runs nothing else is emptied as soon as one of its tasks may be missed: these have
-    /// to move once in any case, and few of a step may move at a time.
+    /// to move once in any case, and few of a step may move at a time. Where that would take
+    /// longer than the wave has, busy workers are emptied in the same way.
     fn empty(
         &mut self,
         name: &InstanceName,
@@ -385,7 +392,9 @@
         if !self.cordoned.contains_key(name) {
             let hurries = now_ms >= self.hurry_ms;
             let most = if hurries { self.at_once } else { CORDONS_EARLY };
-            let moves_on = !hurries && !may_end_here && schedule.runs_only_lasting(worker);
+            let moves_on = !hurries
+                && !may_end_here
+                && (self.is_pressed(schedule, now_ms) || schedule.runs_only_lasting(worker));
             if moves_on {
                 let stops = schedule.evacuate(worker, now_ms);
                 if !stops.is_empty() {
@@ -404,6 +413,11 @@
         schedule.evacuate(worker, now_ms)
     }
 
+    /// Whether the tasks that last on due instances may take as long to move as is left.
+    fn is_pressed(&self, schedule: &FleetSchedule, now_ms: u64) -> bool {
+        now_ms + schedule.longest_move_out() * MOVE_OUT_MS >= self.until_ms
+    }
+
     fn cordon(
         &mut self,
         name: &InstanceName,
--- a/crates/domain/src/schedule/worker_takedown.rs
+++ b/crates/domain/src/schedule/worker_takedown.rs
@@ -3,12 +3,15 @@
 use {
     super::{
         fleet_schedule::FleetSchedule,
-        live_job::{TaskRun, TaskState},
+        live_job::{LiveJob, TaskRun, TaskState},
         task_name::TaskName,
         worker_order::WorkerOrder,
         worker_seat::WorkerSeat,
     },
-    crate::{collections::FastSet, names::WorkerName},
+    crate::{
+        collections::{FastMap, FastSet},
+        names::{JobName, WorkerName},
+    },
 };
 
 /// How long after an order for its instance a worker's removal from the list is taken as
@@ -85,6 +88,45 @@
         })
     }
 
+    /// How many times tasks of one step that lasts have to move, one lot after another, until
+    /// none is left on due workers; of the step that takes longest.
+    pub(super) fn longest_move_out(&self) -> u64 {
+        let mut due: FastMap<(&JobName, u32, u16), u64> = FastMap::default();
+        for seat in self.workers.values().filter(|seat| seat.due) {
+            for task in seat.runs.keys() {
+                *due.entry((&task.job, task.occurrence, task.step))
+                    .or_default() += 1;
+            }
+        }
+        let lots = due.into_iter().filter_map(|((job, _, step), tasks)| {
+            let job = self.jobs.get(job)?;
+            let plan = &job.record.plan.steps[usize::from(step)];
+            let may_miss = plan.may_miss.filter(|_| plan.long_running)?;
+            Some(tasks.div_ceil(u64::from(may_miss.max(1))))
+        });
+        lots.max().unwrap_or_default()
+    }
+
+    /// Whether a task that lasts has started on a worker and is not at work yet: the next of its
+    /// step may move once it is.
+    pub fn lasting_starts(&self, name: &WorkerName) -> bool {
+        let Some(seat) = self.workers.get(name) else {
+            return false;
+        };
+        seat.runs.iter().any(|(task, number)| {
+            let job = self.jobs.get(&task.job);
+            let lasts = |job: &&LiveJob| {
+                let step = &job.record.plan.steps[usize::from(task.step)];
+                step.long_running && !step.fills
+            };
+            let state = job.filter(lasts).and_then(|job| job.task(task));
+            state.is_some_and(|state| {
+                let mut runs = state.runs.iter().filter(|run| run.run == *number);
+                runs.any(|run| run.worker == *name && !run.is_full() && !run.is_stopping())
+            })
+        })
+    }
+
     /// Whether a run is at work, as far as its worker still tells.
     fn at_work(&self, run: &TaskRun) -> bool {
         let told = |seat: &WorkerSeat| seat.heard && seat.reachable && !seat.taking_down;
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -811,7 +811,7 @@
 
 /// Early in a wave, tasks that last leave instances that carry several of them, each step within
 /// what it may miss, so that the wave is done in its time.
-fn lasting_tasks_move_early(jobs: usize, count: u32, cpu_milli: u64) {
+fn lasting_tasks_move_early(jobs: usize, count: u32, cpu_milli: u64, busy: u32) {
     let mut stage = FleetStage::new(6, 4);
     stage.startup_ms = 1_200;
     stage.hear(&[]);
@@ -829,6 +829,13 @@
     for _ in 0..20 {
         stage.step();
     }
+    if busy > 0 {
+        let (now_ms, works) = (stage.now_ms, step(busy, 2_000));
+        stage
+            .schedule
+            .add_job(job("works", works), None, 0, now_ms, WALL_MS);
+        stage.run();
+    }
     stage
         .plan
         .take_wave(wave(6, 6), None, stage.now_ms, WALL_MS);
@@ -840,8 +847,9 @@
 }
 
 named_cases! { lasting_tasks_move_early:
-    two_tasks_of_a_step_on_some(6, 8, 6_000);
-    two_tasks_of_each_step_on_all(4, 12, 5_000);
+    two_tasks_of_a_step_on_some(6, 8, 6_000, 0);
+    two_tasks_of_each_step_on_all(4, 12, 5_000, 0);
+    beside_other_work(4, 12, 5_000, 60);
 }
 
 /// Work goes to workers whose instances a wave does not take down, as far as they have room.
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -710,3 +710,28 @@
     none_can_run_any_more(true, true, 4);
     none_was_started_by_an_earlier_owner(false, false, 4);
 }
+
+/// A worker on which a task that lasts has started is looked at often until it is at work.
+fn looks_while_starting(percent: f64, lasts: bool, starting: bool) {
+    let mut schedule = schedule(&["w-1"]);
+    let plan = if lasts { lasting(1, 1) } else { step(1) };
+    add(&mut schedule, job("a", vec![plan]));
+    let order = starts(&mut schedule, NOW_MS).remove(0);
+    begin(&mut schedule, &order, 1);
+    let report = WorkerReport {
+        clock_ms: 2,
+        running: vec![RunningRow {
+            percent,
+            ..at_work(&order)
+        }],
+        ..WorkerReport::default()
+    };
+    hear(&mut schedule, "w-1", &report);
+    assert_eq!(schedule.lasting_starts(&name("w-1")), starting);
+}
+
+named_cases! { looks_while_starting:
+    a_lasting_task_that_starts(40.0, true, true);
+    a_lasting_task_at_work(100.0, true, false);
+    a_task_that_ends_by_itself(40.0, false, false);
+}
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -18,6 +18,9 @@
 /// How long a look waits where tasks fill beside others, whose tails are told for the last
 /// half second.
 const PACING_WAIT_MS: u64 = 500;
+/// How long a look waits where a task that lasts starts, whose being at work is no end and so
+/// ends no wait. A small part of what such a start takes.
+const STARTING_WAIT_MS: u64 = 250;
 /// Pause after each look, so that ends that come together are read together.
 const LOOK_PAUSE: Duration = Duration::from_millis(35);
 /// Pause after a look that was not answered.
@@ -158,7 +161,9 @@
     let lease_until_ms = side
         .lease_until(node)
         .filter(|_| !silent && schedule.grant(&side.name, uptime_ms()));
-    let wait_ms = if schedule.paces(&side.name) {
+    let wait_ms = if schedule.lasting_starts(&side.name) {
+        STARTING_WAIT_MS
+    } else if schedule.paces(&side.name) {
         PACING_WAIT_MS
     } else {
         LOOK_WAIT_MS
