Put work beyond a team's share behind the others' when all is full

Change: a meter for each team fills at its weight in jobs a second, for five seconds at most; a job that comes beyond it goes after work within shares, unless it has begun. Nothing is refused, and where there is room all runs.

Cases: share_when_full fails without it; three of job_order_test.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -8,6 +8,7 @@
         job_progress::{JobRecord, JobState, ProgressRecord},
         live_job::LiveJob,
         queue_table::QueueTable,
+        share_meter::ShareMeter,
         task_name::TaskName,
         worker_order::WorkerOrder,
         worker_seat::{ListedWorker, WorkerSeat},
@@ -87,6 +88,7 @@
     pub(super) active: FastMap<PoolName, FastSet<JobName>>,
     pub(super) workers: FastMap<WorkerName, WorkerSeat>,
     pub(super) teams: FastMap<TeamName, TeamUse>,
+    pub(super) shares: FastMap<TeamName, ShareMeter>,
     pub(super) arrivals: FastMap<PoolName, ArrivalRate>,
     pub(super) dirty: FastSet<JobName>,
     pub(super) lease_ms: u64,
@@ -111,9 +113,13 @@
         (self.lease_ms > 0).then(|| self.unseen_until_ms.saturating_sub(now_ms))
     }
 
-    /// Puts the teams' ceilings in force.
+    /// Puts the teams' ceilings and shares in force.
     pub fn set_table(&mut self, table: &QueueTable) {
         for (name, row) in &table.teams {
+            self.shares
+                .entry(name.clone())
+                .or_default()
+                .set_rate(row.weight);
             self.teams.entry(name.clone()).or_default().ceiling = row.ceiling;
         }
     }
@@ -264,6 +270,9 @@
         job.open_due(wall_ms);
         if job.ended.is_none() {
             if !job.from_before {
+                let team = job.record.team.as_ref();
+                let share = team.and_then(|team| self.shares.get_mut(team));
+                job.beyond_share = share.is_some_and(|share| !share.take(now_ms));
                 let work = job.record.plan.work();
                 self.arrivals
                     .entry(pool.clone())
--- a/crates/domain/src/schedule/job_order.rs
+++ b/crates/domain/src/schedule/job_order.rs
@@ -22,6 +22,8 @@
     pub long_running: bool,
     /// Whether some of it has been started.
     pub begun: bool,
+    /// Whether its team handed in more than its share when it came.
+    pub beyond_share: bool,
     /// When it arrived.
     pub arrived_ms: u64,
     /// When it should be completed.
@@ -37,7 +39,8 @@
     ///
     /// Load it answers: a queue that asks for several times its pool. Work that can no
     /// longer meet its objective gives way to work that can, so that a peak makes some
-    /// jobs late instead of all; a job that was begun goes before one that was not.
+    /// jobs late instead of all; a job that was begun goes before one that was not. A team
+    /// that sends many times its share gets what the others leave.
     pub fn key(&self, rule: OrderRule, now_ms: u64) -> (u32, u32, u64) {
         match rule {
             OrderRule::FirstCome => (0, self.priority, self.arrived_ms),
@@ -49,9 +52,11 @@
                 let in_time = now_ms <= latest_start || self.begun && now_ms < self.objective_ms;
                 let group = match (in_time, self.begun) {
                     (true, true) => 1,
-                    (true, false) => 2,
-                    _ if now_ms < self.late_ms => 3,
-                    _ => 4,
+                    (true, false) if !self.beyond_share => 2,
+                    (false, _) if now_ms < self.late_ms && !self.beyond_share => 3,
+                    (true, false) => 4,
+                    _ if now_ms < self.late_ms => 5,
+                    _ => 6,
                 };
                 (group, self.priority, latest_start)
             }
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -139,6 +139,7 @@
     pub(super) held_back: bool,
     pub(super) run_base: u32,
     pub(super) begun: bool,
+    pub(super) beyond_share: bool,
     pub(super) runs: usize,
 }
 
@@ -164,6 +165,7 @@
             held_back: false,
             run_base,
             begun: false,
+            beyond_share: false,
             runs: 0,
         }
     }
@@ -345,6 +347,7 @@
             priority: self.record.priority,
             long_running: plan.long_running(),
             begun: self.begun,
+            beyond_share: self.beyond_share,
             arrived_ms: self.arrived_ms,
             objective_ms: self.arrived_ms + objective,
             chain_ms,
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -15,6 +15,7 @@
 mod pool_need;
 mod queue_table;
 mod run_reports;
+mod share_meter;
 mod start_answers;
 mod step_advice;
 mod task_name;
--- a/crates/domain/tests/job_order_test.rs
+++ b/crates/domain/tests/job_order_test.rs
@@ -14,6 +14,7 @@
         priority: 0,
         long_running: false,
         begun,
+        beyond_share: false,
         arrived_ms,
         objective_ms: arrived_ms + objective,
         chain_ms,
@@ -27,6 +28,13 @@
     assert!(key(first) < key(second), "{first:?} before {second:?}");
 }
 
+fn beyond(urgency: JobUrgency) -> JobUrgency {
+    JobUrgency {
+        beyond_share: true,
+        ..urgency
+    }
+}
+
 fn lasting() -> JobUrgency {
     JobUrgency {
         long_running: true,
@@ -39,6 +47,9 @@
     begun_before_not_begun(urgency(9_900, 800, true), urgency(9_500, 800, false));
     the_less_slack_first(urgency(9_500, 800, false), urgency(9_900, 800, false));
     late_before_worthless(urgency(7_500, 800, false), urgency(1_000, 800, false));
+    share_before_what_is_beyond(urgency(9_900, 800, false), beyond(urgency(9_500, 800, false)));
+    late_share_before_what_is_beyond(urgency(7_500, 800, false), beyond(urgency(9_900, 800, false)));
+    begun_beyond_before_not_begun(beyond(urgency(9_900, 800, true)), urgency(9_500, 800, false));
     lasting_before_all(lasting(), urgency(9_900, 800, true));
 }
 
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -2,7 +2,7 @@
 
 use {
     dotterelshore_domain::{
-        names::{CentreName, InstanceName, PoolName, QueueName, WorkerName},
+        names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
         schedule::{
             EndKind, EndedRun, FleetSchedule, HeldWorker, JobPlan, JobRecord, JobState,
             ListedWorker, LostRuns, OrderRule, QueueTable, Resources, RunningRow, StartOrder,
@@ -735,3 +735,50 @@
     a_lasting_task_at_work(100.0, true, false);
     a_task_that_ends_by_itself(40.0, false, false);
 }
+
+/// When all is full, a team that sends many times its share does not push aside one that keeps
+/// to its own; where there is room, all of it runs.
+fn share_when_full(weight: f64, workers: &[&'static str], calm_starts: usize) {
+    let mut schedule = schedule(workers);
+    let mut table = QueueTable::default();
+    for team in ["hot", "calm"] {
+        let row = TeamRow {
+            name: name(team),
+            weight,
+            ceiling: Resources::default(),
+            keys: Vec::new(),
+        };
+        table.teams.insert(name(team), Arc::new(row));
+    }
+    schedule.set_table(&table);
+    let wide = StepPlan {
+        need: Resources {
+            cpu_milli: WORKER_MILLI / 4,
+            ..step(1).need
+        },
+        ..step(1)
+    };
+    let mut add_for = |text: &str, team: &'static str, now_ms: u64| {
+        let mut record = job("by-team", vec![wide.clone()]);
+        record.name = JobName::try_from(text).expect("a name");
+        record.team = Some(name(team));
+        schedule.add_job(record, None, 0, now_ms, WALL_MS);
+    };
+    for number in 0..30 {
+        add_for(&format!("hot-{number}"), "hot", NOW_MS);
+    }
+    for number in 0..4 {
+        add_for(&format!("calm-{number}"), "calm", NOW_MS + 10);
+    }
+    let begun = starts(&mut schedule, NOW_MS + 20);
+    let calm = begun
+        .iter()
+        .filter(|order| order.task.job.as_str().starts_with("calm"));
+    assert_eq!(calm.count(), calm_starts, "of {} starts", begun.len());
+}
+
+named_cases! { share_when_full:
+    beyond_its_share_it_waits(1.0, &["w-1", "w-2", "w-3"], 4);
+    without_shares_the_first_come_first(0.0, &["w-1", "w-2", "w-3"], 0);
+    with_room_for_all(1.0, &["w-1", "w-2", "w-3", "w-4", "w-5", "w-6", "w-7", "w-8", "w-9"], 4);
+}
