Grant no lease to a worker that the newest record names as lost

Change: such a worker's lease grows again only once another record took effect. The case lease_of_recorded_lost fails before.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -192,10 +192,13 @@
     }
 
     /// Grants a worker another lease if its last call was answered; tells whether it did.
-    /// A worker that does not answer gets none, so that what it ran surely ends.
+    /// A worker that does not answer gets none, so that what it ran surely ends; nor does one
+    /// that the newest record names as lost, since an owner that takes over counts on the end
+    /// of the lease that stands there.
     pub fn grant(&mut self, name: &WorkerName, now_ms: u64) -> bool {
         let lease = self.lease_ms + self.lease_ms * CLOCK_SLOW_PERCENT / 100 + LEASE_SLACK_MS;
-        let Some(seat) = self.workers.get_mut(name).filter(|seat| seat.reachable) else {
+        let seat = self.workers.get_mut(name);
+        let Some(seat) = seat.filter(|seat| seat.reachable && !seat.recorded_lost) else {
             return false;
         };
         seat.lease_until_ms = seat.lease_until_ms.max(now_ms + lease);
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -782,3 +782,28 @@
     without_shares_the_first_come_first(0.0, &["w-1", "w-2", "w-3"], 0);
     with_room_for_all(1.0, &["w-1", "w-2", "w-3", "w-4", "w-5", "w-6", "w-7", "w-8", "w-9"], 4);
 }
+
+/// A worker that is recorded as lost and heard again gets no longer lease before another record
+/// took effect: the next owner would end its runs by the lease in the old one.
+fn lease_of_recorded_lost(silent: bool, recorded_again: bool, granted: bool) {
+    let mut schedule = schedule(&["w-1"]);
+    if silent {
+        schedule.worker_silent(&name("w-1"));
+    }
+    let held = schedule.held_workers(NOW_MS);
+    schedule.roster_begins(&held);
+    schedule.roster_recorded(&held);
+    hear(&mut schedule, "w-1", &WorkerReport::default());
+    if recorded_again {
+        let held = schedule.held_workers(NOW_MS);
+        schedule.roster_begins(&held);
+        schedule.roster_recorded(&held);
+    }
+    assert_eq!(schedule.grant(&name("w-1"), NOW_MS), granted);
+}
+
+named_cases! { lease_of_recorded_lost:
+    never_lost(false, false, true);
+    heard_and_not_recorded(true, false, false);
+    heard_and_recorded(true, true, true);
+}
