Work out once a plan how long a wave's lasting tasks take to move

Cause: read in the change: it was counted anew for each due instance in each plan. No behaviour changes.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -74,6 +74,8 @@
     pub(super) since_wall_ms: u64,
     pub(super) hurry_ms: u64,
     until_ms: u64,
+    /// Whether tasks that last on due instances may take as long to move as is left.
+    pressed: bool,
 }
 
 impl InstancePlan {
@@ -113,6 +115,7 @@
             since_wall_ms,
             hurry_ms: now_ms + hurry_after_ms.saturating_sub(passed_ms),
             until_ms: now_ms + duration_ms.saturating_sub(passed_ms),
+            pressed: false,
         });
     }
 
@@ -279,6 +282,7 @@
         let mut orders = Vec::new();
         let mut stops = Vec::new();
         schedule.set_due(&self.due_workers());
+        let moves_out_by_ms = now_ms + schedule.longest_move_out() * MOVE_OUT_MS;
         let Self {
             waves,
             instances,
@@ -287,6 +291,7 @@
             ..
         } = self;
         for wave in waves.iter_mut().filter(|wave| !wave.completed) {
+            wave.pressed = moves_out_by_ms >= wave.until_ms;
             let unanswered: Vec<_> = wave.unanswered.iter().cloned().collect();
             for name in unanswered.iter().filter(|name| !under_way.contains(*name)) {
                 let worker = instances.get(name).and_then(|seat| seat.worker.as_ref());
@@ -392,9 +397,8 @@
         if !self.cordoned.contains_key(name) {
             let hurries = now_ms >= self.hurry_ms;
             let most = if hurries { self.at_once } else { CORDONS_EARLY };
-            let moves_on = !hurries
-                && !may_end_here
-                && (self.is_pressed(schedule, now_ms) || schedule.runs_only_lasting(worker));
+            let moves_on =
+                !hurries && !may_end_here && (self.pressed || schedule.runs_only_lasting(worker));
             if moves_on {
                 let stops = schedule.evacuate(worker, now_ms);
                 if !stops.is_empty() {
@@ -413,11 +417,6 @@
         schedule.evacuate(worker, now_ms)
     }
 
-    /// Whether the tasks that last on due instances may take as long to move as is left.
-    fn is_pressed(&self, schedule: &FleetSchedule, now_ms: u64) -> bool {
-        now_ms + schedule.longest_move_out() * MOVE_OUT_MS >= self.until_ms
-    }
-
     fn cordon(
         &mut self,
         name: &InstanceName,
