--- a/crates/domain/tests/filler_pace_test.rs
+++ b/crates/domain/tests/filler_pace_test.rs
@@ -1,14 +1,14 @@
 //! Fillers beside tasks that serve: how their pace follows the tails.
 
+mod samples;
+
 use {
-    dotterelshore_domain::{
-        names::{CentreName, JobName, PoolName, QueueName, WorkerName},
-        schedule::{
-            FillerPace, FleetSchedule, JobPlan, JobRecord, ListedWorker, OrderRule, Resources,
-            RunningRow, StartReply, StepPlan, WorkerOrder, WorkerReport,
-        },
+    dotterelshore_domain::schedule::{
+        FillerPace, FleetSchedule, OrderRule, Resources, RunningRow, StartReply, StepPlan,
+        WorkerOrder, WorkerReport,
     },
     dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
 
@@ -17,10 +17,6 @@
 /// By the users' rules a task must not be over its target for this long by the fillers' doing,
 /// in milliseconds.
 const HARM_MS: u64 = 4_000;
-/// Some time of the schedule's clock, in milliseconds.
-const NOW_MS: u64 = 100_000;
-/// Some time of day, in milliseconds since the Unix epoch.
-const WALL_MS: u64 = 1_700_000_000_000;
 
 /// A tail, in percent of its target, as fillers at some pace make it.
 fn tail(alone: f64, by_fillers: f64, pace: &FillerPace) -> f64 {
@@ -79,28 +75,6 @@
     a_long_one(20, 24);
 }
 
-fn record(text: &str, plan: StepPlan) -> JobRecord {
-    JobRecord {
-        name: JobName::try_from(text).expect("a name"),
-        queue: QueueName::try_from("lasting").expect("a name"),
-        pool: PoolName::try_from("proofs").expect("a name"),
-        team: None,
-        accepted_ms: WALL_MS,
-        priority: 0,
-        attempts: 2,
-        stretch: 1.6,
-        target_latency_ms: 600,
-        advised: false,
-        plan: JobPlan {
-            task_body: Arc::from(""),
-            steps: vec![plan],
-            times: 0,
-            start_at_ms: 0,
-            interval_ms: 0,
-        },
-    }
-}
-
 fn lasting(cpu_milli: u64) -> StepPlan {
     StepPlan {
         count: 1,
@@ -114,30 +88,13 @@
     }
 }
 
-fn worker() -> ListedWorker {
-    ListedWorker {
-        name: WorkerName::try_from("w-1").expect("a name"),
-        born_ms: 1,
-        instance: None,
-        address: Arc::from("127.0.0.1:1"),
-        pool: PoolName::try_from("proofs").expect("a name"),
-        centre: CentreName::try_from("north").expect("a name"),
-        labels: Vec::new(),
-        capacity: Resources {
-            cpu_milli: 64_000,
-            memory_mb: 128_000,
-            gpus: 0,
-        },
-        draining: false,
-    }
-}
-
 /// A worker's report of a serving task's tail paces the filler beside it; an order that got no
 /// answer is given again, and an owner that took over tells every filler its pace.
 fn report_paces_fillers(tail_ms: f64, unanswered: bool, taken_over: bool, orders_given: usize) {
     let mut schedule = FleetSchedule::new(OrderRule::default(), 4_000, 0);
-    schedule.upsert_worker(worker());
-    let name = worker().name;
+    let listed = sample_worker("w-1", 64_000);
+    let name = listed.name.clone();
+    schedule.upsert_worker(listed);
     let serves = StepPlan {
         target_ms: Some(100),
         ..lasting(4_000)
@@ -147,8 +104,14 @@
         ..lasting(60_000)
     };
     let run_base = if taken_over { 1_000 } else { 0 };
-    schedule.add_job(record("serves", serves), None, run_base, NOW_MS, WALL_MS);
-    schedule.add_job(record("fills", fills), None, run_base, NOW_MS, WALL_MS);
+    schedule.add_job(
+        sample_job("serves", serves),
+        None,
+        run_base,
+        NOW_MS,
+        WALL_MS,
+    );
+    schedule.add_job(sample_job("fills", fills), None, run_base, NOW_MS, WALL_MS);
     let mut rows = Vec::new();
     let report = |rows: &[RunningRow], schedule: &mut FleetSchedule, step: u64| {
         let report = WorkerReport {
--- a/crates/domain/tests/step_advice_test.rs
+++ b/crates/domain/tests/step_advice_test.rs
@@ -1,14 +1,17 @@
 //! Steps that only an adviser can place.
 
+mod samples;
+
 use {
     dotterelshore_domain::{
-        names::{CentreName, JobName, PoolName, QueueName, WorkerName},
+        names::{QueueName, WorkerName},
         schedule::{
-            AdviceQuestion, FleetSchedule, JobPlan, JobRecord, ListedWorker, OrderRule, Resources,
+            AdviceQuestion, FleetSchedule, JobRecord, ListedWorker, OrderRule, Resources,
             StartOrder, StartRefusal, StartReply, StepPlan, WorkerOrder, WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
 
@@ -16,26 +19,11 @@
 const LEASE_MS: u64 = 4_000;
 /// How long tickets are valid, in milliseconds.
 const TICKET_MS: u64 = 2_000;
-/// Some time of the schedule's clock, in milliseconds.
-const NOW_MS: u64 = 100_000;
-/// Some time of day, in milliseconds since the Unix epoch.
-const WALL_MS: u64 = 1_700_000_000_000;
 
 fn worker(number: usize, born_ms: u64) -> ListedWorker {
     ListedWorker {
-        name: WorkerName::try_from(format!("w-{number}")).expect("a name"),
         born_ms,
-        instance: None,
-        address: Arc::from("127.0.0.1:1"),
-        pool: PoolName::try_from("proofs").expect("a name"),
-        centre: CentreName::try_from("north").expect("a name"),
-        labels: Vec::new(),
-        capacity: Resources {
-            cpu_milli: 4_000,
-            memory_mb: 128_000,
-            gpus: 0,
-        },
-        draining: false,
+        ..sample_worker(&format!("w-{number}"), 4_000)
     }
 }
 
@@ -51,23 +39,9 @@
         ..StepPlan::default()
     };
     JobRecord {
-        name: JobName::try_from(text).expect("a name"),
         queue: QueueName::try_from("advised").expect("a name"),
-        pool: PoolName::try_from("proofs").expect("a name"),
-        team: None,
-        accepted_ms: WALL_MS,
-        priority: 0,
-        attempts: 2,
-        stretch: 1.6,
-        target_latency_ms: 600,
         advised,
-        plan: JobPlan {
-            task_body: Arc::from(""),
-            steps: vec![step],
-            times: 0,
-            start_at_ms: 0,
-            interval_ms: 0,
-        },
+        ..sample_job(text, step)
     }
 }
 
