--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -4,6 +4,7 @@
 mod filler_pace;
 mod fleet_schedule;
 mod held_workers;
+mod instance_moves;
 mod instance_plan;
 mod job_order;
 mod job_plan;
