Draw a deployment's loopback address from sixteen million

Deployments of tests that run side by side draw one of 64,000 addresses; of 27 at once two are the same in about one of 180 runs. Ruled out: a product's process; the failure is the test tool's own listener.

Change: three bytes are drawn in place of two.

--- a/crates/load/src/deployment/running_deployment.rs
+++ b/crates/load/src/deployment/running_deployment.rs
@@ -102,9 +102,15 @@
         options: DeploymentOptions,
     ) -> Result<Self, DeploymentFault> {
         let mark: u32 = rand::random();
-        let [first, second, ..] = mark.to_be_bytes();
-        // Every deployment has a loopback address of its own, so that several can run at once.
-        let host = IpAddr::V4(Ipv4Addr::new(127, first.clamp(1, 250), second, 1));
+        let [first, second, third, _] = mark.to_be_bytes();
+        // Every deployment has a loopback address of its own, so that several can run at once;
+        // drawn from sixteen million, since thirty at once drew the same of 64,000 now and then.
+        let host = IpAddr::V4(Ipv4Addr::new(
+            127,
+            first.max(1),
+            second,
+            third.clamp(1, 254),
+        ));
         let plan = PortPlan::new(host);
         let folder =
             std::env::temp_dir().join(format!("dotterelshore-{}-{mark:08x}", std::process::id()));
