One walk over a job's ready steps

Change: LiveJob::ready_steps and startable_steps serve all four. No behaviour changes, no test was touched.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -313,20 +313,33 @@
     /// What its ready tasks need that are not known to run.
     pub(super) fn ready_need(&self) -> Resources {
         let mut need = Resources::default();
-        for (occurrence, steps) in &self.occurrences {
-            for (number, step) in steps.iter().enumerate() {
-                if step.open == 0 || !self.is_ready(*occurrence, number) {
-                    continue;
-                }
-                let one = self.record.plan.steps[number].need;
-                for _ in step.tasks.iter().filter(|task| task.idle()) {
-                    need += one;
-                }
+        for (_, number, step) in self.ready_steps() {
+            let one = self.record.plan.steps[number].need;
+            for _ in step.tasks.iter().filter(|task| task.idle()) {
+                need += one;
             }
         }
         need
     }
 
+    /// Steps that are due, ready and not done: occurrence, number and state of each.
+    pub(super) fn ready_steps(&self) -> impl Iterator<Item = (u32, usize, &StepState)> {
+        let steps = self.occurrences.iter().flat_map(|(occurrence, steps)| {
+            let numbered = steps.iter().enumerate();
+            numbered.map(move |(number, step)| (*occurrence, number, step))
+        });
+        steps.filter(|(occurrence, number, step)| {
+            step.open > 0 && self.is_ready(*occurrence, *number)
+        })
+    }
+
+    /// Steps that may start tasks now: ready ones, but for those of which something may run
+    /// unseen.
+    pub(super) fn startable_steps(&self) -> impl Iterator<Item = (u32, usize, &StepState)> {
+        self.ready_steps()
+            .filter(|(_, number, _)| !self.held_back || self.record.plan.steps[*number].speculative)
+    }
+
     pub(super) fn urgency(&self) -> JobUrgency {
         let plan = &self.record.plan;
         let whole = plan.chain_ms(|_| false);
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -123,16 +123,9 @@
         let Some(job) = self.jobs.get(name) else {
             return Vec::new();
         };
-        let mut ready = Vec::new();
-        for (occurrence, steps) in &job.occurrences {
-            for (number, step) in steps.iter().enumerate() {
-                let held_back = job.held_back && !job.record.plan.steps[number].speculative;
-                if step.open > 0 && !held_back && job.is_ready(*occurrence, number) {
-                    ready.push((*occurrence, number));
-                }
-            }
-        }
-        ready
+        job.startable_steps()
+            .map(|(occurrence, number, _)| (occurrence, number))
+            .collect()
     }
 
     fn start_step(
@@ -318,13 +311,6 @@
 
 /// Whether some step is ready and has a task that neither runs nor is done.
 fn first_idle(job: &LiveJob) -> bool {
-    job.occurrences.iter().any(|(occurrence, steps)| {
-        steps.iter().enumerate().any(|(number, step)| {
-            let held_back = job.held_back && !job.record.plan.steps[number].speculative;
-            step.open > 0
-                && !held_back
-                && job.is_ready(*occurrence, number)
-                && step.tasks.iter().any(super::live_job::TaskState::idle)
-        })
-    })
+    job.startable_steps()
+        .any(|(_, _, step)| step.tasks.iter().any(super::live_job::TaskState::idle))
 }
--- a/crates/domain/src/schedule/step_advice.rs
+++ b/crates/domain/src/schedule/step_advice.rs
@@ -84,16 +84,9 @@
     }
 
     fn question_of(&self, job: &LiveJob, now_ms: u64) -> Option<AdviceQuestion> {
-        let steps = job.occurrences.iter().flat_map(|(occurrence, steps)| {
-            let numbered = (0u16..).zip(steps);
-            numbered.map(move |(number, step)| (*occurrence, number, step))
-        });
-        for (occurrence, number, step) in steps {
-            let plan = &job.record.plan.steps[usize::from(number)];
-            let ready = step.open > 0
-                && job.is_ready(occurrence, usize::from(number))
-                && step.tasks.iter().any(super::live_job::TaskState::idle);
-            if !ready {
+        for (occurrence, number, step) in job.ready_steps() {
+            let plan = &job.record.plan.steps[number];
+            if !step.tasks.iter().any(super::live_job::TaskState::idle) {
                 continue;
             }
             let fits = |seat: &&WorkerSeat| {
@@ -122,7 +115,7 @@
                 job: job.record.name.clone(),
                 queue: job.record.queue.clone(),
                 occurrence,
-                step: number,
+                step: u16::try_from(number).unwrap_or(u16::MAX),
                 workers: asked
                     .map(|seat| (seat.listed.name.clone(), seat.listed.born_ms))
                     .collect(),
