Log the path of a cancellation at the owner, and count runs of ended jobs

Callers saw a task of a cancelled job run on, and no log could tell why: the entry logs the recorded cancellation, and nothing says when the owner applies it, which runs it restores or drops, or when a stop is sent and confirmed.

New events: cancel-applied, stop-confirmed with the time in the queue and to the reply, runs-restored, runs-dropped with the reason. order-undeliverable is now logged by default. No decision changes.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -81,6 +81,39 @@
     pub ends: Vec<(WorkerName, u64, u64)>,
 }
 
+/// Why a worker's runs were dropped from the schedule without a report of their end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DropReason {
+    /// A later incarnation, or a later worker on the same instance, is listed.
+    Replaced,
+    /// It was unlisted after an order for its instance.
+    Disrupted,
+    /// The platform's list shows that its instance no longer hosts it.
+    InstanceGone,
+    /// Its lease expired.
+    LeaseExpired,
+}
+
+/// A worker whose runs were dropped without a report of their end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DroppedRuns {
+    /// The worker.
+    pub worker: WorkerName,
+    /// Why its runs were dropped.
+    pub reason: DropReason,
+    /// The number of runs.
+    pub runs: usize,
+}
+
+/// Runs whose job has ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LingeringRuns {
+    /// The number of runs.
+    pub runs: usize,
+    /// Time since the earliest end of their jobs, in milliseconds.
+    pub oldest_ms: u64,
+}
+
 /// Schedules the jobs of the pools under one ownership on their workers.
 #[derive(Debug, Default)]
 pub struct FleetSchedule {
@@ -92,6 +125,7 @@
     pub(super) shares: FastMap<TeamName, ShareBucket>,
     pub(super) arrivals: FastMap<PoolName, ArrivalRate>,
     pub(super) dirty: FastSet<JobName>,
+    pub(super) dropped: Vec<DroppedRuns>,
     pub(super) lease_ms: u64,
     pub(super) orphans_until_ms: u64,
 }
@@ -149,7 +183,7 @@
             .map(|status| status.listed.name.clone())
             .collect();
         for name in replaced {
-            self.release_all(&name);
+            self.drop_runs(&name, DropReason::Replaced);
             self.workers.remove(&name);
         }
         let orphans_until_ms = self.orphans_until_ms;
@@ -170,7 +204,7 @@
         };
         status.present = false;
         if now_ms < status.disrupted_until_ms {
-            self.release_all(name);
+            self.drop_runs(name, DropReason::Disrupted);
             self.workers.remove(name);
         }
     }
@@ -312,6 +346,25 @@
         self.jobs.values().filter(is_pending).count()
     }
 
+    /// Counts the runs whose job has ended, and the time since the earliest of these ends.
+    pub fn lingering_runs(&self, wall_ms: u64) -> LingeringRuns {
+        let mut lingering = LingeringRuns::default();
+        let tasks = self.workers.values().flat_map(|status| status.runs.keys());
+        for job in tasks.filter_map(|task| self.jobs.get(&task.job)) {
+            if job.ended.is_some() {
+                let ended_ms = job.ended_ms.unwrap_or(wall_ms);
+                lingering.runs += 1;
+                lingering.oldest_ms = lingering.oldest_ms.max(wall_ms.saturating_sub(ended_ms));
+            }
+        }
+        lingering
+    }
+
+    /// Takes the list of workers whose runs were dropped since the last call.
+    pub fn take_dropped_runs(&mut self) -> Vec<DroppedRuns> {
+        std::mem::take(&mut self.dropped)
+    }
+
     /// Counts the jobs that have not ended.
     pub fn open_jobs(&self) -> usize {
         self.active.values().map(FastSet::len).sum()
@@ -426,8 +479,8 @@
         orders
     }
 
-    /// Releases all runs of a worker whose incarnation has ended.
-    pub(super) fn release_all(&mut self, name: &WorkerName) {
+    /// Releases all runs of a worker that can't have any more, and notes why.
+    pub(super) fn drop_runs(&mut self, name: &WorkerName, reason: DropReason) {
         let Some(status) = self.workers.get(name) else {
             return;
         };
@@ -436,6 +489,13 @@
             .iter()
             .map(|(task, run)| (task.clone(), *run))
             .collect();
+        if !runs.is_empty() {
+            self.dropped.push(DroppedRuns {
+                worker: name.clone(),
+                reason,
+                runs: runs.len(),
+            });
+        }
         for (task, run) in runs {
             self.release(&task, name, run);
         }
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -107,6 +107,12 @@
     pub(super) fn is_idle(&self) -> bool {
         !self.done && self.runs.is_empty()
     }
+
+    /// Returns the run with this number on a worker.
+    pub(super) fn run_on(&self, worker: &WorkerName, run: u32) -> Option<&TaskRun> {
+        let mut runs = self.runs.iter();
+        runs.find(|known| known.run == run && known.worker == *worker)
+    }
 }
 
 /// The tasks of one step in one occurrence.
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -26,7 +26,9 @@
 mod worker_status;
 
 pub use {
-    fleet_schedule::{FleetSchedule, PoolLoad, ProgressBatch},
+    fleet_schedule::{
+        DropReason, DroppedRuns, FleetSchedule, LingeringRuns, PoolLoad, ProgressBatch,
+    },
     instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
--- a/crates/domain/src/schedule/orphaned_runs.rs
+++ b/crates/domain/src/schedule/orphaned_runs.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule,
+        fleet_schedule::{DropReason, FleetSchedule},
         instance_plan::{InstanceActivity, ListedInstance},
         worker_status::WorkerStatus,
     },
@@ -47,7 +47,7 @@
             .map(|status| status.listed.name.clone())
             .collect();
         for name in &ended {
-            self.release_all(name);
+            self.drop_runs(name, DropReason::InstanceGone);
             self.workers.remove(name);
         }
         ended
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule,
+        fleet_schedule::{DropReason, FleetSchedule},
         job_progress::JobState,
         live_job::{READY_PERCENT, RunPhase, TaskRun},
         task_name::TaskName,
@@ -304,12 +304,7 @@
                 continue;
             }
             let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
-            let known = state.and_then(|state| {
-                state
-                    .runs
-                    .iter()
-                    .find(|known| known.run == *run && known.worker == *worker)
-            });
+            let known = state.and_then(|state| state.run_on(worker, *run));
             let ended = known.is_none_or(|known| match known.phase {
                 // A start order of an earlier owner is void now: the worker has seen this
                 // owner's fencing token.
@@ -343,7 +338,7 @@
             .map(|status| (status.listed.name.clone(), status.present))
             .collect();
         for (name, present) in expired {
-            self.release_all(&name);
+            self.drop_runs(&name, DropReason::LeaseExpired);
             if !present {
                 self.workers.remove(&name);
             }
--- a/crates/scheduler/src/leading/job_follow.rs
+++ b/crates/scheduler/src/leading/job_follow.rs
@@ -34,16 +34,38 @@
                 };
                 schedule.add_job(record, progress.get(&name), run_base, now_ms, wall_ms);
             }
-            Some(JobKey::Cancelled(name)) => cancelled.push(name),
+            Some(JobKey::Cancelled(name)) => cancelled.push((name, row.revision)),
             None => log_event!(Warn, "job-key-unknown", key = row.key),
         }
     }
     let orders = cancelled
         .iter()
-        .flat_map(|name| schedule.cancel(name, now_ms, wall_ms));
+        .flat_map(|(name, revision)| apply_cancel(schedule, name, *revision, now_ms, wall_ms));
     orders.collect()
 }
 
+/// Cancels a job and logs it, unless the job has ended before.
+fn apply_cancel(
+    schedule: &mut FleetSchedule,
+    name: &JobName,
+    revision: u64,
+    now_ms: u64,
+    wall_ms: u64,
+) -> Vec<WorkerOrder> {
+    let before = schedule.state(name);
+    let stops = schedule.cancel(name, now_ms, wall_ms);
+    if before != schedule.state(name) {
+        log_event!(
+            Info,
+            "cancel-applied",
+            job = name,
+            revision = revision,
+            stops = stops.len()
+        );
+    }
+    stops
+}
+
 /// Applies changes to jobs from a store revision on, until aborted.
 pub(super) async fn follow_jobs(
     node: Arc<SchedulerNode>,
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -37,6 +37,14 @@
     pub(crate) orphans_left_ms: u64,
 }
 
+/// An order in the queue of its worker.
+#[derive(Debug)]
+pub(super) struct QueuedOrder {
+    pub(super) order: WorkerOrder,
+    /// When it was queued, in [`uptime_ms`].
+    pub(super) queued_ms: u64,
+}
+
 /// The schedule, and the authority over it, while this process owns it.
 #[derive(Debug)]
 pub(crate) struct Leadership {
@@ -54,7 +62,7 @@
     authority_until_ms: AtomicU64,
     ended: AtomicBool,
     fenced: Notify,
-    order_queues: Mutex<FastMap<WorkerName, mpsc::UnboundedSender<WorkerOrder>>>,
+    order_queues: Mutex<FastMap<WorkerName, mpsc::UnboundedSender<QueuedOrder>>>,
 }
 
 impl Leadership {
@@ -140,7 +148,7 @@
     pub(super) fn open_order_queue(
         &self,
         name: &WorkerName,
-    ) -> Option<mpsc::UnboundedReceiver<WorkerOrder>> {
+    ) -> Option<mpsc::UnboundedReceiver<QueuedOrder>> {
         let mut queues = lock(&self.order_queues);
         if queues.contains_key(name) {
             return None;
@@ -160,13 +168,15 @@
         if orders.is_empty() {
             return;
         }
+        let queued_ms = uptime_ms();
         let queues = lock(&self.order_queues);
         for order in orders {
+            let worker = order.worker().clone();
             let sent = queues
-                .get(order.worker())
-                .is_some_and(|queue| queue.send(order.clone()).is_ok());
+                .get(&worker)
+                .is_some_and(|queue| queue.send(QueuedOrder { order, queued_ms }).is_ok());
             if !sent {
-                log_event!(Debug, "order-undeliverable", worker = order.worker());
+                log_event!(Info, "order-undeliverable", worker = worker);
             }
         }
     }
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -19,7 +19,7 @@
     dotterelshore_domain::{
         collections::FastMap,
         names::{InstanceName, JobName},
-        schedule::{FleetSchedule, OrderRule, ProgressRecord, WorkerSnapshot},
+        schedule::{DroppedRuns, FleetSchedule, OrderRule, ProgressRecord, WorkerSnapshot},
     },
     dotterelshore_platform::{KvFault, KvPage, KvRow, WORKER_PREFIX},
     dotterelshore_wire::{event_log::unix_millis, log_event, timer_hub::jittered_pause},
@@ -197,12 +197,41 @@
         unix_millis(),
     );
     for snapshot in &stored.snapshots {
+        log_restored(snapshot);
         schedule.restore_worker(snapshot.clone(), now_ms);
     }
     apply_worker_rows(&mut schedule, &stored.workers.rows);
     *lock(&leadership.schedule) = schedule;
 }
 
+/// Logs the runs that a snapshot lists on a worker that the earlier owner could not reach.
+fn log_restored(snapshot: &WorkerSnapshot) {
+    let Some(unreachable) = &snapshot.unreachable else {
+        return;
+    };
+    let runs = unreachable.runs.iter();
+    let runs: Vec<_> = runs.map(|(task, run)| format!("{task}:{run}")).collect();
+    log_event!(
+        Info,
+        "runs-restored",
+        worker = snapshot.listed.name,
+        runs = runs.join(","),
+        lease_left_ms = unreachable.lease_left_ms
+    );
+}
+
+fn log_dropped(dropped: &[DroppedRuns]) {
+    for runs in dropped {
+        log_event!(
+            Info,
+            "runs-dropped",
+            worker = runs.worker,
+            reason = format!("{:?}", runs.reason),
+            runs = runs.runs
+        );
+    }
+}
+
 async fn run_planner(node: Arc<SchedulerNode>, leadership: Arc<Leadership>) {
     let mut interval = node.timer.interval(TICK_PERIOD);
     loop {
@@ -218,7 +247,7 @@
         }
         let now_ms = uptime_ms();
         let sole_owner_until_ms = leadership.sole_owner_until_ms();
-        let orders = {
+        let (orders, dropped) = {
             let mut schedule = lock(&leadership.schedule);
             let mut orders = if ticked {
                 schedule.tick(now_ms, now_ms < sole_owner_until_ms)
@@ -226,9 +255,10 @@
                 Vec::new()
             };
             orders.extend(schedule.plan_starts(now_ms, unix_millis(), sole_owner_until_ms));
-            orders
+            (orders, schedule.take_dropped_runs())
         };
         leadership.dispatch(orders);
+        log_dropped(&dropped);
     }
 }
 
--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -1,9 +1,14 @@
 //! Sends orders to one worker.
 
 use {
-    super::{leadership::Leadership, worker_task::WorkerClock},
+    super::{
+        leadership::{Leadership, QueuedOrder},
+        worker_task::WorkerClock,
+    },
     crate::node::{SchedulerNode, lock, uptime_ms},
-    dotterelshore_domain::schedule::{StartOrder, StartRefusal, StartReply, WorkerOrder},
+    dotterelshore_domain::schedule::{
+        StartOrder, StartRefusal, StartReply, StopOrder, WorkerOrder,
+    },
     dotterelshore_platform::WorkerClient,
     dotterelshore_wire::log_event,
     std::sync::Arc,
@@ -16,11 +21,11 @@
     leadership: Arc<Leadership>,
     clock: Arc<WorkerClock>,
     client: WorkerClient,
-    mut orders: mpsc::UnboundedReceiver<WorkerOrder>,
+    mut orders: mpsc::UnboundedReceiver<QueuedOrder>,
 ) {
     let mut client = client;
     let mut address: Option<Arc<str>> = None;
-    while let Some(order) = orders.recv().await {
+    while let Some(QueuedOrder { order, queued_ms }) = orders.recv().await {
         let listed = lock(&leadership.schedule)
             .worker(&clock.name)
             .map(|status| (status.listed.clone(), status.reachable));
@@ -39,23 +44,7 @@
                 start_task(&node, &leadership, &clock, &client, &order, reachable).await;
             }
             WorkerOrder::Stop(order) => {
-                if !leadership.has_authority() {
-                    continue;
-                }
-                match client.stop(&order, leadership.token()).await {
-                    Ok(clock_ms) => lock(&leadership.schedule).confirm_stop(&order, clock_ms),
-                    Err(fault) => {
-                        node.metrics.count_retry("stop");
-                        log_event!(
-                            Info,
-                            "stop-unanswered",
-                            task = order.task,
-                            run = order.run,
-                            worker = order.worker,
-                            error = fault
-                        );
-                    }
-                }
+                stop_run(&node, &leadership, &client, &order, queued_ms).await;
             }
             WorkerOrder::Pace(order, percent) => {
                 if !leadership.has_authority() {
@@ -77,6 +66,46 @@
     }
 }
 
+/// Sends a stop order and applies the reply to the schedule.
+async fn stop_run(
+    node: &SchedulerNode,
+    leadership: &Leadership,
+    client: &WorkerClient,
+    order: &StopOrder,
+    queued_ms: u64,
+) {
+    if !leadership.has_authority() {
+        return;
+    }
+    let sent_ms = uptime_ms();
+    match client.stop(order, leadership.token()).await {
+        Ok(clock_ms) => {
+            lock(&leadership.schedule).confirm_stop(order, clock_ms);
+            log_event!(
+                Info,
+                "stop-confirmed",
+                task = order.task,
+                run = order.run,
+                worker = order.worker,
+                waited_ms = sent_ms.saturating_sub(queued_ms),
+                took_ms = uptime_ms().saturating_sub(sent_ms)
+            );
+        }
+        Err(fault) => {
+            node.metrics.count_retry("stop");
+            log_event!(
+                Info,
+                "stop-unanswered",
+                task = order.task,
+                run = order.run,
+                worker = order.worker,
+                waited_ms = sent_ms.saturating_sub(queued_ms),
+                error = fault
+            );
+        }
+    }
+}
+
 /// Sends a start order and applies the reply to the schedule.
 async fn start_task(
     node: &SchedulerNode,
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -5,7 +5,10 @@
         log_pipe::LogCounts,
         node::{SchedulerNode, lock, uptime_ms},
     },
-    dotterelshore_wire::http_server::{content_response, serve},
+    dotterelshore_wire::{
+        event_log::unix_millis,
+        http_server::{content_response, serve},
+    },
     hyper::{Request, body::Incoming},
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
@@ -46,6 +49,8 @@
     answers: Family<CallLabel, Histogram>,
     leading: Gauge,
     open_jobs: Gauge,
+    lingering_runs: Gauge,
+    lingering_oldest_ms: Gauge,
     config_version: Gauge,
     store_age_ms: Gauge,
     lines_dropped: Gauge,
@@ -86,6 +91,16 @@
                 "open_jobs",
                 "Jobs that have not ended, at the owner",
             ),
+            lingering_runs: gauge(
+                &mut registry,
+                "lingering_runs",
+                "Runs of jobs that have ended, at the owner",
+            ),
+            lingering_oldest_ms: gauge(
+                &mut registry,
+                "lingering_oldest_milliseconds",
+                "Time since the earliest end of a job that still has runs, at the owner",
+            ),
             config_version: gauge(&mut registry, "config_version", "Version in force"),
             store_age_ms: gauge(
                 &mut registry,
@@ -133,8 +148,14 @@
         let gauge_value = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         let leadership = node.leadership();
         self.leading.set(i64::from(leadership.is_some()));
-        let open = leadership.map_or(0, |leadership| lock(&leadership.schedule).open_jobs());
+        let (open, lingering) = leadership.map_or_else(Default::default, |leadership| {
+            let schedule = lock(&leadership.schedule);
+            (schedule.open_jobs(), schedule.lingering_runs(unix_millis()))
+        });
         self.open_jobs.set(gauge_value(open as u64));
+        self.lingering_runs.set(gauge_value(lingering.runs as u64));
+        self.lingering_oldest_ms
+            .set(gauge_value(lingering.oldest_ms));
         let version = node.current_table().map_or(0, |table| table.version);
         self.config_version.set(gauge_value(version));
         let answered_ms = node
