Failing test: a restored run of an ended job is never stopped

On this code no stop is ordered, neither from the report nor by a tick a second later, in each of four cases: cancelled before the restore, and recorded as cancelled, failed or completed. A run of an open job goes on and is stopped by a later cancellation, as it should be.

--- /dev/null
+++ b/crates/domain/tests/ended_job_test.rs
@@ -0,0 +1,153 @@
+//! Tests of runs whose job has ended: each is stopped, however the owner learns of it.
+
+mod samples;
+
+use {
+    dotterelshore_domain::{
+        names::{JobName, WorkerName},
+        schedule::{
+            FleetSchedule, JobState, LingeringRuns, OrderRule, ProgressRecord, ReportedRun,
+            Resources, StepPlan, StopOrder, TaskName, UnreachableRuns, WorkerOrder, WorkerReport,
+            WorkerSnapshot,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    std::sync::Arc,
+};
+
+/// Worker lease, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+/// Processor capacity of the worker, in thousandths of a core.
+const WORKER_MILLI: u64 = 64_000;
+/// Run numbers of the new owner are above this.
+const RUN_BASE: u32 = 2_000;
+/// The run that the earlier owner left.
+const EARLIER_RUN: u32 = 1_001;
+
+fn name<T: TryFrom<&'static str>>(text: &'static str) -> T
+where
+    T::Error: std::fmt::Debug,
+{
+    T::try_from(text).expect("a name")
+}
+
+fn task() -> TaskName {
+    "left.0.0.0".parse().expect("a task")
+}
+
+fn stop(run: u32) -> WorkerOrder {
+    WorkerOrder::Stop(StopOrder {
+        worker: name("w-1"),
+        task: task(),
+        run,
+    })
+}
+
+fn report(clock_ms: u64, runs: &[u32]) -> WorkerReport {
+    let running = runs.iter().map(|run| ReportedRun {
+        task: task(),
+        run: *run,
+        checkpoint: Arc::from(""),
+        progress_percent: 100.0,
+        metric: 0.0,
+    });
+    WorkerReport {
+        clock_ms,
+        running: running.collect(),
+        ..WorkerReport::default()
+    }
+}
+
+/// Returns the schedule of a new owner that read a job with one long-running task and the stored
+/// snapshot of a worker that the earlier owner lost contact with, while the task ran there.
+fn taken_over(progress: Option<&ProgressRecord>, is_cancelled: bool) -> FleetSchedule {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + 2 * LEASE_MS);
+    let step = StepPlan {
+        count: 1,
+        need: Resources {
+            cpu_milli: 4_000,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        long_running: true,
+        max_unavailable: Some(1),
+        ..StepPlan::default()
+    };
+    let record = sample_job("left", step);
+    schedule.add_job(record, progress, RUN_BASE, NOW_MS, WALL_MS);
+    if is_cancelled {
+        schedule.cancel(&name("left"), NOW_MS, WALL_MS);
+    }
+    let snapshot = WorkerSnapshot {
+        listed: sample_worker("w-1", WORKER_MILLI),
+        unreachable: Some(UnreachableRuns {
+            runs: vec![(task(), EARLIER_RUN)],
+            lease_left_ms: LEASE_MS,
+        }),
+    };
+    schedule.restore_worker(snapshot, NOW_MS);
+    schedule.upsert_worker(sample_worker("w-1", WORKER_MILLI));
+    schedule
+}
+
+/// A run that an owner takes over from a snapshot is stopped if its job has ended.
+fn restored_run_stops(recorded_end: Option<JobState>, is_cancelled: bool) {
+    let progress = recorded_end.map(|state| ProgressRecord {
+        ended: Some(state),
+        ended_ms: Some(WALL_MS),
+        step_progress: Vec::new(),
+    });
+    let mut schedule = taken_over(progress.as_ref(), is_cancelled);
+    let first = report(20, &[EARLIER_RUN]);
+    let mut orders = schedule.apply_report(&name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
+    orders.extend(schedule.tick(NOW_MS + 1_000, true));
+    assert!(
+        orders.contains(&stop(EARLIER_RUN)),
+        "a stop is ordered: {orders:?}"
+    );
+}
+
+named_cases! { restored_run_stops:
+    restored_run_of_job_cancelled_before_takeover_is_stopped(None, true);
+    restored_run_of_job_recorded_as_cancelled_is_stopped(Some(JobState::Cancelled), false);
+    restored_run_of_job_recorded_as_failed_is_stopped(Some(JobState::Failed), false);
+    restored_run_of_job_recorded_as_completed_is_stopped(Some(JobState::Completed), false);
+}
+
+/// A run that an owner takes over from a snapshot goes on until its job is cancelled.
+#[test]
+fn restored_run_of_open_job_goes_on_until_cancelled() {
+    let mut schedule = taken_over(None, false);
+    let first = report(20, &[EARLIER_RUN]);
+    let reported = schedule.apply_report(&name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
+    assert_eq!(reported, Vec::new(), "it goes on");
+    let job: JobName = name("left");
+    let orders = schedule.cancel(&job, NOW_MS + 20, WALL_MS + 20);
+    assert_eq!(orders, vec![stop(EARLIER_RUN)]);
+}
+
+/// Runs of ended jobs are counted until they have ended.
+#[test]
+fn runs_of_ended_jobs_are_counted_until_they_end() {
+    let mut schedule = taken_over(None, true);
+    let worker: WorkerName = name("w-1");
+    let first = report(20, &[EARLIER_RUN]);
+    schedule.apply_report(&worker, &first, NOW_MS + 10, WALL_MS + 10);
+    let lingering = LingeringRuns {
+        runs: 1,
+        oldest_ms: 500,
+    };
+    assert_eq!(schedule.lingering_runs(WALL_MS + 500), lingering);
+    let order = StopOrder {
+        worker: worker.clone(),
+        task: task(),
+        run: EARLIER_RUN,
+    };
+    schedule.confirm_stop(&order, 30);
+    schedule.apply_report(&worker, &report(40, &[]), NOW_MS + 600, WALL_MS + 600);
+    assert_eq!(
+        schedule.lingering_runs(WALL_MS + 600),
+        LingeringRuns::default()
+    );
+}
