Decide at each report whether a run is still needed

Cause: a stop was decided once, at the moment the job ended, for the runs known then. Such a run counts as known, so that its worker's report only marked it as running; that its job had ended was looked at for unknown runs alone. A task that lasts ran on for as long as owners renewed the worker's lease. Also for jobs that had failed or completed.

Ruled out by the same test: a run of an open job that is cancelled after the restore is stopped.

Change: each report of a run that is not stopping asks whether its job is open and its task not done, and orders a stop if not, whatever way the schedule learned of the run.

All tests of the domain pass.

--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -221,7 +221,7 @@
             orders.push(unwanted());
             return;
         };
-        let done = task.done;
+        let needed = active && !task.done;
         if let Some(run) = task
             .runs
             .iter_mut()
@@ -230,6 +230,9 @@
             if matches!(run.phase, RunPhase::Ordered | RunPhase::Unconfirmed) {
                 run.phase = RunPhase::Running { clock_ms };
             }
+            if !needed && !run.is_stopping() {
+                orders.push(run.stop(&reported.task, now_ms));
+            }
             if run.progress_percent.to_bits() != reported.progress_percent.to_bits() {
                 run.progress_percent = reported.progress_percent;
                 run.progressed_ms = now_ms;
@@ -260,8 +263,7 @@
             progressed_ms: now_ms,
             pace_percent: None,
         };
-        let wanted = active && !done && sole_run;
-        if !wanted {
+        if !(needed && sole_run) {
             orders.push(run.stop(&reported.task, now_ms));
         }
         task.runs.push(run);
