Tell runs that were restored from those that this owner ordered

Found by reading, in the search for the cause elsewhere.

Change: a phase of its own for restored runs, with an unknown pace. It also replaces the inference that an ordered run on a worker without a report is an earlier owner's.

Evidence: new_owner_sends_the_pace_of_a_restored_run failed before (no order) and passes. All tests of the domain pass.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -24,6 +24,8 @@
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RunPhase {
+    /// An earlier owner recorded it. Its worker has not reported to this owner.
+    Restored,
     /// The start order is in flight.
     Ordered,
     /// The start order was not answered.
@@ -69,6 +71,15 @@
         }
     }
 
+    /// Creates a run that an earlier owner recorded. Its progress and pace are not known.
+    pub(super) fn restored(worker: WorkerName, run: u32, now_ms: u64) -> Self {
+        Self {
+            phase: RunPhase::Restored,
+            pace_percent: None,
+            ..Self::ordered(worker, run, now_ms)
+        }
+    }
+
     /// Marks the run as stopping and returns the stop order.
     pub(super) fn stop(&mut self, task: &TaskName, now_ms: u64) -> WorkerOrder {
         self.phase = RunPhase::Stopping {
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -227,7 +227,10 @@
             .iter_mut()
             .find(|run| run.run == reported.run && run.worker == *worker)
         {
-            if matches!(run.phase, RunPhase::Ordered | RunPhase::Unconfirmed) {
+            if matches!(
+                run.phase,
+                RunPhase::Restored | RunPhase::Ordered | RunPhase::Unconfirmed
+            ) {
                 run.phase = RunPhase::Running { clock_ms };
             }
             if !needed && !run.is_stopping() {
@@ -310,7 +313,7 @@
             let ended = known.is_none_or(|known| match known.phase {
                 // A start order of an earlier owner is void now: the worker has seen this
                 // owner's fencing token.
-                RunPhase::Ordered if !status.reported => true,
+                RunPhase::Restored => true,
                 RunPhase::Ordered | RunPhase::Unconfirmed => false,
                 RunPhase::Running { clock_ms } => report.clock_ms > clock_ms,
                 RunPhase::Stopping { clock_ms, .. } => {
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -77,7 +77,7 @@
             state.last_run = state.last_run.max(number);
             state
                 .runs
-                .push(TaskRun::ordered(name.clone(), number, now_ms));
+                .push(TaskRun::restored(name.clone(), number, now_ms));
             self.reserve(&task, &name, number);
         }
     }
--- a/crates/domain/tests/pace_controller_test.rs
+++ b/crates/domain/tests/pace_controller_test.rs
@@ -5,7 +5,7 @@
 use {
     dotterelshore_domain::schedule::{
         FleetSchedule, OrderRule, PaceController, ReportedRun, Resources, StartReply, StepPlan,
-        WorkerOrder, WorkerReport,
+        TaskName, UnreachableRuns, WorkerOrder, WorkerReport, WorkerSnapshot,
     },
     dotterelshore_testkit::named_cases,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
@@ -188,3 +188,43 @@
     unanswered_pace_order_is_resent(150.0, true, false, 3);
     new_owner_sends_the_pace(80.0, false, true, 1);
 }
+
+/// A new owner sends the pace of a best-effort run that it restored from a worker snapshot, since
+/// the earlier owner may have slowed it.
+#[test]
+fn new_owner_sends_the_pace_of_a_restored_run() {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), 4_000, NOW_MS + 8_000);
+    let best_effort = StepPlan {
+        best_effort: true,
+        ..long_running_step(60_000)
+    };
+    let record = sample_job("best-effort", best_effort);
+    schedule.add_job(record, None, 1_000, NOW_MS, WALL_MS);
+    let listed = sample_worker("w-1", 64_000);
+    let task: TaskName = "best-effort.0.0.0".parse().expect("a task");
+    let unreachable = UnreachableRuns {
+        runs: vec![(task.clone(), 1)],
+        lease_left_ms: 4_000,
+    };
+    let snapshot = WorkerSnapshot {
+        listed: listed.clone(),
+        unreachable: Some(unreachable),
+    };
+    schedule.restore_worker(snapshot, NOW_MS);
+    schedule.upsert_worker(listed.clone());
+    let row = ReportedRun {
+        task,
+        run: 1,
+        checkpoint: Arc::from(""),
+        progress_percent: 100.0,
+        metric: 8_000.0,
+    };
+    let report = WorkerReport {
+        clock_ms: NOW_MS,
+        running: vec![row],
+        ..WorkerReport::default()
+    };
+    let orders = schedule.apply_report(&listed.name, &report, NOW_MS, WALL_MS);
+    let is_pace = |order: &&WorkerOrder| matches!(order, WorkerOrder::Pace(_, 100));
+    assert_eq!(orders.iter().filter(is_pace).count(), 1, "{orders:?}");
+}
