Restore runs of occurrences that are not due yet by this owner's clock

Cause: reports create the occurrences that they name, the restore did not. Found by reading, in the search for places where a restored run is treated in another way than a reported one.

Change: the restore creates them too; they start no tasks before they are due.

Evidence: both cases of restored_run_keeps_its_task failed before (a start of the same task on another worker) and pass. All tests of the domain pass.

--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -64,11 +64,11 @@
             status.lease_until_ms = now_ms + unreachable.lease_left_ms;
         }
         for (task, number) in unreachable.runs {
-            let Some(state) = self
-                .jobs
-                .get_mut(&task.job)
-                .and_then(|job| job.task_mut(&task))
-            else {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            job.create_occurrences_to(task.occurrence);
+            let Some(state) = job.task_mut(&task) else {
                 continue;
             };
             if state.done {
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -503,6 +503,38 @@
     recorded_run_restarts_if_not_reported(false);
 }
 
+/// A restored run of an occurrence that is not due yet by this owner's clock, since the earlier
+/// owner's clock was ahead, keeps its task from starting twice once the occurrence is due.
+fn restored_run_keeps_its_task(occurrence: u32) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    let mut record = job("timed", vec![step(1)]);
+    record.plan.timed_occurrences = occurrence + 1;
+    record.plan.interval_ms = 1;
+    record.plan.start_at_ms = WALL_MS + 500 - u64::from(occurrence);
+    schedule.add_job(record, None, 2_000, NOW_MS, WALL_MS);
+    let task: TaskName = format!("timed.{occurrence}.0.0").parse().expect("a task");
+    let unreachable = Some(UnreachableRuns {
+        runs: vec![(task.clone(), 1)],
+        lease_left_ms: LEASE_MS,
+    });
+    let snapshot = WorkerSnapshot {
+        listed: worker("w-2"),
+        unreachable,
+    };
+    schedule.restore_worker(snapshot, NOW_MS);
+    schedule.upsert_worker(worker("w-1"));
+    send_report(&mut schedule, "w-1", &WorkerReport::default());
+    let orders = schedule.plan_starts(NOW_MS + 600, WALL_MS + 600, u64::MAX);
+    let starts_again =
+        |order: &&WorkerOrder| matches!(order, WorkerOrder::Start(start) if start.task == task);
+    assert_eq!(orders.iter().find(starts_again), None);
+}
+
+named_cases! { restored_run_keeps_its_task:
+    restored_run_of_first_occurrence_does_not_start_twice(0);
+    restored_run_of_later_occurrence_does_not_start_twice(2);
+}
+
 /// A job added while another owner may have had the schedule waits until ownership is
 /// confirmed again. One added before that does not wait.
 fn job_waits_for_ownership(added_ms: u64, at_once: usize) {
