Send stop orders from a queue of their own, and only those still due

Callers could see the tasks of a cancelled job run on for seconds: the owner had ordered their stop in time, and sent it late.

A queued stop is sent only if the schedule still needs it (begin_stop): not once confirmed, not once the run has ended, not just after another was sent.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -39,8 +39,11 @@
     Stopping {
         /// The worker's clock when it confirmed the stop, in milliseconds; `None` until then.
         clock_ms: Option<u64>,
-        /// When the stop order was last sent, in scheduler milliseconds.
-        sent_ms: u64,
+        /// When the stop was last ordered, in scheduler milliseconds.
+        ordered_ms: u64,
+        /// When the order was last sent, in scheduler milliseconds; `None` while it waits for its
+        /// turn.
+        sent_ms: Option<u64>,
     },
 }
 
@@ -82,9 +85,14 @@
 
     /// Marks the run as stopping and returns the stop order.
     pub(super) fn stop(&mut self, task: &TaskName, now_ms: u64) -> WorkerOrder {
+        let sent_ms = match self.phase {
+            RunPhase::Stopping { sent_ms, .. } => sent_ms,
+            _ => None,
+        };
         self.phase = RunPhase::Stopping {
             clock_ms: None,
-            sent_ms: now_ms,
+            ordered_ms: now_ms,
+            sent_ms,
         };
         WorkerOrder::Stop(StopOrder {
             worker: self.worker.clone(),
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -15,7 +15,7 @@
 
 /// Delay before an unconfirmed stop is resent, in milliseconds. Some hundred times an
 /// undisturbed round trip.
-const STOP_RESEND_MS: u64 = 400;
+pub(super) const STOP_RESEND_MS: u64 = 400;
 /// How long an unanswered start may appear in the worker's reports before a stop rules it out,
 /// in milliseconds. Some tens of round trips.
 const UNCONFIRMED_START_MS: u64 = 200;
@@ -367,8 +367,9 @@
                 RunPhase::Unconfirmed => now_ms > run.phase_since_ms + UNCONFIRMED_START_MS,
                 RunPhase::Stopping {
                     clock_ms: None,
-                    sent_ms,
-                } => now_ms > sent_ms + STOP_RESEND_MS,
+                    ordered_ms,
+                    ..
+                } => now_ms > ordered_ms + STOP_RESEND_MS,
                 _ => false,
             };
             if resend {
--- a/crates/domain/src/schedule/start_replies.rs
+++ b/crates/domain/src/schedule/start_replies.rs
@@ -4,6 +4,7 @@
     super::{
         fleet_schedule::FleetSchedule,
         live_job::RunPhase,
+        run_reports::STOP_RESEND_MS,
         task_name::TaskName,
         worker_order::{StartOrder, StopOrder},
     },
@@ -101,6 +102,31 @@
         }
     }
 
+    /// Begins to send a stop order and returns whether it is due. It is not if the run has ended,
+    /// its stop was confirmed, or an order that was sent shortly before may still be answered.
+    pub fn begin_stop(&mut self, order: &StopOrder, now_ms: u64) -> bool {
+        let job = self.jobs.get_mut(&order.task.job);
+        let Some(task) = job.and_then(|job| job.task_mut(&order.task)) else {
+            // The run is not tracked, and only its worker knows whether it has ended.
+            return true;
+        };
+        let mut runs = task.runs.iter_mut();
+        let run = runs.find(|run| run.run == order.run && run.worker == order.worker);
+        let Some(RunPhase::Stopping {
+            clock_ms: None,
+            sent_ms,
+            ..
+        }) = run.map(|run| &mut run.phase)
+        else {
+            return false;
+        };
+        if sent_ms.is_some_and(|sent_ms| now_ms < sent_ms + STOP_RESEND_MS) {
+            return false;
+        }
+        *sent_ms = Some(now_ms);
+        true
+    }
+
     /// Records that a worker confirmed a stop at `at_ms` of its clock.
     pub fn confirm_stop(&mut self, order: &StopOrder, at_ms: u64) {
         if let Some(run) = self.find_run(&order.worker, &order.task, order.run)
--- a/crates/domain/tests/ended_job_test.rs
+++ b/crates/domain/tests/ended_job_test.rs
@@ -151,3 +151,47 @@
         LingeringRuns::default()
     );
 }
+
+/// What happened to a stop order since it was queued.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum StopEvent {
+    Sent,
+    Confirmed,
+    RunEnded,
+    JobForgotten,
+}
+
+/// A stop order in its worker's queue is sent only if it can still have an effect, so that repeats
+/// of answered ones do not hold up the others.
+fn queued_stop_is_due(event: Option<StopEvent>, later_ms: u64, is_due: bool) {
+    let mut schedule = taken_over(None, true);
+    let worker: WorkerName = name("w-1");
+    let first = report(20, &[EARLIER_RUN]);
+    schedule.apply_report(&worker, &first, NOW_MS, WALL_MS);
+    let mut order = StopOrder {
+        worker: worker.clone(),
+        task: task(),
+        run: EARLIER_RUN,
+    };
+    match event {
+        Some(StopEvent::Sent) => assert!(schedule.begin_stop(&order, NOW_MS), "the first is sent"),
+        Some(StopEvent::Confirmed) => schedule.confirm_stop(&order, 30),
+        Some(StopEvent::RunEnded) => {
+            schedule.confirm_stop(&order, 30);
+            schedule.apply_report(&worker, &report(40, &[]), NOW_MS, WALL_MS);
+        }
+        Some(StopEvent::JobForgotten) => order.task = "unknown.0.0.0".parse().expect("a task"),
+        None => {}
+    }
+    assert_eq!(schedule.begin_stop(&order, NOW_MS + later_ms), is_due);
+}
+
+named_cases! { queued_stop_is_due:
+    first_stop_is_sent(None, 0, true);
+    first_stop_is_sent_however_long_it_waited(None, 5_000, true);
+    repeated_stop_waits_for_the_reply_to_the_one_before(Some(StopEvent::Sent), 100, false);
+    unanswered_stop_is_sent_again(Some(StopEvent::Sent), 600, true);
+    confirmed_stop_is_not_sent_again(Some(StopEvent::Confirmed), 600, false);
+    stop_of_an_ended_run_is_not_sent(Some(StopEvent::RunEnded), 600, false);
+    stop_of_an_untracked_run_is_sent(Some(StopEvent::JobForgotten), 0, true);
+}
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -13,7 +13,7 @@
     dotterelshore_domain::{
         collections::FastMap,
         names::WorkerName,
-        schedule::{FleetSchedule, QueueTable, WorkerOrder},
+        schedule::{FleetSchedule, QueueTable, StartOrder, StopOrder, WorkerOrder},
     },
     dotterelshore_platform::KvTransaction,
     dotterelshore_wire::log_event,
@@ -37,14 +37,53 @@
     pub(crate) orphans_left_ms: u64,
 }
 
-/// An order in the queue of its worker.
+/// An order to start a run or to set its pace.
 #[derive(Debug)]
-pub(super) struct QueuedOrder {
-    pub(super) order: WorkerOrder,
+pub(super) enum RunOrder {
+    Start(StartOrder),
+    /// The pace, in percent.
+    Pace(StopOrder, u32),
+}
+
+/// A stop order in the queue of its worker.
+#[derive(Debug)]
+pub(super) struct QueuedStop {
+    pub(super) order: StopOrder,
     /// When it was queued, in [`uptime_ms`].
     pub(super) queued_ms: u64,
 }
 
+/// Senders of a worker's orders. Stops have a queue of their own: they need not follow the start
+/// of their run, and must not wait for replies to other orders.
+#[derive(Debug)]
+struct OrderQueues {
+    runs: mpsc::UnboundedSender<RunOrder>,
+    stops: mpsc::UnboundedSender<QueuedStop>,
+}
+
+impl OrderQueues {
+    /// Queues an order and returns whether its queue is open.
+    fn send(&self, order: WorkerOrder, queued_ms: u64) -> bool {
+        match order {
+            WorkerOrder::Start(order) => self.runs.send(RunOrder::Start(order)).is_ok(),
+            WorkerOrder::Pace(order, percent) => {
+                self.runs.send(RunOrder::Pace(order, percent)).is_ok()
+            }
+            WorkerOrder::Stop(order) => {
+                let stop = QueuedStop { order, queued_ms };
+                self.stops.send(stop).is_ok()
+            }
+        }
+    }
+}
+
+/// Receivers of a worker's orders.
+#[derive(Debug)]
+pub(super) struct OrderReceivers {
+    pub(super) runs: mpsc::UnboundedReceiver<RunOrder>,
+    pub(super) stops: mpsc::UnboundedReceiver<QueuedStop>,
+}
+
 /// The schedule, and the authority over it, while this process owns it.
 #[derive(Debug)]
 pub(crate) struct Leadership {
@@ -62,7 +101,7 @@
     authority_until_ms: AtomicU64,
     ended: AtomicBool,
     fenced: Notify,
-    order_queues: Mutex<FastMap<WorkerName, mpsc::UnboundedSender<QueuedOrder>>>,
+    order_queues: Mutex<FastMap<WorkerName, OrderQueues>>,
 }
 
 impl Leadership {
@@ -144,22 +183,24 @@
         self.plan_notify.notify_one();
     }
 
-    /// Opens the order queue of a worker; `None` if it is already open.
-    pub(super) fn open_order_queue(
-        &self,
-        name: &WorkerName,
-    ) -> Option<mpsc::UnboundedReceiver<QueuedOrder>> {
+    /// Opens the order queues of a worker; `None` if they are already open.
+    pub(super) fn open_order_queues(&self, name: &WorkerName) -> Option<OrderReceivers> {
         let mut queues = lock(&self.order_queues);
         if queues.contains_key(name) {
             return None;
         }
-        let (sender, receiver) = mpsc::unbounded_channel();
-        queues.insert(name.clone(), sender);
-        Some(receiver)
+        let (run_sender, runs) = mpsc::unbounded_channel();
+        let (stop_sender, stops) = mpsc::unbounded_channel();
+        let senders = OrderQueues {
+            runs: run_sender,
+            stops: stop_sender,
+        };
+        queues.insert(name.clone(), senders);
+        Some(OrderReceivers { runs, stops })
     }
 
-    /// Closes the order queue of a worker.
-    pub(super) fn close_order_queue(&self, name: &WorkerName) {
+    /// Closes the order queues of a worker.
+    pub(super) fn close_order_queues(&self, name: &WorkerName) {
         lock(&self.order_queues).remove(name);
     }
 
@@ -172,10 +213,8 @@
         let queues = lock(&self.order_queues);
         for order in orders {
             let worker = order.worker().clone();
-            let sent = queues
-                .get(&worker)
-                .is_some_and(|queue| queue.send(QueuedOrder { order, queued_ms }).is_ok());
-            if !sent {
+            let queues = queues.get(&worker);
+            if !queues.is_some_and(|queues| queues.send(order, queued_ms)) {
                 log_event!(Info, "order-undeliverable", worker = worker);
             }
         }
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -11,6 +11,7 @@
 mod takeover;
 mod worker_orders;
 mod worker_snapshots;
+mod worker_stops;
 mod worker_task;
 
 pub(crate) use {leadership::Leadership, takeover::lead};
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -1,7 +1,10 @@
-//! The two tasks of each worker: one polls its lists of runs, one sends orders to it.
+//! The tasks of each worker: one polls its lists of runs, one sends starts and one sends stops.
 
 use {
-    super::{leadership::Leadership, takeover::WORKER_LEASE, worker_orders::deliver_orders},
+    super::{
+        leadership::Leadership, takeover::WORKER_LEASE, worker_orders::deliver_orders,
+        worker_stops::deliver_stops,
+    },
     crate::node::{SchedulerNode, lock, millis, uptime_ms},
     dotterelshore_domain::{names::WorkerName, schedule::ListedWorker},
     dotterelshore_platform::{PollRequest, WorkerClient, WorkerFault},
@@ -33,7 +36,7 @@
     at_ms: u64,
 }
 
-/// The clock of one worker, as last read; shared by the worker's two tasks.
+/// The clock of one worker, as last read; shared by the worker's tasks.
 #[derive(Debug)]
 pub(super) struct WorkerClock {
     pub(super) name: WorkerName,
@@ -57,40 +60,70 @@
     leadership: &Arc<Leadership>,
     listed: ListedWorker,
 ) {
-    let Some(orders) = leadership.open_order_queue(&listed.name) else {
+    let Some(orders) = leadership.open_order_queues(&listed.name) else {
         return;
     };
     let clock = Arc::new(WorkerClock {
         name: listed.name.clone(),
         reading: Mutex::new(None),
     });
-    let client = WorkerClient::new(&listed);
+    let client = ListedClient::new(listed);
     tokio::spawn(deliver_orders(
         Arc::clone(node),
         Arc::clone(leadership),
         Arc::clone(&clock),
         client.clone(),
-        orders,
+        orders.runs,
+    ));
+    tokio::spawn(deliver_stops(
+        Arc::clone(node),
+        Arc::clone(leadership),
+        client.clone(),
+        orders.stops,
     ));
     tokio::spawn(poll_worker(
         Arc::clone(node),
         Arc::clone(leadership),
         clock,
         client,
-        listed,
     ));
 }
 
+/// A client of a worker that follows its incarnations and the address under which it is listed.
+#[derive(Debug, Clone)]
+pub(super) struct ListedClient {
+    listed: ListedWorker,
+    client: WorkerClient,
+}
+
+impl ListedClient {
+    fn new(listed: ListedWorker) -> Self {
+        let client = WorkerClient::new(&listed);
+        Self { listed, client }
+    }
+
+    /// Returns a client of the worker as it is listed now; `None` if it left the schedule.
+    pub(super) fn current(&mut self, leadership: &Leadership) -> Option<WorkerClient> {
+        let listed = lock(&leadership.schedule)
+            .worker(&self.listed.name)
+            .map(|status| status.listed.clone())?;
+        let same_incarnation = listed.started_ms == self.listed.started_ms;
+        if !same_incarnation || listed.address != self.listed.address {
+            self.client = WorkerClient::new(&listed);
+        }
+        self.listed = listed;
+        Some(self.client.clone())
+    }
+}
+
 /// Polls a worker's lists, which also extends its lease, until the worker is removed from the
 /// schedule or this process no longer owns it.
 async fn poll_worker(
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
     clock: Arc<WorkerClock>,
-    client: WorkerClient,
-    mut listed: ListedWorker,
+    mut client: ListedClient,
 ) {
-    let mut client = client;
     let mut is_unreachable = false;
     loop {
         if !leadership.has_authority() {
@@ -100,22 +133,18 @@
             tokio::time::sleep(POLL_RETRY_PAUSE).await;
             continue;
         }
-        let Some(now_listed) = lock(&leadership.schedule)
-            .worker(&clock.name)
-            .map(|status| status.listed.clone())
-        else {
+        let started_ms = client.listed.started_ms;
+        let Some(current) = client.current(&leadership) else {
             log_event!(Info, "worker-gone", worker = clock.name);
-            leadership.close_order_queue(&clock.name);
+            leadership.close_order_queues(&clock.name);
             return;
         };
-        if now_listed.address != listed.address || now_listed.started_ms != listed.started_ms {
+        if client.listed.started_ms != started_ms {
             *lock(&clock.reading) = None;
-            client = WorkerClient::new(&now_listed);
-            listed = now_listed;
         }
         let token = leadership.token();
         let request = next_poll_request(&node, &leadership, &clock, token, is_unreachable);
-        match client.poll(&request).await {
+        match current.poll(&request).await {
             Ok(report) => {
                 is_unreachable = false;
                 let now_ms = uptime_ms();
