--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -461,7 +461,8 @@
             "cut",
         );
         tokio::time::sleep(ENTRY_ROWS_TIME).await;
-        assert_eq!(fixture.fleet.readiness(&cut).await, 200, "before");
+        let before = fixture.fleet.readiness(&cut).await;
+        assert_eq!(before, 200, "before:\n{}", cut.log());
         endpoint.set_fault_mode(StoreFaultMode::Silent);
         if are_others_frozen {
             for node in &fixture.nodes {
