End runs of a replaced worker only when its successor reports

Callers would see a task run twice: a row of another writer that named the instance of a live worker, with a later start time, ended all runs of that worker in the schedule as soon as it was listed, and their tasks were started again elsewhere while they went on. So did a row without a start time at the key of a live worker. An instance counted as host of the newest row, so that a row whose worker never answers kept waves from it.

Cause: a row alone was taken as proof of a new incarnation.

Change: earlier workers of an instance are replaced by the first report of the later one; until then their leases rule. A row without a start time keeps the known one. An instance hosts the newest worker that answers, and the newest row only if none does.

Evidence: crates/domain/tests/odd_worker_test.rs failed before in 6 of 11 cases: run_goes_on_beside_later_row_of_its_instance (and .._from_far_future, run_goes_on_under_row_without_start_time) with "the task still runs, left: [StartOrder { worker: third, task: .., run: 2 }], right: []", later_worker_that_never_reports_ends_no_runs, instance_hosts_worker_that_reports_beside_later_row with "left: Some(odd) right: Some(sound)", wave_begins_beside_later_row_of_silent_worker with no order in 15 s. All pass now, and so do the other tests of the crate.

A successor that is listed and can't be reached now delays the tasks of the worker before it until that worker's lease ends.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -84,7 +84,7 @@
 /// Why a worker's runs were dropped from the schedule without a report of their end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DropReason {
-    /// A later incarnation, or a later worker on the same instance, is listed.
+    /// A later incarnation is listed, or a later worker on the same instance reports.
     Replaced,
     /// It was unlisted after an order for its instance.
     Disrupted,
@@ -160,40 +160,53 @@
     }
 
     /// Adds or updates a listed worker and returns whether anything changed. A new incarnation
-    /// of the worker, or a newer worker on the same instance, ends all earlier runs.
-    pub fn upsert_worker(&mut self, listed: ListedWorker) -> bool {
-        if self
-            .workers
-            .get(&listed.name)
-            .is_some_and(|status| status.present && status.listed == listed)
-        {
-            return false;
+    /// of the worker ends all earlier runs.
+    pub fn upsert_worker(&mut self, mut listed: ListedWorker) -> bool {
+        if let Some(known) = self.workers.get(&listed.name) {
+            if listed.started_ms == 0 {
+                listed.started_ms = known.listed.started_ms;
+            }
+            if known.present && known.listed == listed {
+                return false;
+            }
+            if known.listed.started_ms != listed.started_ms {
+                self.drop_runs(&listed.name, DropReason::Replaced);
+                self.workers.remove(&listed.name);
+            }
         }
+        let orphans_until_ms = self.orphans_until_ms;
+        let status = self
+            .workers
+            .entry(listed.name.clone())
+            .or_insert_with(|| WorkerStatus::new(listed.clone(), orphans_until_ms));
+        status.listed = listed;
+        status.present = true;
+        true
+    }
+
+    /// Ends the runs of earlier workers on the instance of a worker that reports for the first
+    /// time. Its row alone is no proof: another writer may have written it.
+    pub(super) fn end_replaced_workers(&mut self, name: &WorkerName) {
+        let Some(status) = self.workers.get(name).filter(|status| !status.reported) else {
+            return;
+        };
+        let listed = status.listed.clone();
         let replaced: Vec<_> = self
             .workers
             .values()
-            .filter(|status| {
-                let own = &status.listed;
-                let same_instance = own.instance.is_some()
+            .map(|status| &status.listed)
+            .filter(|own| {
+                own.instance.is_some()
                     && own.instance == listed.instance
                     && own.name != listed.name
-                    && own.started_ms < listed.started_ms;
-                same_instance || own.name == listed.name && own.started_ms != listed.started_ms
+                    && own.started_ms < listed.started_ms
             })
-            .map(|status| status.listed.name.clone())
+            .map(|own| own.name.clone())
             .collect();
         for name in replaced {
             self.drop_runs(&name, DropReason::Replaced);
             self.workers.remove(&name);
         }
-        let orphans_until_ms = self.orphans_until_ms;
-        let status = self
-            .workers
-            .entry(listed.name.clone())
-            .or_insert_with(|| WorkerStatus::new(listed.clone(), orphans_until_ms));
-        status.listed = listed;
-        status.present = true;
-        true
     }
 
     /// Marks a worker as no longer listed. Its runs may go on until its lease expires, unless
--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         fleet_schedule::FleetSchedule, maintenance_wave::WaveState, order_budget::OrderBudget,
-        pool_demand::wanted_instances, worker_order::WorkerOrder,
+        pool_demand::wanted_instances, worker_order::WorkerOrder, worker_status::ListedWorker,
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -287,22 +287,9 @@
 
     /// Updates each instance's worker and whether it is idle.
     pub(super) fn update_workers(&mut self, schedule: &mut FleetSchedule, now_ms: u64) {
-        let mut newest: FastMap<InstanceName, (u64, WorkerName, PoolName)> = FastMap::default();
-        for status in schedule.workers() {
-            let Some(instance) = &status.listed.instance else {
-                continue;
-            };
-            let own = &status.listed;
-            if newest
-                .get(instance)
-                .is_none_or(|(started_ms, ..)| *started_ms < own.started_ms)
-            {
-                let incarnation = (own.started_ms, own.name.clone(), own.pool.clone());
-                newest.insert(instance.clone(), incarnation);
-            }
-        }
+        let hosted = hosted_workers(schedule);
         for (name, status) in &mut self.instances {
-            status.worker = newest.get(name).map(|(_, worker, _)| worker.clone());
+            status.worker = hosted.get(name).map(|listed| listed.name.clone());
             let list_trusted = status
                 .ordered_ms
                 .is_none_or(|at| now_ms >= at + ORDER_PRECEDENCE_MS);
@@ -315,10 +302,10 @@
                 }
             }
             // A worker's report is newer than the list.
-            status.up |= newest.get(name).is_some_and(|(_, worker, pool)| {
-                *pool == status.pool
+            status.up |= hosted.get(name).is_some_and(|listed| {
+                listed.pool == status.pool
                     && schedule
-                        .worker(worker)
+                        .worker(&listed.name)
                         .is_some_and(|status| status.reported)
             });
             let idle = status.up
@@ -339,3 +326,22 @@
         !self.in_flight.contains(instance) && !self.cooldowns.contains_key(instance)
     }
 }
+
+/// Returns the worker that each instance hosts: the newest of those that answer, else the newest.
+fn hosted_workers(schedule: &FleetSchedule) -> FastMap<InstanceName, ListedWorker> {
+    let mut hosted: FastMap<InstanceName, ((bool, u64), &ListedWorker)> = FastMap::default();
+    for status in schedule.workers() {
+        let Some(instance) = &status.listed.instance else {
+            continue;
+        };
+        let answers = status.present && status.reported && status.reachable;
+        let rank = (answers, status.listed.started_ms);
+        if hosted.get(instance).is_none_or(|(best, _)| *best < rank) {
+            hosted.insert(instance.clone(), (rank, &status.listed));
+        }
+    }
+    let listed = hosted.into_iter();
+    listed
+        .map(|(instance, (_, listed))| (instance, listed.clone()))
+        .collect()
+}
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -54,6 +54,7 @@
                 self.unlist_worker(worker, now_ms);
             }
         }
+        self.end_replaced_workers(worker);
         let mut orders = Vec::new();
         for end in &report.finished {
             let applied = self
--- /dev/null
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -0,0 +1,214 @@
+//! Tests of listed workers that never report.
+
+mod samples;
+
+use {
+    dotterelshore_domain::{
+        names::{InstanceName, PoolName, WorkerName},
+        schedule::{
+            FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan, ListedInstance,
+            ListedWorker, OrderRule, ReportedRun, Resources, StartOrder, StepPlan, WaveSpec,
+            WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    std::sync::Arc,
+};
+
+/// Worker lease, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+/// Start time of the sound worker, in milliseconds since the Unix epoch.
+const STARTED_MS: u64 = WALL_MS - 60_000;
+/// Processor capacity of the sound worker, in thousandths of a core.
+const WORKER_MILLI: u64 = 16_000;
+
+fn worker_name(text: &str) -> WorkerName {
+    WorkerName::try_from(text).expect("a name")
+}
+
+fn pool() -> PoolName {
+    PoolName::try_from("proofs").expect("a name")
+}
+
+fn sound_worker() -> ListedWorker {
+    ListedWorker {
+        started_ms: STARTED_MS,
+        instance: Some(InstanceName::try_from("m-1").expect("a name")),
+        ..sample_worker("sound", WORKER_MILLI)
+    }
+}
+
+fn odd_worker() -> ListedWorker {
+    ListedWorker {
+        name: worker_name("odd"),
+        ..sound_worker()
+    }
+}
+
+fn step(count: u32) -> StepPlan {
+    StepPlan {
+        count,
+        need: Resources {
+            cpu_milli: 4_000,
+            ..Resources::default()
+        },
+        estimate_ms: 800,
+        ..StepPlan::default()
+    }
+}
+
+fn starts(schedule: &mut FleetSchedule, now_ms: u64) -> Vec<StartOrder> {
+    let orders = schedule.plan_starts(now_ms, WALL_MS, u64::MAX).into_iter();
+    let starts = orders.filter_map(|order| match order {
+        WorkerOrder::Start(start) => Some(start),
+        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
+    });
+    starts.collect()
+}
+
+fn report_of(started_ms: u64, orders: &[StartOrder]) -> WorkerReport {
+    let running = orders.iter().map(|order| ReportedRun {
+        task: order.task.clone(),
+        run: order.run,
+        checkpoint: Arc::from(""),
+        progress_percent: 10.0,
+        metric: 0.0,
+    });
+    WorkerReport {
+        started_ms: Some(started_ms),
+        clock_ms: 10,
+        running: running.collect(),
+        finished: Vec::new(),
+    }
+}
+
+/// A schedule with the sound worker, which runs the only task of a job.
+fn schedule_with_run() -> (FleetSchedule, StartOrder) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    schedule.upsert_worker(sound_worker());
+    let sound = worker_name("sound");
+    schedule.apply_report(&sound, &report_of(STARTED_MS, &[]), NOW_MS, WALL_MS);
+    schedule.add_job(sample_job("one", step(1)), None, 0, NOW_MS, WALL_MS);
+    let order = starts(&mut schedule, NOW_MS).remove(0);
+    let report = report_of(STARTED_MS, std::slice::from_ref(&order));
+    schedule.apply_report(&sound, &report, NOW_MS, WALL_MS);
+    (schedule, order)
+}
+
+/// A row that appears beside that of a live worker, or over it, and whose worker never reports,
+/// starts no second run of a task that still runs.
+fn run_goes_on(change: impl FnOnce(&mut ListedWorker)) {
+    let (mut schedule, order) = schedule_with_run();
+    let mut odd = odd_worker();
+    change(&mut odd);
+    schedule.upsert_worker(odd);
+    schedule.upsert_worker(ListedWorker {
+        instance: None,
+        ..ListedWorker {
+            name: worker_name("third"),
+            ..sound_worker()
+        }
+    });
+    let third = worker_name("third");
+    schedule.apply_report(&third, &report_of(STARTED_MS, &[]), NOW_MS, WALL_MS);
+    assert_eq!(starts(&mut schedule, NOW_MS), [], "the task still runs");
+    let sound = schedule.worker(&order.worker).expect("the sound worker");
+    assert_eq!(sound.runs.get(&order.task), Some(&order.run));
+    assert_eq!(schedule.take_dropped_runs(), []);
+}
+
+named_cases! { run_goes_on:
+    run_goes_on_beside_later_row_of_its_instance(|odd| odd.started_ms += 1);
+    run_goes_on_beside_row_from_far_future(|odd| odd.started_ms = 10_000_000_000_000);
+    run_goes_on_beside_earlier_row_of_its_instance(|odd| odd.started_ms = 1_000_000_000_000);
+    run_goes_on_beside_row_with_its_start_time(|_| {});
+    run_goes_on_under_row_without_start_time(|odd| {
+        odd.name = worker_name("sound");
+        odd.started_ms = 0;
+    });
+}
+
+/// A later worker of an instance ends the runs of the earlier one with its first report.
+fn later_worker_replaces(reports: bool) {
+    let (mut schedule, order) = schedule_with_run();
+    let mut later = odd_worker();
+    later.started_ms += 1;
+    schedule.upsert_worker(later);
+    if reports {
+        let report = report_of(STARTED_MS + 1, &[]);
+        schedule.apply_report(&worker_name("odd"), &report, NOW_MS, WALL_MS);
+    }
+    assert_eq!(schedule.worker(&order.worker).is_none(), reports);
+    assert_eq!(starts(&mut schedule, NOW_MS).len(), usize::from(reports));
+}
+
+named_cases! { later_worker_replaces:
+    later_worker_that_reports_ends_earlier_runs(true);
+    later_worker_that_never_reports_ends_no_runs(false);
+}
+
+/// An instance hosts the worker that reports, whatever other rows name the instance.
+fn hosted_worker(change: impl FnOnce(&mut ListedWorker)) {
+    let (mut schedule, _) = schedule_with_run();
+    let mut odd = odd_worker();
+    change(&mut odd);
+    schedule.upsert_worker(odd);
+    let instance = InstanceName::try_from("m-1").expect("a name");
+    let mut plan = InstancePlan::new(2_000, 64.0);
+    let row = ListedInstance {
+        name: instance.clone(),
+        pool: pool(),
+        activity: InstanceActivity::Up,
+        worker: None,
+    };
+    plan.apply_instance_list(vec![row], NOW_MS);
+    let _orders = plan.plan(&mut schedule, NOW_MS);
+    assert_eq!(plan.worker_of(&instance), Some(&worker_name("sound")));
+}
+
+named_cases! { hosted_worker:
+    instance_hosts_worker_that_reports_beside_later_row(|odd| odd.started_ms += 1);
+    instance_hosts_worker_that_reports_beside_earlier_row(|odd| odd.started_ms -= 1);
+}
+
+/// A wave maintains an instance although another row names the instance and its worker never
+/// reports.
+fn wave_begins(started_later_ms: u64) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    schedule.upsert_worker(sound_worker());
+    let report = report_of(STARTED_MS, &[]);
+    schedule.apply_report(&worker_name("sound"), &report, NOW_MS, WALL_MS);
+    let mut odd = odd_worker();
+    odd.started_ms += started_later_ms;
+    schedule.upsert_worker(odd);
+    let instance = InstanceName::try_from("m-1").expect("a name");
+    let mut plan = InstancePlan::new(2_000, 64.0);
+    let row = ListedInstance {
+        name: instance.clone(),
+        pool: pool(),
+        activity: InstanceActivity::Up,
+        worker: None,
+    };
+    plan.apply_instance_list(vec![row], NOW_MS);
+    let spec = WaveSpec {
+        number: 1,
+        instances: vec![instance],
+        duration_ms: 20_000,
+        at_once: 1,
+    };
+    plan.add_wave(spec, None, NOW_MS, WALL_MS);
+    let mut orders = Vec::new();
+    for pass in 0..100 {
+        orders.extend(plan.plan(&mut schedule, NOW_MS + pass * 150).0);
+    }
+    assert!(
+        matches!(orders.first(), Some(InstanceOrder::Maintain { .. })),
+        "{orders:?}"
+    );
+}
+
+named_cases! { wave_begins:
+    wave_begins_beside_later_row_of_silent_worker(1);
+    wave_begins_beside_equal_row_of_silent_worker(0);
+}
