Plan instances by workers that report, not by rows alone

Callers would lose workers of their pools: for a row with a service that no configuration names, three instances were ordered to that pool in every planning pass, the idle ones of other pools included. A row with an absurd capacity made its pool as small as if that worker did all of its work.

Cause: the load of a pool was taken from all rows.

Change: a pool has a load if it has a demand or a worker that reported, and the size of its workers is that of those that reported; before any has, as at a takeover, that of all rows as before.

Evidence: crates/domain/tests/odd_worker_test.rs failed before in no_instance_moves_to_pool_that_only_a_silent_worker_names with "[Move { instance: m-8, pool: nowhere }, Move { instance: m-7, pool: nowhere }, Move { instance: m-6, pool: nowhere }, ..], left: 3, right: 0" and in silent_worker_of_absurd_size_does_not_size_pool with "left:, right: 16000". All tests of the crate pass now.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -71,6 +71,20 @@
     pub unavailable: usize,
 }
 
+impl PoolLoad {
+    fn fit_worker(&mut self, capacity: Resources) {
+        self.worker_milli = self.worker_milli.max(capacity.cpu_milli);
+        self.worker_memory_mb = self.worker_memory_mb.max(capacity.memory_mb);
+    }
+
+    /// Whether tasks run, wait or arrive.
+    fn has_demand(&self) -> bool {
+        let milli = self.reserved_milli.max(self.waiting_milli);
+        milli.max(self.arriving_milli).max(self.memory_mb) > 0
+            || self.spread.max(self.long_running_waiting) > 0
+    }
+}
+
 /// Progress to be recorded, with the run ends that it covers.
 #[derive(Debug, Clone, Default)]
 pub struct ProgressBatch {
@@ -262,15 +276,19 @@
         status.map_or(0, |status| status.recorded_end)
     }
 
-    /// Returns the load of each pool.
+    /// Returns the load of each pool that has a demand or a worker that has reported. Workers
+    /// that have not reported determine a pool's size of workers only if all of them have not.
     pub fn pool_loads(&self, now_ms: u64) -> FastMap<PoolName, PoolLoad> {
+        let reported = self.workers.values().filter(|status| status.reported);
+        let reporting: FastSet<_> = reported.map(|status| status.listed.pool.clone()).collect();
         let mut loads: FastMap<PoolName, PoolLoad> = FastMap::default();
         for status in self.workers.values() {
             let load = loads.entry(status.listed.pool.clone()).or_default();
             load.reserved_milli += status.used.cpu_milli;
-            load.worker_milli = load.worker_milli.max(status.listed.capacity.cpu_milli);
             load.memory_mb += status.used.memory_mb;
-            load.worker_memory_mb = load.worker_memory_mb.max(status.listed.capacity.memory_mb);
+            if status.reported || !reporting.contains(&status.listed.pool) {
+                load.fit_worker(status.listed.capacity);
+            }
             if status.accepts_tasks(now_ms) {
                 load.available += 1;
             } else if status.present && status.reported {
@@ -286,6 +304,7 @@
         for (pool, arrivals) in &self.arrivals {
             loads.entry(pool.clone()).or_default().arriving_milli = arrivals.required_milli(now_ms);
         }
+        loads.retain(|pool, load| reporting.contains(pool) || load.has_demand());
         let typical_milli = loads.values().map(|load| load.worker_milli).max();
         let typical_memory_mb = loads.values().map(|load| load.worker_memory_mb).max();
         for load in loads.values_mut().filter(|load| load.worker_milli == 0) {
--- a/crates/domain/tests/odd_worker_test.rs
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -148,6 +148,63 @@
     later_worker_that_never_reports_ends_no_runs(false);
 }
 
+/// The size of a pool's workers is that of workers that report, if any does.
+fn worker_size(sound_reports: bool, odd_milli: u64, worker_milli: u64) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    schedule.upsert_worker(sound_worker());
+    if sound_reports {
+        let report = report_of(STARTED_MS, &[]);
+        schedule.apply_report(&worker_name("sound"), &report, NOW_MS, WALL_MS);
+    }
+    let mut odd = odd_worker();
+    odd.instance = None;
+    odd.capacity.cpu_milli = odd_milli;
+    odd.capacity.memory_mb = odd_milli;
+    schedule.upsert_worker(odd);
+    schedule.add_job(sample_job("one", step(1)), None, 0, NOW_MS, WALL_MS);
+    let load = schedule.pool_loads(NOW_MS)[&pool()];
+    assert_eq!(load.worker_milli, worker_milli);
+}
+
+named_cases! { worker_size:
+    silent_worker_of_absurd_size_does_not_size_pool(true, 1_000_000_000, WORKER_MILLI);
+    silent_worker_without_capacity_does_not_size_pool(true, 0, WORKER_MILLI);
+    workers_size_pool_before_their_first_reports(false, 32_000, 32_000);
+}
+
+/// No instance moves to a pool whose only row is that of a worker that never reports.
+fn moves_to_listed_pool(service: &str) {
+    let (mut schedule, _) = schedule_with_run();
+    let mut odd = odd_worker();
+    odd.instance = None;
+    odd.pool = PoolName::try_from(service).expect("a name");
+    odd.capacity.cpu_milli = 1_000_000_000;
+    schedule.upsert_worker(odd);
+    let row = |number: usize, pool| ListedInstance {
+        name: InstanceName::try_from(format!("m-{number}")).expect("a name"),
+        pool,
+        activity: InstanceActivity::Up,
+        worker: None,
+    };
+    let spare = PoolName::try_from("spare").expect("a name");
+    let mut rows = vec![row(1, pool())];
+    rows.extend((2..9).map(|number| row(number, spare.clone())));
+    let mut plan = InstancePlan::new(2_000, 64.0);
+    plan.set_spare(Some(spare));
+    plan.apply_instance_list(rows, NOW_MS);
+    let (orders, _) = plan.plan(&mut schedule, NOW_MS);
+    let odd_moves = orders.iter().filter(|order| match order {
+        InstanceOrder::Move { pool, .. } => *pool != self::pool(),
+        InstanceOrder::Maintain { .. } => true,
+    });
+    assert_eq!(odd_moves.count(), 0, "{orders:?}");
+}
+
+named_cases! { moves_to_listed_pool:
+    no_instance_moves_to_pool_that_only_a_silent_worker_names("nowhere");
+    silent_worker_in_spare_pool_moves_no_instance("spare");
+}
+
 /// An instance hosts the worker that reports, whatever other rows name the instance.
 fn hosted_worker(change: impl FnOnce(&mut ListedWorker)) {
     let (mut schedule, _) = schedule_with_run();
