Record silent workers without runs as such for the next owner

Callers would wait at each change of the owner: with one row whose worker never answered any owner, the jobs of its pool that an earlier owner had accepted started no task until the longest lease had passed, since the worker might run some.

Change: a worker that does not answer and can't have orphaned runs is recorded with the runs that are known, mostly none.

Evidence: crates/domain/tests/odd_worker_test.rs failed before in job_starts_at_once_after_takeover_beside_silent_worker and .._after_second_takeover_.. ("starts at once, left: 0, right: 1") and silent_worker_has_no_runs_after_leases. silent_worker_may_have_runs_while_leases_last holds before and after. All tests of the crate pass now.

--- a/crates/domain/src/schedule/orphaned_runs.rs
+++ b/crates/domain/src/schedule/orphaned_runs.rs
@@ -13,19 +13,15 @@
 };
 
 impl FleetSchedule {
-    /// Returns the workers of a pool that may have orphaned runs, which an earlier owner
-    /// started and this one does not know.
+    /// Returns the workers of a pool that may have orphaned runs.
     pub fn workers_with_orphans(
         &self,
         pool: &PoolName,
         now_ms: u64,
     ) -> impl Iterator<Item = &WorkerStatus> {
-        self.workers.values().filter(move |status| {
-            status.listed.pool == *pool
-                && !status.reported
-                && !status.runs_known
-                && now_ms <= status.lease_until_ms
-        })
+        self.workers
+            .values()
+            .filter(move |status| status.listed.pool == *pool && status.may_have_orphans(now_ms))
     }
 
     /// Removes unlisted workers whose instance no longer hosts them according to the
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -11,14 +11,16 @@
     pub fn worker_snapshots(&self, now_ms: u64) -> Vec<WorkerSnapshot> {
         let snapshots = self.workers.values().map(|status| WorkerSnapshot {
             listed: status.listed.clone(),
-            unreachable: (status.reported && !status.reachable).then(|| UnreachableRuns {
-                runs: status
-                    .runs
-                    .iter()
-                    .map(|(task, run)| (task.clone(), *run))
-                    .collect(),
-                lease_left_ms: status.lease_until_ms.saturating_sub(now_ms),
-            }),
+            unreachable: status
+                .is_silent_with_known_runs(now_ms)
+                .then(|| UnreachableRuns {
+                    runs: status
+                        .runs
+                        .iter()
+                        .map(|(task, run)| (task.clone(), *run))
+                        .collect(),
+                    lease_left_ms: status.lease_until_ms.saturating_sub(now_ms),
+                }),
         });
         snapshots.collect()
     }
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -206,6 +206,17 @@
             && now_ms >= self.ejected_until_ms
     }
 
+    /// Whether it may have orphaned runs, which an earlier owner started and this one does not
+    /// know.
+    pub(super) fn may_have_orphans(&self, now_ms: u64) -> bool {
+        !self.reported && !self.runs_known && now_ms <= self.lease_until_ms
+    }
+
+    /// Whether it does not answer and has no other runs than those known.
+    pub(super) fn is_silent_with_known_runs(&self, now_ms: u64) -> bool {
+        !self.reachable && !self.may_have_orphans(now_ms)
+    }
+
     /// Records the outcome of a run that was not stopped. Consecutive failures eject the
     /// worker.
     pub fn record_outcome(&mut self, done: bool, now_ms: u64) {
--- a/crates/domain/tests/odd_worker_test.rs
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -22,6 +22,8 @@
 const STARTED_MS: u64 = WALL_MS - 60_000;
 /// Processor capacity of the sound worker, in thousandths of a core.
 const WORKER_MILLI: u64 = 16_000;
+/// Run numbers of a second owner.
+const RUN_BASE: u32 = 1_000;
 
 fn worker_name(text: &str) -> WorkerName {
     WorkerName::try_from(text).expect("a name")
@@ -269,3 +271,50 @@
     wave_begins_beside_later_row_of_silent_worker(1);
     wave_begins_beside_equal_row_of_silent_worker(0);
 }
+
+/// After a takeover a job starts at once although a listed worker never answered the earlier
+/// owner.
+fn job_starts_after_takeover(owners: usize) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    let mut now_ms = NOW_MS;
+    for owner in 0..=owners {
+        if owner > 0 {
+            let snapshots = schedule.worker_snapshots(now_ms);
+            let orphans_until_ms = now_ms + 2 * LEASE_MS;
+            schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, orphans_until_ms);
+            for snapshot in snapshots {
+                schedule.restore_worker(snapshot, now_ms);
+            }
+        }
+        let mut odd = odd_worker();
+        odd.instance = None;
+        schedule.upsert_worker(odd);
+        schedule.mark_unreachable(&worker_name("odd"));
+        schedule.upsert_worker(sound_worker());
+        let report = report_of(STARTED_MS, &[]);
+        schedule.apply_report(&worker_name("sound"), &report, now_ms, WALL_MS);
+        now_ms += 100;
+    }
+    let record = sample_job("one", step(1));
+    schedule.add_job(record, None, RUN_BASE, now_ms, WALL_MS);
+    assert_eq!(starts(&mut schedule, now_ms).len(), 1, "starts at once");
+}
+
+named_cases! { job_starts_after_takeover:
+    job_starts_at_once_after_takeover_beside_silent_worker(1);
+    job_starts_at_once_after_second_takeover_beside_silent_worker(2);
+}
+
+/// A worker that may run tasks of an earlier owner is not recorded as free of runs.
+fn unknown_runs_stay_unknown(now_ms: u64, recorded: bool) {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + LEASE_MS);
+    schedule.upsert_worker(odd_worker());
+    schedule.mark_unreachable(&worker_name("odd"));
+    let snapshots = schedule.worker_snapshots(now_ms);
+    assert_eq!(snapshots[0].unreachable.is_some(), recorded);
+}
+
+named_cases! { unknown_runs_stay_unknown:
+    silent_worker_may_have_runs_while_leases_last(NOW_MS, false);
+    silent_worker_has_no_runs_after_leases(NOW_MS + LEASE_MS + 1, true);
+}
