Keep the schedule's arithmetic within its range for any input

Callers would see every job stop: the task that plans starts ends when its arithmetic overflows in a debug build, and the process keeps the ownership; a release build wraps, so that an amount near 2^64 counts as a small one. One submitted job with a need of 1e308 was enough, and so was a wave with a duration of 1e308 or a worker that reports the highest run number.

Cause: amounts, durations and run numbers from outside are saturated to the largest integer, and sums and products of them were unchecked.

Evidence: crates/domain/tests/odd_worker_test.rs failed before in 8 of 34 cases: largest_processor_need_stops_no_other_job and largest_memory_need_stops_no_other_job ("live_job.rs:311:39: attempt to multiply with overflow"), largest_estimate_stops_no_other_job, largest_duration_of_wave_stops_no_planning ("maintenance_wave.rs:104:30"), highest_run_number_stops_no_planning ("placement.rs:251:19: attempt to add with overflow") and three largest_.._need_is_refused. All pass now, and so do the other tests of the crate.

--- a/crates/domain/src/schedule/arrival_rate.rs
+++ b/crates/domain/src/schedule/arrival_rate.rs
@@ -25,7 +25,8 @@
             .arrivals
             .iter()
             .filter(|(at, _)| now_ms < at + WINDOW_MS);
-        recent.map(|(_, work)| work).sum::<u64>() / WINDOW_MS
+        let work = recent.fold(0, |sum: u64, (_, work)| sum.saturating_add(*work));
+        work / WINDOW_MS
     }
 
     fn evict_old(&mut self, now_ms: u64) {
--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -39,7 +39,9 @@
     pub(super) fn allows(&self, need: Resources) -> bool {
         let mut used = self.used;
         used += self.orphaned;
-        let within = |used: u64, need: u64, limit: u64| limit == 0 || used + need <= limit;
+        let within = |used: u64, need: u64, limit: u64| {
+            limit == 0 || used.checked_add(need).is_some_and(|sum| sum <= limit)
+        };
         within(used.cpu_milli, need.cpu_milli, self.ceiling.cpu_milli)
             && within(used.memory_mb, need.memory_mb, self.ceiling.memory_mb)
             && within(used.gpus, need.gpus, self.ceiling.gpus)
@@ -72,6 +74,18 @@
 }
 
 impl PoolLoad {
+    fn add_reserved(&mut self, used: Resources) {
+        self.reserved_milli = self.reserved_milli.saturating_add(used.cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_add(used.memory_mb);
+    }
+
+    pub(super) fn add_waiting(&mut self, tasks: u64, need: Resources) {
+        let waiting_milli = tasks.saturating_mul(need.cpu_milli);
+        self.waiting_milli = self.waiting_milli.saturating_add(waiting_milli);
+        let memory_mb = tasks.saturating_mul(need.memory_mb);
+        self.memory_mb = self.memory_mb.saturating_add(memory_mb);
+    }
+
     fn fit_worker(&mut self, capacity: Resources) {
         self.worker_milli = self.worker_milli.max(capacity.cpu_milli);
         self.worker_memory_mb = self.worker_memory_mb.max(capacity.memory_mb);
@@ -284,8 +298,7 @@
         let mut loads: FastMap<PoolName, PoolLoad> = FastMap::default();
         for status in self.workers.values() {
             let load = loads.entry(status.listed.pool.clone()).or_default();
-            load.reserved_milli += status.used.cpu_milli;
-            load.memory_mb += status.used.memory_mb;
+            load.add_reserved(status.used);
             if status.reported || !reporting.contains(&status.listed.pool) {
                 load.fit_worker(status.listed.capacity);
             }
@@ -409,7 +422,10 @@
             .jobs
             .values()
             .filter(|job| job.end_recorded && job.run_count == 0)
-            .filter(|job| job.ended_ms.is_some_and(|at| at + retention_ms < wall_ms))
+            .filter(|job| {
+                job.ended_ms
+                    .is_some_and(|at| at.saturating_add(retention_ms) < wall_ms)
+            })
             .map(|job| job.record.name.clone())
             .collect();
         for name in &expired {
--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -14,6 +14,8 @@
 pub const STEPS_MAX: usize = 64;
 /// Most tasks of one step. About thirty times the largest step that the users describe.
 pub const TASKS_MAX: u32 = 1_000;
+/// Most of a resource that a task may need: a million cores, or a petabyte. No worker has more.
+pub const NEED_MAX: u64 = 1_000_000_000;
 /// Longest body for a job's tasks, in bytes, set by the callers' protocol.
 pub const BODY_BYTES_MAX: usize = 4_000;
 
@@ -32,17 +34,24 @@
 impl Resources {
     /// Whether this amount fits beside `used` under `limit`.
     pub fn fits(self, used: Self, limit: Self) -> bool {
-        used.cpu_milli + self.cpu_milli <= limit.cpu_milli
-            && used.memory_mb + self.memory_mb <= limit.memory_mb
-            && used.gpus + self.gpus <= limit.gpus
+        let within = |used: u64, need: u64, limit: u64| {
+            used.checked_add(need).is_some_and(|sum| sum <= limit)
+        };
+        within(used.cpu_milli, self.cpu_milli, limit.cpu_milli)
+            && within(used.memory_mb, self.memory_mb, limit.memory_mb)
+            && within(used.gpus, self.gpus, limit.gpus)
+    }
+
+    fn largest(self) -> u64 {
+        self.cpu_milli.max(self.memory_mb).max(self.gpus)
     }
 }
 
 impl AddAssign for Resources {
     fn add_assign(&mut self, rhs: Self) {
-        self.cpu_milli += rhs.cpu_milli;
-        self.memory_mb += rhs.memory_mb;
-        self.gpus += rhs.gpus;
+        self.cpu_milli = self.cpu_milli.saturating_add(rhs.cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_add(rhs.memory_mb);
+        self.gpus = self.gpus.saturating_add(rhs.gpus);
     }
 }
 
@@ -145,6 +154,12 @@
         /// The step that it depends on.
         after: u16,
     },
+    /// A task needs more than any worker has.
+    #[snafu(display("step {step} needs more than {NEED_MAX} of a resource for each task"))]
+    Need {
+        /// The step.
+        step: usize,
+    },
     /// The body for the tasks is too long.
     #[snafu(display("the task text has {bytes} bytes; at most {BODY_BYTES_MAX} are allowed"))]
     Body {
@@ -195,6 +210,9 @@
                     count,
                 });
             }
+            if step.need.largest() > NEED_MAX {
+                return Err(PlanFault::Need { step: number });
+            }
             if let Some(after) = step
                 .after
                 .iter()
@@ -220,7 +238,8 @@
         if self.timed_occurrences == 0 {
             return 0;
         }
-        self.start_at_ms + u64::from(occurrence) * self.interval_ms
+        let since_first_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
+        self.start_at_ms.saturating_add(since_first_ms)
     }
 
     /// Whether some of its tasks run until the job is cancelled.
@@ -232,9 +251,11 @@
     /// core times milliseconds.
     pub fn work(&self) -> u64 {
         let steps = self.steps.iter().filter(|step| !step.long_running);
-        steps
-            .map(|step| u64::from(step.count) * step.reserved().cpu_milli * step.estimate_ms)
-            .sum()
+        let works = steps.map(|step| {
+            let reserved_milli = u64::from(step.count).saturating_mul(step.reserved().cpu_milli);
+            reserved_milli.saturating_mul(step.estimate_ms)
+        });
+        works.fold(0, u64::saturating_add)
     }
 
     /// Returns the estimated duration of the critical path, in milliseconds, leaving out the
@@ -245,7 +266,7 @@
             let begin = step.after.iter().map(|after| ends[usize::from(*after)]);
             let begin = begin.max().unwrap_or(0);
             let own = if done(number) { 0 } else { step.estimate_ms };
-            ends.push(begin + own);
+            ends.push(begin.saturating_add(own));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -327,8 +327,7 @@
                     continue;
                 }
                 let idle = step.tasks.iter().filter(|task| task.is_idle()).count() as u64;
-                load.waiting_milli += idle * plan.reserved().cpu_milli;
-                load.memory_mb += idle * plan.reserved().memory_mb;
+                load.add_waiting(idle, plan.reserved());
                 if plan.long_running {
                     load.long_running_waiting += usize::try_from(idle).unwrap_or(usize::MAX);
                 }
@@ -384,16 +383,17 @@
             reason = "a small multiple of a few seconds fits"
         )]
         let scaled_ms = (self.record.objective_factor * full_path_ms as f64) as u64;
-        let objective_ms = scaled_ms + self.record.target_latency_ms;
+        let objective_ms = scaled_ms.saturating_add(self.record.target_latency_ms);
+        let late_ms = objective_ms.saturating_mul(LATE_VALUE_FACTOR);
         JobUrgency {
             priority: self.record.priority,
             long_running: plan.long_running(),
             started: self.started,
             over_share: self.over_share,
             arrived_ms: self.arrived_ms,
-            objective_ms: self.arrived_ms + objective_ms,
+            objective_ms: self.arrived_ms.saturating_add(objective_ms),
             critical_path_ms,
-            late_deadline_ms: self.arrived_ms + LATE_VALUE_FACTOR * objective_ms,
+            late_deadline_ms: self.arrived_ms.saturating_add(late_ms),
         }
     }
 
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -101,7 +101,7 @@
         }
         let since_wall_ms = recorded.map_or(wall_ms, |progress| progress.since_wall_ms);
         let elapsed_ms = wall_ms.saturating_sub(since_wall_ms);
-        let first_phase_ms = duration_ms * SECOND_PHASE_PERCENT / 100;
+        let first_phase_ms = duration_ms.saturating_mul(SECOND_PHASE_PERCENT) / 100;
         let started = recorded.map_or(&[][..], |progress| &progress.started);
         let unconfirmed = recorded.map_or(&[][..], |progress| &progress.unconfirmed);
         let down = started.iter().chain(unconfirmed);
@@ -116,8 +116,8 @@
             cordoned: FastMap::default(),
             completed: recorded.is_some_and(|progress| progress.completed),
             since_wall_ms,
-            second_phase_ms: now_ms + first_phase_ms.saturating_sub(elapsed_ms),
-            deadline_ms: now_ms + duration_ms.saturating_sub(elapsed_ms),
+            second_phase_ms: now_ms.saturating_add(first_phase_ms.saturating_sub(elapsed_ms)),
+            deadline_ms: now_ms.saturating_add(duration_ms.saturating_sub(elapsed_ms)),
             deadline_at_risk: false,
         });
     }
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -248,7 +248,10 @@
         let Some(state) = job.task_mut(task) else {
             return 0;
         };
-        let run = gang_run.unwrap_or(state.last_run).max(base) + 1;
+        let run = gang_run
+            .unwrap_or(state.last_run)
+            .max(base)
+            .saturating_add(1);
         state.last_run = run;
         state
             .runs
@@ -301,7 +304,7 @@
 /// Returns the free processor share, in thousandths of the capacity.
 fn free_cpu_share(used: Resources, capacity: Resources) -> u64 {
     let free = capacity.cpu_milli.saturating_sub(used.cpu_milli);
-    free * 1000 / capacity.cpu_milli.max(1)
+    free.saturating_mul(1000) / capacity.cpu_milli.max(1)
 }
 
 /// Counts the runs of the task's step, in its occurrence, on a worker.
--- a/crates/domain/src/schedule/pool_demand.rs
+++ b/crates/domain/src/schedule/pool_demand.rs
@@ -12,10 +12,11 @@
 /// Returns the number of instances that a pool's load fills, with headroom.
 pub(super) fn wanted_instances(load: &PoolLoad) -> usize {
     let instances_for = |required: u64, per_instance: u64| {
-        let required = required + required * HEADROOM_PERCENT / 100;
+        let headroom = required.saturating_mul(HEADROOM_PERCENT) / 100;
+        let required = required.saturating_add(headroom);
         usize::try_from(required.div_ceil(per_instance.max(1))).unwrap_or(usize::MAX)
     };
-    let current = load.reserved_milli + load.waiting_milli;
+    let current = load.reserved_milli.saturating_add(load.waiting_milli);
     let by_cpu = instances_for(current.max(load.arriving_milli), load.worker_milli);
     let by_memory = instances_for(load.memory_mb, load.worker_memory_mb);
     let count = by_cpu.max(by_memory).max(load.spread).max(POOL_MIN);
--- a/crates/domain/tests/odd_worker_test.rs
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -1,12 +1,12 @@
-//! Tests of listed workers that never report.
+//! Tests of listed workers that never report, and of numbers far beyond those of any worker or job.
 
 mod samples;
 
 use {
     dotterelshore_domain::{
-        names::{InstanceName, PoolName, WorkerName},
+        names::{InstanceName, JobName, PoolName, WorkerName},
         schedule::{
-            FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan, ListedInstance,
+            FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan, JobPlan, ListedInstance,
             ListedWorker, OrderRule, ReportedRun, Resources, StartOrder, StepPlan, WaveSpec,
             WorkerOrder, WorkerReport,
         },
@@ -318,3 +318,86 @@
     silent_worker_may_have_runs_while_leases_last(NOW_MS, false);
     silent_worker_has_no_runs_after_leases(NOW_MS + LEASE_MS + 1, true);
 }
+
+/// A plan with these numbers is refused, or handled like any other.
+fn numbers_of_plan(change: impl FnOnce(&mut JobPlan)) {
+    let (mut schedule, _) = schedule_with_run();
+    let mut record = sample_job("absurd", step(3));
+    change(&mut record.plan);
+    let name = JobName::try_from("absurd").expect("a name");
+    record.team = Some("team".parse().expect("a name"));
+    schedule.add_job(record, None, RUN_BASE, NOW_MS, WALL_MS);
+    schedule.add_job(sample_job("sound", step(2)), None, 0, NOW_MS, WALL_MS);
+    let _loads = schedule.pool_loads(NOW_MS);
+    let started = starts(&mut schedule, NOW_MS);
+    let sound = started.iter().filter(|order| order.task.job != name);
+    assert_eq!(sound.count(), 2, "other jobs start");
+    let _stops = schedule.cancel(&name, NOW_MS, WALL_MS);
+}
+
+named_cases! { numbers_of_plan:
+    largest_processor_need_stops_no_other_job(|plan| plan.steps[0].need.cpu_milli = u64::MAX);
+    largest_memory_need_stops_no_other_job(|plan| plan.steps[0].need.memory_mb = u64::MAX);
+    largest_accelerator_need_stops_no_other_job(|plan| plan.steps[0].need.gpus = u64::MAX);
+    largest_estimate_stops_no_other_job(|plan| plan.steps[0].estimate_ms = u64::MAX);
+    largest_start_time_stops_no_other_job(|plan| {
+        plan.timed_occurrences = 3;
+        plan.start_at_ms = u64::MAX;
+        plan.interval_ms = u64::MAX;
+    });
+}
+
+/// A task starts again after its run ended without a report, whatever the number of the run.
+fn highest_run_number(run: u32) {
+    let (mut schedule, mut order) = schedule_with_run();
+    let sound = worker_name("sound");
+    order.run = run;
+    let rows = [&[][..], std::slice::from_ref(&order), &[]];
+    for (row, clock_ms) in rows.into_iter().zip([20, 30, 40]) {
+        let mut report = report_of(STARTED_MS, row);
+        report.clock_ms = clock_ms;
+        schedule.apply_report(&sound, &report, NOW_MS, WALL_MS);
+    }
+    schedule.add_job(sample_job("sound", step(2)), None, 0, NOW_MS, WALL_MS);
+    assert_eq!(starts(&mut schedule, NOW_MS).len(), 3);
+}
+
+named_cases! { highest_run_number:
+    task_starts_again_after_run_without_end(7);
+    highest_run_number_stops_no_planning(u32::MAX);
+}
+
+/// A plan whose tasks need more than any worker has is refused.
+fn absurd_need(change: impl FnOnce(&mut Resources), accepted: bool) {
+    let mut record = sample_job("absurd", step(1));
+    change(&mut record.plan.steps[0].need);
+    assert_eq!(record.plan.check().is_ok(), accepted);
+}
+
+named_cases! { absurd_need:
+    largest_processor_need_is_refused(|need| need.cpu_milli = u64::MAX, false);
+    largest_memory_need_is_refused(|need| need.memory_mb = u64::MAX, false);
+    largest_accelerator_need_is_refused(|need| need.gpus = u64::MAX, false);
+    need_of_a_million_cores_is_accepted(|need| need.cpu_milli = 1_000_000_000, true);
+}
+
+/// A wave with these numbers is added and begins.
+fn numbers_of_wave(change: impl FnOnce(&mut WaveSpec)) {
+    let (mut schedule, _) = schedule_with_run();
+    let mut spec = WaveSpec {
+        number: 1,
+        instances: vec![InstanceName::try_from("m-1").expect("a name")],
+        duration_ms: 20_000,
+        at_once: 1,
+    };
+    change(&mut spec);
+    let mut plan = InstancePlan::new(2_000, 64.0);
+    plan.add_wave(spec, None, NOW_MS, WALL_MS);
+    let _orders = plan.plan(&mut schedule, NOW_MS);
+}
+
+named_cases! { numbers_of_wave:
+    largest_duration_of_wave_stops_no_planning(|spec| spec.duration_ms = u64::MAX);
+    largest_cap_of_wave_stops_no_planning(|spec| spec.at_once = usize::MAX);
+    largest_number_of_wave_stops_no_planning(|spec| spec.number = u64::MAX);
+}
