--- /dev/null
+++ b/crates/scheduler/tests/cancel_test.rs
@@ -0,0 +1,203 @@
+//! End-to-end tests of cancellations around the end of an owner, with workers that do not answer
+//! or execute orders late.
+
+mod fixture;
+
+use {
+    dotterelshore_emulator::WorkerFaultMode,
+    dotterelshore_testkit::named_cases,
+    fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
+    nix::sys::signal::Signal,
+    serde_json::Value,
+    std::time::Duration,
+};
+
+/// By the users' rules a cancelled job's tasks have stopped after this time.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(3_400);
+/// The job that is cancelled, and its task.
+const JOB: &str = "00000000000000a1";
+const TASK: &str = "00000000000000a1.0.0.0";
+/// The owner's key, and the key of the worker snapshots.
+const OWNER_KEY: &str = "dotterelshore/owner";
+const SNAPSHOTS_KEY: &str = "dotterelshore/held";
+/// Delay of late orders that are executed between two owners.
+const SHORT_DELAY: Duration = Duration::from_millis(1_400);
+/// Delay of late orders that are executed under the next owner.
+const LONG_DELAY: Duration = Duration::from_millis(4_500);
+
+/// When a job is cancelled.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum CancelMoment {
+    /// Just before the owner gets its signal.
+    BeforeSignal,
+    /// Just after it.
+    AfterSignal,
+}
+
+impl FleetFixture {
+    /// Number of the process that owns the schedule.
+    fn owner(&self) -> Option<usize> {
+        let owner: Value = serde_json::from_slice(&self.fleet.stored_value(OWNER_KEY)?).ok()?;
+        owner["name"].as_str()?.strip_prefix('e')?.parse().ok()
+    }
+
+    /// Whether the stored snapshots list a run of the job on a worker that is unreachable.
+    fn is_recorded_unreachable(&self) -> bool {
+        let stored = self.fleet.stored_value(SNAPSHOTS_KEY).unwrap_or_default();
+        let snapshots: Value = serde_json::from_slice(&stored).unwrap_or_default();
+        let mut rows = snapshots.as_array().into_iter().flatten();
+        rows.any(|row| row["lost"]["runs"].to_string().contains(JOB))
+    }
+
+    /// Whether the task of the job runs.
+    fn runs_task(&self) -> bool {
+        self.fleet.running_tasks().iter().any(|task| task == TASK)
+    }
+
+    /// Runs a job to its end, at which the only worker is polled again.
+    async fn run_short_job(&self, job: &str) {
+        let accepted = self.submit(job, &two_steps("works", 1)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        assert!(self.reaches_state(job, "completed").await, "{job}");
+    }
+
+    async fn cancel_job(&self, node: usize) {
+        let cancelled = self.fleet.cancel(&self.nodes[node], JOB).await;
+        assert_eq!(cancelled.status, 200, "{cancelled:?}");
+    }
+
+    /// Signals the owner and cancels the job at another process, which becomes the next owner.
+    /// Ends the worker's fault between the two owners.
+    async fn replace_owner(&self, signal: Signal, moment: CancelMoment) {
+        let owner = self.owner().expect("an owner");
+        let other = 1 - owner;
+        if moment == CancelMoment::BeforeSignal {
+            self.cancel_job(other).await;
+        }
+        self.nodes[owner].signal(signal);
+        if moment == CancelMoment::AfterSignal {
+            self.cancel_job(other).await;
+        }
+        let is_ended = async || self.owner() != Some(owner);
+        assert!(
+            self.wait_until(SETTLE_TIMEOUT, is_ended).await,
+            "the owner stays"
+        );
+        self.fleet.set_worker_fault_mode(0, WorkerFaultMode::None);
+        let is_replaced = async || self.owner() == Some(other);
+        assert!(
+            self.wait_until(SETTLE_TIMEOUT, is_replaced).await,
+            "nobody owns"
+        );
+        if signal == Signal::SIGSTOP {
+            self.nodes[owner].signal(Signal::SIGCONT);
+        }
+    }
+
+    /// Asserts that the job's task stops in time and does not start again.
+    async fn assert_cancelled(&self) {
+        let stopped = self.wait_until(CANCEL_TIMEOUT, async || !self.runs_task());
+        let is_stopped = stopped.await;
+        if !is_stopped {
+            self.print_logs();
+        }
+        assert!(is_stopped, "{TASK} runs on, and its job was cancelled");
+        let stays_stopped = !self.wait_until(LONG_DELAY, async || self.runs_task()).await;
+        assert!(stays_stopped, "{TASK} starts, and its job was cancelled");
+        assert!(self.reaches_state(JOB, "cancelled").await);
+        self.assert_no_violations();
+    }
+
+    fn print_logs(&self) {
+        for node in &self.nodes {
+            eprintln!("--- {}\n{}", node.front(), node.log());
+        }
+    }
+}
+
+/// A run of a cancelled job stops although its worker does not answer the owner, is recorded as
+/// unreachable, and answers again when the owner has ended.
+fn run_on_unreachable_worker(fault: WorkerFaultMode, signal: Signal, moment: CancelMoment) {
+    run_test(async {
+        let fixture = FleetFixture::start(2, 1).await;
+        let accepted = fixture.submit(JOB, &long_running(1)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let runs = fixture.wait_until(SETTLE_TIMEOUT, async || fixture.runs_task());
+        assert!(runs.await, "it runs");
+        // The worker's lease has just been extended when the fault begins.
+        fixture.run_short_job("00000000000000b1").await;
+        fixture.fleet.set_worker_fault_mode(0, fault);
+        // The worker counts as unreachable when a start order is not answered.
+        let unanswered = "00000000000000b2";
+        let accepted = fixture.submit(unanswered, &two_steps("works", 1)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let recorded = async || fixture.is_recorded_unreachable();
+        assert!(
+            fixture.wait_until(SETTLE_TIMEOUT, recorded).await,
+            "recorded"
+        );
+        fixture.replace_owner(signal, moment).await;
+        fixture.assert_cancelled().await;
+        assert!(fixture.reaches_state(unanswered, "completed").await);
+    });
+}
+
+const SILENT: WorkerFaultMode = WorkerFaultMode::Silent;
+const LATE: WorkerFaultMode = WorkerFaultMode::LateOrders(LONG_DELAY);
+
+named_cases! { run_on_unreachable_worker:
+    run_on_silent_worker_is_stopped_after_owner_is_killed(SILENT, Signal::SIGKILL, CancelMoment::BeforeSignal);
+    run_on_silent_worker_is_stopped_after_owner_leaves(SILENT, Signal::SIGTERM, CancelMoment::BeforeSignal);
+    run_on_silent_worker_is_stopped_after_owner_is_frozen(SILENT, Signal::SIGSTOP, CancelMoment::BeforeSignal);
+    run_on_silent_worker_is_stopped_if_cancelled_without_owner(SILENT, Signal::SIGKILL, CancelMoment::AfterSignal);
+    run_is_stopped_if_cancelled_while_owner_is_frozen(SILENT, Signal::SIGSTOP, CancelMoment::AfterSignal);
+    run_is_stopped_if_stop_of_killed_owner_is_late(LATE, Signal::SIGKILL, CancelMoment::BeforeSignal);
+    run_is_stopped_if_stop_of_leaving_owner_is_late(LATE, Signal::SIGTERM, CancelMoment::BeforeSignal);
+}
+
+/// A task whose start order is executed late does not run on after its job was cancelled and its
+/// owner has ended.
+fn late_start(delay: Duration, signal: Signal) {
+    run_test(async {
+        let fixture = FleetFixture::start(2, 1).await;
+        fixture.run_short_job("00000000000000b1").await;
+        let late = WorkerFaultMode::LateOrders(delay);
+        fixture.fleet.set_worker_fault_mode(0, late);
+        let accepted = fixture.submit(JOB, &long_running(1)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let recorded = async || fixture.is_recorded_unreachable();
+        assert!(
+            fixture.wait_until(SETTLE_TIMEOUT, recorded).await,
+            "recorded"
+        );
+        fixture
+            .replace_owner(signal, CancelMoment::BeforeSignal)
+            .await;
+        fixture.assert_cancelled().await;
+    });
+}
+
+named_cases! { late_start:
+    task_started_late_between_owners_is_stopped(SHORT_DELAY, Signal::SIGKILL);
+    task_started_late_around_handover_is_stopped(SHORT_DELAY, Signal::SIGTERM);
+    start_order_of_earlier_owner_is_void(LONG_DELAY, Signal::SIGKILL);
+}
+
+/// A cancelled job's tasks stop under one owner although their worker's answers are lost or late.
+fn cancel_under_faulty_worker(fault: WorkerFaultMode) {
+    run_test(async {
+        let fixture = FleetFixture::start(2, 1).await;
+        let accepted = fixture.submit(JOB, &long_running(1)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let runs = fixture.wait_until(SETTLE_TIMEOUT, async || fixture.runs_task());
+        assert!(runs.await, "it runs");
+        fixture.fleet.set_worker_fault_mode(0, fault);
+        fixture.cancel_job(0).await;
+        fixture.assert_cancelled().await;
+    });
+}
+
+named_cases! { cancel_under_faulty_worker:
+    stop_whose_answer_is_lost_stops_the_run(WorkerFaultMode::LostAnswers(1.0));
+    stop_that_is_executed_late_stops_the_run(WorkerFaultMode::LateOrders(SHORT_DELAY));
+}
