Track each run on a worker, also two runs of one task

Callers could see a task of a cancelled job run on if its stop was lost, or a task stay away from a dead worker: of two runs of one task on one worker, as when an earlier start order is carried out late, the schedule tracked the one reported last. When that one ended, the other was tracked no more: its stop was sent once and not again, and the end of its worker's lease did not release it.

Cause: the runs of a worker were a map from the task to one run number.

Change: a set of tasks with their run numbers.

Evidence: lost_stop_is_resent_to_worker_that_also_had_a_late_run and task_leaves_dead_worker_that_also_had_a_late_run failed before and pass, as before do the cases with one run. Two tests read the runs by task and now ask for the task with its run, which is as strict.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -394,7 +394,7 @@
     /// Counts the runs whose job has ended, and the time since the earliest of these ends.
     pub fn lingering_runs(&self, wall_ms: u64) -> LingeringRuns {
         let mut lingering = LingeringRuns::default();
-        let tasks = self.workers.values().flat_map(|status| status.runs.keys());
+        let tasks = self.workers.values().flat_map(WorkerStatus::tasks);
         for job in tasks.filter_map(|task| self.jobs.get(&task.job)) {
             if job.ended.is_some() {
                 let ended_ms = job.ended_ms.unwrap_or(wall_ms);
@@ -532,11 +532,7 @@
         let Some(status) = self.workers.get(name) else {
             return;
         };
-        let runs: Vec<_> = status
-            .runs
-            .iter()
-            .map(|(task, run)| (task.clone(), *run))
-            .collect();
+        let runs: Vec<_> = status.runs.iter().cloned().collect();
         if !runs.is_empty() {
             self.dropped.push(DroppedRuns {
                 worker: name.clone(),
@@ -567,7 +563,7 @@
         job.run_count -= 1;
         let step = &job.record.plan.steps[usize::from(task.step)];
         if let Some(status) = self.workers.get_mut(worker) {
-            status.runs.remove(task);
+            status.runs.remove(&(task.clone(), run));
             status.used -= step.reserved();
         }
         if let Some(team) = job
@@ -589,7 +585,7 @@
         job.run_count += 1;
         let step = &job.record.plan.steps[usize::from(task.step)];
         if let Some(status) = self.workers.get_mut(worker) {
-            status.runs.insert(task.clone(), run);
+            status.runs.insert((task.clone(), run));
             status.used += step.reserved();
         }
         if let Some(team) = &job.record.team {
--- a/crates/domain/src/schedule/pace_controller.rs
+++ b/crates/domain/src/schedule/pace_controller.rs
@@ -82,7 +82,7 @@
     pub fn runs_best_effort(&self, worker: &WorkerName) -> bool {
         self.workers
             .get(worker)
-            .is_some_and(|status| status.runs.keys().any(|task| self.is_best_effort(task)))
+            .is_some_and(|status| status.tasks().any(|task| self.is_best_effort(task)))
     }
 
     fn is_best_effort(&self, task: &TaskName) -> bool {
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -312,7 +312,7 @@
     let same = |other: &&TaskName| {
         other.step == task.step && other.occurrence == task.occurrence && other.job == task.job
     };
-    u32::try_from(status.runs.keys().filter(same).count()).unwrap_or(u32::MAX)
+    u32::try_from(status.tasks().filter(same).count()).unwrap_or(u32::MAX)
 }
 
 /// Whether some step may start a task that neither runs nor is done.
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -55,7 +55,7 @@
         };
         self.workers
             .get(name)
-            .is_none_or(|status| status.runs.keys().all(long_running))
+            .is_none_or(|status| status.tasks().all(long_running))
     }
 
     /// Whether a worker's instance may be disrupted. This requires that its runs are known and
@@ -68,7 +68,7 @@
         if !status.reported && !status.runs_known {
             return false;
         }
-        status.runs.keys().all(|task| {
+        status.tasks().all(|task| {
             let Some(job) = self.jobs.get(&task.job) else {
                 return true;
             };
@@ -98,7 +98,7 @@
             .values()
             .filter(|status| status.pending_maintenance)
         {
-            for task in status.runs.keys() {
+            for task in status.tasks() {
                 *pending
                     .entry((&task.job, task.occurrence, task.step))
                     .or_default() += 1;
@@ -153,7 +153,7 @@
         let Some(status) = self.workers.get(name) else {
             return Vec::new();
         };
-        let tasks: Vec<_> = status.runs.keys().cloned().collect();
+        let tasks: FastSet<_> = status.tasks().cloned().collect();
         let mut orders = Vec::new();
         for task in tasks {
             let unavailable = self.count_unavailable(&task);
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -14,11 +14,7 @@
             unreachable: status
                 .is_silent_with_known_runs(now_ms)
                 .then(|| UnreachableRuns {
-                    runs: status
-                        .runs
-                        .iter()
-                        .map(|(task, run)| (task.clone(), *run))
-                        .collect(),
+                    runs: status.runs.iter().cloned().collect(),
                     lease_left_ms: status.lease_until_ms.saturating_sub(now_ms),
                 }),
         });
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -3,7 +3,7 @@
 use {
     super::{job_plan::Resources, pace_controller::PaceController, task_name::TaskName},
     crate::{
-        collections::FastMap,
+        collections::FastSet,
         names::{CentreName, InstanceName, PoolName, WorkerName},
     },
     serde::{Deserialize, Serialize},
@@ -138,8 +138,9 @@
     pub present: bool,
     /// Resources that its runs reserve.
     pub used: Resources,
-    /// Tasks that run or may run there, with their run numbers.
-    pub runs: FastMap<TaskName, u32>,
+    /// Tasks that run or may run there, with their run numbers. A task may have two runs there, if
+    /// a start order of an earlier one was carried out late.
+    pub runs: FastSet<(TaskName, u32)>,
     /// Whether it has reported its runs to this owner.
     pub reported: bool,
     /// Whether its runs of earlier owners are known from a snapshot, without a report.
@@ -177,7 +178,7 @@
             listed,
             present: true,
             used: Resources::default(),
-            runs: FastMap::default(),
+            runs: FastSet::default(),
             reported: false,
             runs_known: false,
             recorded_unreachable: false,
@@ -195,6 +196,11 @@
         }
     }
 
+    /// Returns the tasks of its runs.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskName> {
+        self.runs.iter().map(|(task, _)| task)
+    }
+
     /// Whether it accepts new tasks.
     pub fn accepts_tasks(&self, now_ms: u64) -> bool {
         self.present
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -184,7 +184,7 @@
             let rows = status
                 .runs
                 .iter()
-                .filter(|(task, run)| !was_stopped((*task).clone(), **run));
+                .filter(|(task, run)| !was_stopped(task.clone(), *run));
             let running = rows.map(|(task, run)| {
                 let run_started = self.started.get(&(task.clone(), *run));
                 let is_ready = run_started.is_none_or(|at| self.now_ms >= at + self.startup_ms);
--- /dev/null
+++ b/crates/domain/tests/lost_stop_test.rs
@@ -0,0 +1,145 @@
+//! Tests of runs that stay at work after a stop, an end or a lease was lost from view.
+
+mod samples;
+
+use {
+    dotterelshore_domain::{
+        names::{JobName, WorkerName},
+        schedule::{
+            EndReason, EndedRun, FleetSchedule, OrderRule, ReportedRun, Resources, StepPlan,
+            StopOrder, TaskName, WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    std::sync::Arc,
+};
+
+/// Worker lease, in milliseconds.
+const LEASE_MS: u64 = 3_600;
+/// Processor capacity of a worker, in thousandths of a core.
+const WORKER_MILLI: u64 = 64_000;
+/// The number of a run whose start order the worker carried out late.
+const LATE_RUN: u32 = 1;
+/// The number of the run that was started in its place.
+const CURRENT_RUN: u32 = 2;
+
+fn worker_name(text: &str) -> WorkerName {
+    WorkerName::try_from(text).expect("a name")
+}
+
+fn job_name() -> JobName {
+    JobName::try_from("lasting").expect("a name")
+}
+
+fn task() -> TaskName {
+    "lasting.0.0.0".parse().expect("a task")
+}
+
+fn stop_order(run: u32) -> StopOrder {
+    StopOrder {
+        worker: worker_name("w-1"),
+        task: task(),
+        run,
+    }
+}
+
+fn report(clock_ms: u64, runs: &[u32]) -> WorkerReport {
+    let running = runs.iter().map(|run| ReportedRun {
+        task: task(),
+        run: *run,
+        checkpoint: Arc::from(""),
+        progress_percent: 100.0,
+        metric: 0.0,
+    });
+    WorkerReport {
+        started_ms: Some(1),
+        clock_ms,
+        running: running.collect(),
+        finished: Vec::new(),
+    }
+}
+
+/// Returns a schedule with one lasting task, which runs on the first of two workers.
+fn schedule_with_run() -> FleetSchedule {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    let step = StepPlan {
+        count: 1,
+        need: Resources {
+            cpu_milli: 4_000,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        long_running: true,
+        max_unavailable: Some(1),
+        ..StepPlan::default()
+    };
+    schedule.add_job(sample_job("lasting", step), None, 0, NOW_MS, WALL_MS);
+    schedule.upsert_worker(sample_worker("w-1", WORKER_MILLI));
+    let first = report(10, &[CURRENT_RUN]);
+    schedule.apply_report(&worker_name("w-1"), &first, NOW_MS, WALL_MS);
+    schedule.renew_lease(&worker_name("w-1"), NOW_MS);
+    schedule
+}
+
+/// Applies reports of a worker that also carried out an earlier start order late, and that ended
+/// this run.
+fn report_late_run(schedule: &mut FleetSchedule) {
+    let worker = worker_name("w-1");
+    let both = report(20, &[CURRENT_RUN, LATE_RUN]);
+    let orders = schedule.apply_report(&worker, &both, NOW_MS + 20, WALL_MS + 20);
+    assert_eq!(orders, [WorkerOrder::Stop(stop_order(LATE_RUN))]);
+    schedule.confirm_stop(&stop_order(LATE_RUN), 30);
+    let mut after = report(40, &[CURRENT_RUN]);
+    after.finished.push(EndedRun {
+        number: 1,
+        task: task(),
+        run: LATE_RUN,
+        reason: EndReason::Stopped,
+        checkpoint: Arc::from(""),
+    });
+    schedule.apply_report(&worker, &after, NOW_MS + 40, WALL_MS + 40);
+}
+
+/// A run whose worker also had another run of its task is stopped again and again until its stop
+/// is confirmed.
+fn lost_stop_is_resent(has_late_run: bool) {
+    let mut schedule = schedule_with_run();
+    if has_late_run {
+        report_late_run(&mut schedule);
+    }
+    let stop = WorkerOrder::Stop(stop_order(CURRENT_RUN));
+    let first = schedule.cancel(&job_name(), NOW_MS + 100, WALL_MS + 100);
+    assert_eq!(first, std::slice::from_ref(&stop), "the first is lost");
+    let worker = worker_name("w-1");
+    let still = report(700, &[CURRENT_RUN]);
+    let mut later = schedule.apply_report(&worker, &still, NOW_MS + 700, WALL_MS + 700);
+    later.extend(schedule.tick(NOW_MS + 800, true));
+    assert!(later.contains(&stop), "the stop is sent again: {later:?}");
+}
+
+named_cases! { lost_stop_is_resent:
+    lost_stop_is_resent_to_worker_with_one_run(false);
+    lost_stop_is_resent_to_worker_that_also_had_a_late_run(true);
+}
+
+/// A task starts elsewhere once the lease of its worker has expired, also if the worker had
+/// another run of the task.
+fn task_leaves_dead_worker(has_late_run: bool) {
+    let mut schedule = schedule_with_run();
+    if has_late_run {
+        report_late_run(&mut schedule);
+    }
+    schedule.upsert_worker(sample_worker("w-2", WORKER_MILLI));
+    schedule.apply_report(&worker_name("w-2"), &report(10, &[]), NOW_MS, WALL_MS);
+    schedule.mark_unreachable(&worker_name("w-1"));
+    let later_ms = NOW_MS + 2 * LEASE_MS;
+    schedule.tick(later_ms, true);
+    let orders = schedule.plan_starts(later_ms, WALL_MS, u64::MAX);
+    assert_eq!(orders.len(), 1, "it starts elsewhere");
+}
+
+named_cases! { task_leaves_dead_worker:
+    task_leaves_dead_worker_with_one_run(false);
+    task_leaves_dead_worker_that_also_had_a_late_run(true);
+}
--- a/crates/domain/tests/odd_worker_test.rs
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -116,7 +116,7 @@
     schedule.apply_report(&third, &report_of(STARTED_MS, &[]), NOW_MS, WALL_MS);
     assert_eq!(starts(&mut schedule, NOW_MS), [], "the task still runs");
     let sound = schedule.worker(&order.worker).expect("the sound worker");
-    assert_eq!(sound.runs.get(&order.task), Some(&order.run));
+    assert!(sound.runs.contains(&(order.task.clone(), order.run)));
     assert_eq!(schedule.take_dropped_runs(), []);
 }
 
