Resend an unanswered stop by the time it was sent, not ordered

A task of a cancelled job could run on for 400 ms longer than need be: the resend of a stop that had waited for its turn in the queue was due by the time of the order, was dropped there since the one before had just been sent, and was due again 400 ms later. Introduced with the queue of stops; found by the review.

Evidence: stop_that_waited_for_a_slot_is_soon_resent failed before (sent again 650 ms after the one before) and passes.

--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -369,8 +369,8 @@
                 RunPhase::Stopping {
                     clock_ms: None,
                     ordered_ms,
-                    ..
-                } => now_ms > ordered_ms + STOP_RESEND_MS,
+                    sent_ms,
+                } => now_ms > ordered_ms.max(sent_ms.unwrap_or_default()) + STOP_RESEND_MS,
                 _ => false,
             };
             if resend {
--- a/crates/domain/tests/lost_stop_test.rs
+++ b/crates/domain/tests/lost_stop_test.rs
@@ -23,6 +23,11 @@
 const LATE_RUN: u32 = 1;
 /// The number of the run that was started in its place.
 const CURRENT_RUN: u32 = 2;
+/// Time between two ticks of the owner, in milliseconds.
+const TICK_MS: u64 = 100;
+/// Longest time between two sends of an unanswered stop, in milliseconds: the time after which it
+/// is resent, and two ticks.
+const RESEND_MAX_MS: u64 = 600;
 
 fn worker_name(text: &str) -> WorkerName {
     WorkerName::try_from(text).expect("a name")
@@ -143,3 +148,24 @@
     task_leaves_dead_worker_with_one_run(false);
     task_leaves_dead_worker_that_also_had_a_late_run(true);
 }
+
+/// A stop that waited for its turn and got no answer is sent again as soon as one that did not.
+fn unanswered_stop_is_soon_resent(waited_ms: u64) {
+    let mut schedule = schedule_with_run();
+    schedule.cancel(&job_name(), NOW_MS, WALL_MS);
+    let order = stop_order(CURRENT_RUN);
+    let sent_ms = NOW_MS + waited_ms;
+    assert!(schedule.begin_stop(&order, sent_ms), "the first is sent");
+    let ticks = (1..40).map(|tick| NOW_MS + tick * TICK_MS);
+    let resent_ms = ticks.into_iter().find(|now_ms| {
+        let queued = schedule.tick(*now_ms, true);
+        !queued.is_empty() && schedule.begin_stop(&order, *now_ms)
+    });
+    let after_ms = resent_ms.expect("it is sent again") - sent_ms;
+    assert!(after_ms <= RESEND_MAX_MS, "sent again after {after_ms} ms");
+}
+
+named_cases! { unanswered_stop_is_soon_resent:
+    stop_without_wait_is_soon_resent(1);
+    stop_that_waited_for_a_slot_is_soon_resent(150);
+}
