Entry: an answer to a watch from before a store fault does not end the fault

Cause: while the store refused an entry's calls, a watch that was waiting since before the fault still got its answer, and the entry then took the store for reachable: calls went to the store or, until the next query of the other entries, to the owner. A caller got a 503 for a job's state, or a 504 after the store's timeout where a 503 at once was due. Seen as entry_uses_relay_while_store_is_busy (503 for 410 or 200; 1 of 16 runs of fleet_test two at a time, 1 of 48 runs of six cases eight at a time) and perhaps as entry_stays_ready_in_store_outage (504 for 503, 1 of 15 runs, no log kept). By itself, the log of one run shows the path leave the relay twice, for 44 and 168 ms.

Change: an answer makes the store path direct only if its call was sent after the last failed call.

--- a/crates/scheduler/src/job_records.rs
+++ b/crates/scheduler/src/job_records.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        node::SchedulerNode,
+        node::{SchedulerNode, uptime_ms},
         peers::WriteOutcome,
         store::{cancel_key, job_key, progress_key},
     },
@@ -31,9 +31,10 @@
         .expect(&key, 0)
         .write(&key, &value, 0);
     for attempt in 0..RECORD_ATTEMPTS {
+        let sent_ms = uptime_ms();
         match node.kv.commit(&transaction).await {
             Ok(revision) => {
-                node.mark_store_reachable();
+                node.mark_store_reachable(sent_ms);
                 log_event!(
                     Info,
                     "job-accepted",
@@ -45,7 +46,7 @@
                 return WriteOutcome::Stored;
             }
             Err(KvFault::Conflict { .. }) => {
-                node.mark_store_reachable();
+                node.mark_store_reachable(sent_ms);
                 log_event!(
                     Info,
                     "job-accepted-before",
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -48,6 +48,8 @@
     /// When the store last answered, in [`uptime_ms`].
     pub(crate) store_answered_ms: AtomicU64,
     store_unreachable: AtomicBool,
+    /// When a call to the store last failed, in [`uptime_ms`].
+    store_failed_ms: AtomicU64,
     path: Mutex<StorePath>,
     /// Wakes the task that probes an unreachable store.
     pub(crate) store_lost: Notify,
@@ -72,6 +74,7 @@
             shutdown: watch::Sender::new(false),
             store_answered_ms: AtomicU64::new(0),
             store_unreachable: AtomicBool::new(false),
+            store_failed_ms: AtomicU64::new(0),
             path: Mutex::new(StorePath::Direct),
             store_lost: Notify::new(),
             timer: TimerHub::start(),
@@ -90,15 +93,20 @@
         self.leading.borrow().clone()
     }
 
-    /// Records that the store answered, which makes the store path direct.
-    pub(crate) fn mark_store_reachable(&self) {
+    /// Records that the store answered a call sent at `sent_ms`. This makes the store path direct,
+    /// unless a call has failed since, as while a watch was waiting.
+    pub(crate) fn mark_store_reachable(&self, sent_ms: u64) {
         self.store_answered_ms.store(uptime_ms(), Ordering::Relaxed);
+        if sent_ms < self.store_failed_ms.load(Ordering::Relaxed) {
+            return;
+        }
         self.store_unreachable.store(false, Ordering::Relaxed);
         self.set_store_path(StorePath::Direct);
     }
 
     /// Records that a call to the store failed, and wakes the task that probes it.
     pub(crate) fn mark_store_unreachable(&self) {
+        self.store_failed_ms.store(uptime_ms(), Ordering::Relaxed);
         self.store_unreachable.store(true, Ordering::Relaxed);
         self.store_lost.notify_one();
     }
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -1,7 +1,7 @@
 //! Keys of the scheduler's records in the platform's store, and a function that follows a prefix.
 
 use {
-    crate::node::SchedulerNode,
+    crate::node::{SchedulerNode, uptime_ms},
     dotterelshore_domain::names::JobName,
     dotterelshore_platform::{KvFault, KvRow, WatchEvent},
     dotterelshore_wire::{log_event, timer_hub::jittered_pause},
@@ -111,6 +111,7 @@
     let mut revision = known_revision;
     let mut is_failing = false;
     loop {
+        let sent_ms = uptime_ms();
         let outcome = match revision {
             None => read_snapshot(node, prefix, &mut apply).await.map(Some),
             Some(after) => {
@@ -127,7 +128,7 @@
                 if std::mem::take(&mut is_failing) {
                     log_event!(Info, "store-regained", prefix = prefix);
                 }
-                node.mark_store_reachable();
+                node.mark_store_reachable(sent_ms);
                 revision = next;
             }
             Err(fault) => {
--- a/crates/scheduler/src/store_path.rs
+++ b/crates/scheduler/src/store_path.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        node::SchedulerNode,
+        node::{SchedulerNode, uptime_ms},
         peers::query_store_access,
         store::{ENTRY_PREFIX, OWNER_KEY},
     },
@@ -177,8 +177,9 @@
             };
             let probe = async {
                 tokio::time::sleep(jittered_pause(RECOVERY_PROBE_PERIOD)).await;
+                let sent_ms = uptime_ms();
                 if probe_store(&node).await {
-                    node.mark_store_reachable();
+                    node.mark_store_reachable(sent_ms);
                 } else {
                     node.metrics.count_retry("store-probe");
                 }
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -433,11 +433,26 @@
             response.status == 200
         });
         assert!(accepted.await, "it records jobs\n{}", without_store.log());
+        // The store answers watches that wait since before the fault, which proves nothing about
+        // new calls.
+        fixture.fleet.configure(2, &["k-of-the-team"]);
         let known = fixture.fleet.state(without_store, job).await;
-        assert_eq!(known.status, 200, "it knows the job: {known:?}");
+        assert_eq!(
+            known.status,
+            200,
+            "it knows the job: {known:?}\n{}",
+            without_store.log()
+        );
         let unknown = fixture.fleet.state(without_store, "00000000000000d2").await;
-        assert_eq!(unknown.status, 410, "and that another one does not exist");
+        assert_eq!(
+            unknown.status,
+            410,
+            "and that another one does not exist: {unknown:?}\n{}",
+            without_store.log()
+        );
         assert_eq!(fixture.fleet.readiness(without_store).await, 200);
+        let log = without_store.log();
+        assert!(!log.contains("now=Direct"), "it keeps its relay\n{log}");
         fixture.nodes[0].signal(Signal::SIGCONT);
         fixture.assert_no_violations();
     });
@@ -486,7 +501,7 @@
             .fleet
             .submit(&cut, "00000000000000d3", &two_steps("works", 1))
             .await;
-        assert_eq!(refused.status, 503, "{refused:?}");
+        assert_eq!(refused.status, 503, "{refused:?}\n{}", cut.log());
         assert!(refused.retry_after_s.is_some(), "a Retry-After header");
         assert!(began.elapsed() < Duration::from_millis(300), "at once");
         endpoint.set_fault_mode(StoreFaultMode::None);
