--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -46,6 +46,9 @@
 /// submission finds the job.
 const RETENTION_FACTOR: u64 = 2;
 
+/// Runs that one log line names, so that no line is too long for a reader.
+const RUNS_PER_LINE: usize = 8;
+
 /// All records of the schedule in the store.
 struct StoredSchedule {
     snapshots: Vec<WorkerSnapshot>,
@@ -209,15 +212,16 @@
     let Some(unreachable) = &snapshot.unreachable else {
         return;
     };
-    let runs = unreachable.runs.iter();
-    let runs: Vec<_> = runs.map(|(task, run)| format!("{task}:{run}")).collect();
-    log_event!(
-        Info,
-        "runs-restored",
-        worker = snapshot.listed.name,
-        runs = runs.join(","),
-        lease_left_ms = unreachable.lease_left_ms
-    );
+    for chunk in unreachable.runs.chunks(RUNS_PER_LINE) {
+        let runs = chunk.iter().map(|(task, run)| format!("{task}:{run}"));
+        log_event!(
+            Info,
+            "runs-restored",
+            worker = snapshot.listed.name,
+            runs = runs.collect::<Vec<_>>().join(","),
+            lease_left_ms = unreachable.lease_left_ms
+        );
+    }
 }
 
 fn log_dropped(dropped: &[DroppedRuns]) {
