--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -251,6 +251,59 @@
     long_running_job_survives_worker_crash(true);
 }
 
+/// Tasks of a cancelled job start no later than this, by the users' rules.
+const CANCEL_START_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the owner's store endpoint is silent: long enough for the next watch to arrive.
+const SILENT_TIME: Duration = Duration::from_millis(60);
+/// Time in which the entries find each other.
+const CANCEL_SETTLE_TIME: Duration = Duration::from_secs(4);
+
+/// The owner applies a cancellation in time although its watch waits on a silent connection:
+/// until then it would also start tasks of the job.
+fn cancel_is_applied_in_time(is_silent: bool) {
+    run_test(async {
+        let fixture = FleetFixture::start(0, 3).await;
+        let endpoint = fixture.fleet.open_store_endpoint().await;
+        let folder = fixture.folder.path();
+        let owner = SchedulerProcess::start_with_endpoint(&endpoint, program(), folder, "owner");
+        let is_owner = fixture.wait_until(fixture::SETTLE_TIMEOUT, async || {
+            owner.log().contains("event=schedule-read")
+        });
+        assert!(is_owner.await, "it owns the schedule:\n{}", owner.log());
+        let other = SchedulerProcess::start(&fixture.fleet, program(), folder, "other");
+        tokio::time::sleep(CANCEL_SETTLE_TIME).await;
+        let job = "00000000000000e2";
+        let accepted = fixture.fleet.submit(&other, job, &long_running(3)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let all_run = async || fixture.fleet.running() == 3;
+        let settled = fixture.wait_until(fixture::SETTLE_TIMEOUT, all_run);
+        assert!(settled.await, "all run");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        if is_silent {
+            endpoint.set_fault_mode(StoreFaultMode::Silent);
+        }
+        let later = two_steps("works", 1);
+        let accepted = fixture.fleet.submit(&other, "00000000000000e3", &later);
+        assert_eq!(accepted.await.status, 200, "the change ends the watch");
+        tokio::time::sleep(SILENT_TIME).await;
+        endpoint.set_fault_mode(StoreFaultMode::None);
+        assert_eq!(fixture.fleet.cancel(&other, job).await.status, 200);
+        let acknowledged = std::time::Instant::now();
+        let stopped = fixture.wait_until(fixture::SETTLE_TIMEOUT, async || {
+            fixture.fleet.running() == 0
+        });
+        assert!(stopped.await, "it stops");
+        let took = acknowledged.elapsed();
+        assert!(took < CANCEL_START_TIMEOUT, "{took:?}\n{}", owner.log());
+        fixture.assert_no_violations();
+    });
+}
+
+named_cases! { cancel_is_applied_in_time:
+    cancel_is_applied_in_time_with_sound_watch(false);
+    cancel_is_applied_in_time_with_silent_watch(true);
+}
+
 /// A new configuration is in force in time: a revoked key no longer works.
 fn revoked_key(entries: usize) {
     run_test(async {
