Keep a job from being recorded after its cancellation was answered

A caller that left before its submission was answered, and cancelled the job, got 410 (no such job); then the store carried the submission out late, and the job ran.

Cause: a job's record was written on the condition that it does not exist, and the cancellation of a job without a record left nothing in the store, so that the condition still held afterwards.

Change: the cancellation of a job without a record writes its mark under a lease of 30 s, on the condition that there is still no record, and a record is written only if there is no such mark. A submission that finds one is refused with 503 (job-cancelled): it has not run and will not.

Evidence: job_recorded_after_its_cancel_starts_nothing failed before (two runs started after the 410) and passes; all 50 cases of fleet_test pass.

--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -212,7 +212,8 @@
     };
     match tokio::time::timeout_at(until, recorded).await {
         Ok(WriteOutcome::Stored) => CallResponse::ok("{}".to_owned()),
-        Ok(WriteOutcome::NotStored | WriteOutcome::NoJob) => {
+        Ok(WriteOutcome::NoJob) => CallResponse::refused(503, "job-cancelled"),
+        Ok(WriteOutcome::NotStored) => {
             CallResponse::refused(503, "store-away").with_retry_after(RETRY_AFTER_STORE_S)
         }
         Ok(WriteOutcome::Unsure) | Err(_) => CallResponse::refused(504, "store-unsure"),
--- a/crates/scheduler/src/job_records.rs
+++ b/crates/scheduler/src/job_records.rs
@@ -21,7 +21,12 @@
 /// its call.
 const RECORD_ATTEMPTS: u32 = 2;
 
-/// Records a job. A name identifies one job, so that repeats at any entry have no effect.
+/// How long the cancellation of a job without a record stays in the store: longer than a write of
+/// its record may be on its way.
+const EARLY_CANCEL_LEASE: Duration = Duration::from_secs(30);
+
+/// Records a job. A name identifies one job, so that repeats at any entry have no effect. Returns
+/// `NoJob` if the job was cancelled before it was recorded.
 pub(crate) async fn record_job(node: &SchedulerNode, record: &JobRecord) -> WriteOutcome {
     let Ok(value) = serde_json::to_vec(record) else {
         return WriteOutcome::NotStored;
@@ -29,6 +34,7 @@
     let key = job_key(&record.name);
     let transaction = KvTransaction::default()
         .expect(&key, 0)
+        .expect(cancel_key(&record.name), 0)
         .write(&key, &value, 0);
     for attempt in 0..RECORD_ATTEMPTS {
         let sent_ms = uptime_ms();
@@ -45,6 +51,11 @@
                 );
                 return WriteOutcome::Stored;
             }
+            Err(KvFault::Conflict { rows }) if rows.iter().all(|row| row.key != key) => {
+                node.mark_store_reachable(sent_ms);
+                log_event!(Info, "job-cancelled-before", job = record.name);
+                return WriteOutcome::NoJob;
+            }
             Err(KvFault::Conflict { .. }) => {
                 node.mark_store_reachable(sent_ms);
                 log_event!(
@@ -72,19 +83,23 @@
     WriteOutcome::Unsure
 }
 
-/// Records the cancellation of a job.
+/// Records the cancellation of a job. A job without a record can't be recorded later.
 pub(crate) async fn record_cancel(node: &SchedulerNode, job: &JobName) -> WriteOutcome {
-    let transaction = KvTransaction::default().write(cancel_key(job), b"{}", 0);
     let written = match node.kv.read(&job_key(job)).await {
-        Ok(_) => node.kv.commit(&transaction).await.map(|_| ()),
+        Ok(_) => write_cancel(node, job).await,
+        Err(KvFault::KeyNotFound) => write_early_cancel(node, job).await,
         Err(fault) => Err(fault),
     };
     match written {
-        Ok(()) => {
-            log_event!(Info, "job-cancelled", job = job);
-            WriteOutcome::Stored
+        Ok(outcome) => {
+            log_event!(
+                Info,
+                "job-cancelled",
+                job = job,
+                recorded = outcome == WriteOutcome::Stored
+            );
+            outcome
         }
-        Err(KvFault::KeyNotFound) => WriteOutcome::NoJob,
         Err(fault) => {
             log_event!(Info, "cancel-failed", job = job, error = fault);
             node.mark_store_unreachable();
@@ -93,6 +108,27 @@
     }
 }
 
+async fn write_cancel(node: &SchedulerNode, job: &JobName) -> Result<WriteOutcome, KvFault> {
+    let transaction = KvTransaction::default().write(cancel_key(job), b"{}", 0);
+    node.kv.commit(&transaction).await?;
+    Ok(WriteOutcome::Stored)
+}
+
+/// Cancels a job that has no record, so that a write of one that is still on its way has no
+/// effect.
+async fn write_early_cancel(node: &SchedulerNode, job: &JobName) -> Result<WriteOutcome, KvFault> {
+    let (lease, _) = node.kv.create_lease(EARLY_CANCEL_LEASE).await?;
+    let transaction =
+        KvTransaction::default()
+            .expect(job_key(job), 0)
+            .write(cancel_key(job), b"{}", lease);
+    match node.kv.commit(&transaction).await {
+        Ok(_) => Ok(WriteOutcome::NoJob),
+        Err(KvFault::Conflict { .. }) => write_cancel(node, job).await,
+        Err(fault) => Err(fault),
+    }
+}
+
 /// Reads a job's state from the store; `None` if it has no such job.
 pub(crate) async fn stored_state(
     node: &SchedulerNode,
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -74,7 +74,7 @@
 pub(crate) enum WriteOutcome {
     /// The record is stored, by this write or an earlier one.
     Stored,
-    /// There is no such job.
+    /// There is no such job, or it was cancelled before it was recorded.
     NoJob,
     /// The write has not taken effect and will not.
     NotStored,
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -253,6 +253,10 @@
 
 /// Tasks of a cancelled job start no later than this, by the users' rules.
 const CANCEL_START_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time in which a job's record is sent to the store, and not executed if writes are late.
+const LATE_SUBMIT_TIME: Duration = Duration::from_millis(200);
+/// Time until late writes are executed, and a start would follow.
+const LATE_RECORD_TIME: Duration = Duration::from_secs(4);
 /// How long the owner's store endpoint is silent: long enough for the next watch to arrive.
 const SILENT_TIME: Duration = Duration::from_millis(60);
 /// Time in which the entries find each other.
@@ -304,6 +308,29 @@
     cancel_is_applied_in_time_with_silent_watch(true);
 }
 
+/// A job whose cancellation was answered does not start, although its record was written late,
+/// after the cancellation.
+#[test]
+fn job_recorded_after_its_cancel_starts_nothing() {
+    run_test(async {
+        let fixture = FleetFixture::start(1, 1).await;
+        let node = &fixture.nodes[0];
+        let job = "00000000000000e4";
+        let late = StoreFaultMode::LateWrites(1.0);
+        fixture.fleet.set_store_fault_mode(late);
+        let body = two_steps("works", 1);
+        let submitted = fixture.fleet.submit(node, job, &body);
+        let submitted = tokio::time::timeout(LATE_SUBMIT_TIME, submitted).await;
+        fixture.fleet.set_store_fault_mode(StoreFaultMode::None);
+        assert!(submitted.is_err(), "the caller leaves early");
+        let cancelled = fixture.fleet.cancel(node, job).await;
+        assert!(matches!(cancelled.status, 200 | 410), "{cancelled:?}");
+        tokio::time::sleep(LATE_RECORD_TIME).await;
+        let starts = fixture.fleet.starts();
+        assert_eq!(starts, 0, "{cancelled:?}\n{}", node.log());
+    });
+}
+
 /// A new configuration is in force in time: a revoked key no longer works.
 fn revoked_key(entries: usize) {
     run_test(async {
