--- a/crates/domain/tests/ended_job_test.rs
+++ b/crates/domain/tests/ended_job_test.rs
@@ -7,8 +7,8 @@
         names::{JobName, WorkerName},
         schedule::{
             FleetSchedule, JobState, LingeringRuns, OrderRule, ProgressRecord, ReportedRun,
-            Resources, StepPlan, StopOrder, TaskName, UnreachableRuns, WorkerOrder, WorkerReport,
-            WorkerSnapshot,
+            Resources, StepPlan, StepProgress, StopOrder, TaskName, UnreachableRuns, WorkerOrder,
+            WorkerReport, WorkerSnapshot,
         },
     },
     dotterelshore_testkit::named_cases,
@@ -195,3 +195,81 @@
     stop_of_an_ended_run_is_not_sent(Some(StopEvent::RunEnded), 600, false);
     stop_of_an_untracked_run_is_sent(Some(StopEvent::JobForgotten), 0, true);
 }
+
+/// A run of a job that is not in the schedule is stopped once no record of it can be on its way
+/// from an earlier owner.
+fn run_of_unknown_job_stops(after_ms: u64, is_stopped: bool) {
+    let orphans_until_ms = NOW_MS + LEASE_MS;
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, orphans_until_ms);
+    schedule.upsert_worker(sample_worker("w-1", WORKER_MILLI));
+    let first = report(20, &[EARLIER_RUN]);
+    let orders = schedule.apply_report(
+        &name("w-1"),
+        &first,
+        orphans_until_ms + after_ms,
+        WALL_MS + LEASE_MS + after_ms,
+    );
+    assert_eq!(orders.contains(&stop(EARLIER_RUN)), is_stopped);
+}
+
+named_cases! { run_of_unknown_job_stops:
+    run_of_unknown_job_goes_on_while_its_record_may_come(0, false);
+    run_of_unknown_job_is_stopped_after_earlier_owners(1, true);
+}
+
+/// A reported run of a task whose end is recorded is stopped, although its job goes on.
+#[test]
+fn run_of_recorded_task_is_stopped() {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS);
+    let step = StepPlan {
+        count: 2,
+        ..StepPlan::default()
+    };
+    let progress = ProgressRecord {
+        ended: None,
+        ended_ms: None,
+        step_progress: vec![StepProgress {
+            done: vec![0],
+            ..StepProgress::default()
+        }],
+    };
+    let record = sample_job("left", step);
+    schedule.add_job(record, Some(&progress), RUN_BASE, NOW_MS, WALL_MS);
+    schedule.upsert_worker(sample_worker("w-1", WORKER_MILLI));
+    let first = report(20, &[EARLIER_RUN]);
+    let orders = schedule.apply_report(&name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
+    assert_eq!(orders, vec![stop(EARLIER_RUN)]);
+}
+
+/// A stop that is ordered again does not follow the one before while that may still be answered,
+/// whenever that was sent.
+#[test]
+fn stop_ordered_again_waits_for_the_reply_to_the_one_before() {
+    let mut schedule = taken_over(None, true);
+    let first = report(20, &[EARLIER_RUN]);
+    schedule.apply_report(&name("w-1"), &first, NOW_MS, WALL_MS);
+    let order = StopOrder {
+        worker: name("w-1"),
+        task: task(),
+        run: EARLIER_RUN,
+    };
+    assert!(schedule.begin_stop(&order, NOW_MS + 300), "the first");
+    assert_eq!(schedule.tick(NOW_MS + 450, true), Vec::new(), "not yet");
+    assert!(!schedule.begin_stop(&order, NOW_MS + 450), "not yet");
+    let again = schedule.tick(NOW_MS + 800, true);
+    assert_eq!(again, vec![stop(EARLIER_RUN)], "it is ordered again");
+    assert!(
+        schedule.begin_stop(&order, NOW_MS + 800),
+        "it is sent again"
+    );
+}
+
+/// A stop without an answer is ordered again.
+#[test]
+fn unanswered_stop_is_ordered_again() {
+    let mut schedule = taken_over(None, true);
+    let first = report(20, &[EARLIER_RUN]);
+    schedule.apply_report(&name("w-1"), &first, NOW_MS, WALL_MS);
+    assert_eq!(schedule.tick(NOW_MS + 300, true), Vec::new(), "not yet");
+    assert_eq!(schedule.tick(NOW_MS + 500, true), vec![stop(EARLIER_RUN)]);
+}
