Send a pace again that was not sent for want of authority

A best-effort task could go on at full pace beside a serving task over its target: a pace order that came up while the owner had no authority was dropped, and counted as sent.

Change: a dropped order is marked as unconfirmed, as one without a reply is, so that the next report sends the pace again.

--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -32,6 +32,8 @@
             RunOrder::Pace(order, percent) => {
                 if leadership.has_authority() {
                     pace_run(&node, &leadership, &client, &order, percent).await;
+                } else {
+                    lock(&leadership.schedule).mark_pace_unconfirmed(&order);
                 }
             }
         }
