Pause a best-effort task again that works on

Callers of a serving task could see it over its target for as long as a best-effort task ran beside it: the worker carried out an earlier, higher pace after the pause, and at the lowest pace nothing changed that would have sent another order.

Change: a paused task that still shows processor use a second after its pause was sent is paused again. A late order at another pace than the pause is corrected by the next change, as before.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -58,6 +58,8 @@
     pub(super) progressed_ms: u64,
     /// The pace last sent to it, in percent; `None` if that is unknown.
     pub(super) pace_percent: Option<u32>,
+    /// When the pace was last sent, in scheduler milliseconds.
+    pub(super) paced_ms: u64,
 }
 
 impl TaskRun {
@@ -71,6 +73,7 @@
             progress_percent: 0.0,
             progressed_ms: now_ms,
             pace_percent: Some(100),
+            paced_ms: now_ms,
         }
     }
 
--- a/crates/domain/src/schedule/pace_controller.rs
+++ b/crates/domain/src/schedule/pace_controller.rs
@@ -28,6 +28,9 @@
 /// Time between two steps, in milliseconds. The platform applies a new pace within 100 ms, and
 /// workers report tail latencies over the last 500 ms.
 const ADJUST_INTERVAL_MS: u64 = 600;
+/// Time after which a paused task no longer shows processor use, in milliseconds: the platform
+/// applies a pace within 100 ms, and workers report the use of the last 500 ms.
+const PAUSE_TIMEOUT_MS: u64 = 1_000;
 
 /// Controls the pace of the best-effort tasks on one worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,8 +132,14 @@
             let Some(run) = self.find_run(worker, &reported.task, reported.run) else {
                 continue;
             };
-            if run.pace_percent != Some(percent) && matches!(run.phase, RunPhase::Running { .. }) {
+            // An earlier order may be carried out after the one that paused the task.
+            let works_on =
+                percent == 0 && reported.metric > 0.0 && now_ms > run.paced_ms + PAUSE_TIMEOUT_MS;
+            if (run.pace_percent != Some(percent) || works_on)
+                && matches!(run.phase, RunPhase::Running { .. })
+            {
                 run.pace_percent = Some(percent);
+                run.paced_ms = now_ms;
                 let order = StopOrder {
                     worker: worker.clone(),
                     task: reported.task.clone(),
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -266,6 +266,7 @@
             progress_percent: reported.progress_percent,
             progressed_ms: now_ms,
             pace_percent: None,
+            paced_ms: now_ms,
         };
         if !(needed && sole_run) {
             orders.push(run.stop(&reported.task, now_ms));
