Known red: a false start time in a live worker's row hides its runs

A trial that believes reports before rows breaks the contract of ticket_of_a_restarted_worker_is_requested_again, which gives up a ticket at the new row.

--- a/crates/domain/tests/lost_stop_test.rs
+++ b/crates/domain/tests/lost_stop_test.rs
@@ -169,3 +169,24 @@
     stop_without_wait_is_soon_resent(1);
     stop_that_waited_for_a_slot_is_soon_resent(150);
 }
+
+/// A row that another writer put over that of a live worker, with a later start time, neither ends
+/// the run there nor keeps the run from being stopped when its job is cancelled.
+#[test]
+fn run_of_worker_under_row_with_false_start_time_is_stopped() {
+    let mut schedule = schedule_with_run();
+    let mut odd = sample_worker("w-1", WORKER_MILLI);
+    odd.started_ms += 1;
+    schedule.upsert_worker(odd);
+    let worker = worker_name("w-1");
+    let mut orders = schedule.cancel(&job_name(), NOW_MS + 20, WALL_MS + 20);
+    for tick in 1..30 {
+        let at_ms = tick * TICK_MS;
+        let still = report(at_ms, &[CURRENT_RUN]);
+        orders.extend(schedule.apply_report(&worker, &still, NOW_MS + at_ms, WALL_MS + at_ms));
+        let is_renewed = schedule.renew_lease(&worker, NOW_MS + at_ms);
+        assert!(is_renewed, "the worker's lease goes on");
+    }
+    let stop = WorkerOrder::Stop(stop_order(CURRENT_RUN));
+    assert!(orders.contains(&stop), "a stop is ordered: {orders:?}");
+}
