--- a/crates/scheduler/src/leading/advice_task.rs
+++ b/crates/scheduler/src/leading/advice_task.rs
@@ -72,7 +72,7 @@
                 good = tickets.len(),
                 took_ms = uptime_ms().saturating_sub(sent_ms)
             );
-            let valid_until_ms = sent_ms + millis(validity);
+            let valid_until_ms = sent_ms.saturating_add(millis(validity));
             lock(&leadership.schedule).apply_advice(request, &tickets, valid_until_ms);
             leadership.plan_notify.notify_one();
             true
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -137,7 +137,9 @@
                     log_event!(Warn, "store-lost", prefix = prefix, error = fault);
                 }
                 node.metrics.count_retry("store-watch");
-                if resume_mode == ResumeMode::Reread {
+                // The same changes would be as unreadable the next time.
+                let is_unreadable = matches!(fault, KvFault::Unreadable { .. });
+                if is_unreadable || resume_mode == ResumeMode::Reread {
                     revision = None;
                 }
                 tokio::time::sleep(jittered_pause(FAULT_PAUSE)).await;
