Refuse addresses whose port is out of range, and reach IPv6 servers

A request to `HOST:70000` went to port 80 of that host: the URI's parser takes a port beyond 65535 for none, and the connector has a default. A worker's row is checked before; this guards settings and other addresses. The host of an IPv6 address kept its brackets, so that no connection was ever opened to one.

Change: an authority is a host and a port from 1 to 65535, or a host alone for port 80 as before. The connector removes the brackets.

--- a/crates/wire/src/http_client.rs
+++ b/crates/wire/src/http_client.rs
@@ -4,7 +4,7 @@
     crate::reset_connector::ResetConnector,
     bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, StatusCode, header},
+    hyper::{HeaderMap, Request, StatusCode, header, http::uri::Authority},
     hyper_util::{
         client::legacy::Client,
         rt::{TokioExecutor, TokioTimer},
@@ -188,11 +188,11 @@
     }
 }
 
-/// Builds a request to the server at `authority`, host and port.
+/// Builds a request to the server at `authority`, host and port. Without a port it is 80.
 ///
 /// # Errors
 ///
-/// `NotSent` if the request is invalid.
+/// `NotSent` if the request or its port is invalid.
 pub fn request_to(
     method: hyper::Method,
     authority: &str,
@@ -200,6 +200,7 @@
     headers: &[(&str, &str)],
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>, HttpFault> {
+    check_authority(authority)?;
     let mut builder = Request::builder()
         .method(method)
         .uri(format!("http://{authority}{path}"));
@@ -212,3 +213,18 @@
             detail: error.to_string(),
         })
 }
+
+/// Checks that an authority is a host and a port from 1 to 65535, or a host alone. Its parser
+/// takes a port beyond that range for none.
+fn check_authority(authority: &str) -> Result<(), HttpFault> {
+    let parsed: Option<Authority> = authority.parse().ok();
+    let is_valid = parsed.is_some_and(|parsed| match parsed.port_u16() {
+        Some(port) => port > 0 && !authority.contains('@'),
+        None => parsed.host() == authority,
+    });
+    if is_valid {
+        return Ok(());
+    }
+    let detail = format!("'{authority}' is no host and port");
+    Err(HttpFault::NotSent { detail })
+}
--- a/crates/wire/src/reset_connector.rs
+++ b/crates/wire/src/reset_connector.rs
@@ -44,6 +44,7 @@
         let reset_on_close = self.reset_on_close;
         Box::pin(async move {
             let host = req.host().unwrap_or_default();
+            let host = host.trim_start_matches('[').trim_end_matches(']');
             let address = (host, req.port_u16().unwrap_or(DEFAULT_PORT));
             let opening = TcpStream::connect(address);
             let stream = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
