fleet_test: crash a worker that has a run

By reading: the test assumed that each of three workers has one of three tasks, but a worker gets tasks only once it has reported to the owner, which a job submitted at once need not wait for. The test now crashes a worker that has a run, so that a crash always ends one; what it checks after that is unchanged.

--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -221,7 +221,8 @@
             "all run"
         );
         if crash {
-            fixture.fleet.crash_worker(0);
+            let worker = fixture.fleet.busy_worker().expect("a worker with a run");
+            fixture.fleet.crash_worker(worker);
             assert!(fixture.fleet.running() < 3, "one crashed");
             assert!(
                 fixture.wait_until(fixture::SETTLE_TIMEOUT, all_run).await,
