--- a/crates/scheduler/tests/cancel_test.rs
+++ b/crates/scheduler/tests/cancel_test.rs
@@ -6,18 +6,15 @@
 use {
     dotterelshore_emulator::WorkerFaultMode,
     dotterelshore_testkit::named_cases,
-    fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
+    fixture::{CANCEL_TIMEOUT, FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
     nix::sys::signal::Signal,
     serde_json::Value,
     std::time::Duration,
 };
 
-/// By the users' rules a cancelled job's tasks have stopped after this time.
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(3_400);
 /// The job that is cancelled.
 const JOB: &str = "00000000000000a1";
-/// The owner's key, and the key of the worker snapshots.
-const OWNER_KEY: &str = "dotterelshore/owner";
+/// The key of the worker snapshots.
 const SNAPSHOTS_KEY: &str = "dotterelshore/held";
 /// Delay of late orders that are executed between two owners.
 const SHORT_DELAY: Duration = Duration::from_millis(1_400);
@@ -34,12 +31,6 @@
 }
 
 impl FleetFixture {
-    /// Number of the process that owns the schedule.
-    fn owner(&self) -> Option<usize> {
-        let owner: Value = serde_json::from_slice(&self.fleet.stored_value(OWNER_KEY)?).ok()?;
-        owner["name"].as_str()?.strip_prefix('e')?.parse().ok()
-    }
-
     /// Whether the stored snapshots list a run of the job on a worker that is unreachable.
     fn is_recorded_unreachable(&self) -> bool {
         let stored = self.fleet.stored_value(SNAPSHOTS_KEY).unwrap_or_default();
@@ -119,12 +110,6 @@
         assert!(self.reaches_state(JOB, "cancelled").await);
         self.assert_no_violations();
     }
-
-    fn print_logs(&self) {
-        for node in &self.nodes {
-            eprintln!("--- {}\n{}", node.front(), node.log());
-        }
-    }
 }
 
 /// A run of a cancelled job stops although its worker does not answer the owner, is recorded as
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -6,15 +6,13 @@
     bytes::Bytes,
     dotterelshore_emulator::{SchedulerProcess, StoreFaultMode},
     dotterelshore_testkit::named_cases,
-    fixture::{FleetFixture, long_running, program, run_test, two_steps},
+    fixture::{CANCEL_TIMEOUT, FleetFixture, long_running, program, run_test, two_steps},
     hyper::Method,
     nix::sys::signal::Signal,
     serde_json::json,
     std::time::Duration,
 };
 
-/// By the users' rules a cancelled job's tasks have stopped after this time.
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(3_400);
 /// By the users' rules a configuration is in force after this time.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
 /// By the users' rules a process ends within this time after SIGTERM.
@@ -503,7 +501,8 @@
         }
         tokio::time::sleep(ENTRY_ROWS_TIME).await;
         endpoints[1].set_fault_mode(mode);
-        fixture.nodes[0].signal(Signal::SIGSTOP);
+        let owner = fixture.owner().expect("an owner");
+        fixture.nodes[owner].signal(Signal::SIGSTOP);
         let without_store = &fixture.nodes[2];
         let job = "00000000000000d1";
         let accepted = fixture.wait_until(PATH_TIMEOUT, async || {
@@ -534,7 +533,7 @@
         assert_eq!(fixture.fleet.readiness(without_store).await, 200);
         let log = without_store.log();
         assert!(!log.contains("now=Direct"), "it keeps its relay\n{log}");
-        fixture.nodes[0].signal(Signal::SIGCONT);
+        fixture.nodes[owner].signal(Signal::SIGCONT);
         fixture.assert_no_violations();
     });
 }
