--- /dev/null
+++ b/crates/domain/tests/schedule_model/fault_plan.rs
@@ -0,0 +1,283 @@
+//! Random faults, and the starts and ends of workers.
+
+use {
+    super::{
+        fleet_model::{FleetModel, WALL_MS},
+        store_model::StoreChange,
+        worker_process::{WorkerClock, WorkerProcess},
+    },
+    dotterelshore_domain::{
+        names::{CentreName, InstanceName, PoolName, WorkerName},
+        schedule::{EndReason, ListedWorker, Resources},
+    },
+    std::sync::Arc,
+};
+
+/// Instances that host workers.
+const SLOTS: u64 = 4;
+
+impl FleetModel {
+    pub(super) fn start_workers(&mut self) {
+        for slot in 0..SLOTS {
+            let name = self.new_name(slot);
+            self.start_worker(slot, &name);
+        }
+    }
+
+    fn new_name(&mut self, slot: u64) -> WorkerName {
+        let number = self.take_number();
+        WorkerName::try_from(format!("w-{slot}-{number}")).expect("a name")
+    }
+
+    /// Returns a number that was not returned before.
+    pub(super) fn take_number(&mut self) -> u64 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    /// Starts an incarnation and lists it.
+    fn start_worker(&mut self, slot: u64, name: &WorkerName) {
+        let started_ms = WALL_MS + self.now_ms;
+        let label = |text: String| Arc::from(text);
+        let listed = ListedWorker {
+            name: name.clone(),
+            started_ms,
+            instance: Some(InstanceName::try_from(format!("host-{slot}")).expect("a name")),
+            address: Arc::from(name.as_str()),
+            pool: PoolName::try_from("proofs").expect("a name"),
+            centre: CentreName::try_from("north").expect("a name"),
+            labels: vec![
+                label(format!("pair-{}", slot / 2)),
+                label(format!("rack-{slot}")),
+            ],
+            capacity: Resources {
+                cpu_milli: 64_000,
+                memory_mb: 64_000,
+                gpus: 0,
+            },
+            draining: false,
+        };
+        let clock = WorkerClock {
+            started_ms: self.now_ms,
+            offset_ms: self.draw(0..1_000_000),
+            rate: self.draw(980..1_001),
+        };
+        let life = self.take_number();
+        let process = WorkerProcess::new(listed.clone(), life, clock);
+        self.oracle
+            .note(None, format!("{name} starts as life {life}"));
+        self.workers.insert(name.clone(), process);
+        let delay_ms = self.draw(20..300);
+        self.list_later(listed, life, delay_ms);
+    }
+
+    /// Lists a worker after a delay, if it is alive then and the store serves.
+    fn list_later(&mut self, listed: ListedWorker, life: u64, delay_ms: u64) {
+        self.after(delay_ms, move |model| {
+            if !model.is_alive(&listed.name, life) {
+                return;
+            }
+            if model.is_store_out() {
+                model.list_later(listed, life, 300);
+            } else {
+                model.change_store(StoreChange::WorkerListed(listed));
+            }
+        });
+    }
+
+    /// Ends an incarnation with all that it runs.
+    fn end_worker(&mut self, name: &WorkerName) {
+        let Some(process) = self.workers.remove(name) else {
+            return;
+        };
+        for run in &process.runs {
+            let reason = EndReason::Stopped;
+            self.oracle
+                .record_end(&run.task, run.run, process.life, reason, None);
+        }
+        self.oracle.record_lapse(process.life);
+    }
+
+    fn unlist_later(&mut self, name: &WorkerName, delay_ms: u64) {
+        let name = name.clone();
+        self.after(delay_ms, move |model| {
+            if !model.workers.contains_key(&name) && model.store.workers.contains_key(&name) {
+                model.change_store(StoreChange::WorkerUnlisted(name));
+            }
+        });
+    }
+
+    /// Injects random faults from time to time.
+    pub(super) fn inject_faults(&mut self) {
+        if self.now_ms >= self.faults_until_ms {
+            return;
+        }
+        match self.draw(0..13) {
+            0 | 1 => self.fault_network(),
+            2 => self.fault_store(),
+            3 => self.crash_worker(),
+            4 => self.drain_worker(),
+            5 => self.hide_worker(),
+            6 | 7 => self.cut_worker(),
+            8 | 9 => self.stop_owner(),
+            10 => self.kill_owner(),
+            _ => self.freeze_owner(),
+        }
+        let pause_ms = self.draw(300..2_500);
+        self.after(pause_ms, Self::inject_faults);
+    }
+
+    fn fault_network(&mut self) {
+        let duration_ms = self.draw(500..4_000);
+        self.windows.network = self.now_ms + duration_ms;
+        let text = format!("fault: calls lost, late or slow for {duration_ms} ms");
+        self.oracle.record_fault(duration_ms, text);
+    }
+
+    fn fault_store(&mut self) {
+        let duration_ms = self.draw(500..3_500);
+        let is_out = self.chance(0.5);
+        let until_ms = self.now_ms + duration_ms;
+        if is_out {
+            self.windows.outage = until_ms;
+        } else {
+            self.windows.store = until_ms;
+        }
+        let text = format!("fault: store out={is_out} for {duration_ms} ms");
+        self.oracle.record_fault(duration_ms, text);
+    }
+
+    fn draw_worker(&mut self) -> (u64, WorkerName) {
+        let slot = self.draw(0..SLOTS);
+        let prefix = format!("w-{slot}-");
+        let mut names = self.workers.keys();
+        let name = names.rfind(|name| name.as_str().starts_with(&prefix));
+        (slot, name.cloned().unwrap_or_else(|| self.new_name(slot)))
+    }
+
+    /// Crashes a worker and restarts it, under its name or a new one.
+    fn crash_worker(&mut self) {
+        let (slot, name) = self.draw_worker();
+        if !self.workers.contains_key(&name) {
+            return;
+        }
+        self.end_worker(&name);
+        let (restart_ms, unlist_ms) = (self.draw(200..3_000), self.draw(800..2_500));
+        let next = if self.chance(0.5) {
+            name.clone()
+        } else {
+            self.new_name(slot)
+        };
+        let text = format!("fault: {name} crashes, restarts as {next} in {restart_ms} ms");
+        self.oracle.record_fault(restart_ms, text);
+        self.unlist_later(&name, unlist_ms);
+        self.after(restart_ms, move |model| model.start_worker(slot, &next));
+    }
+
+    /// Drains a worker, which then leaves and is replaced.
+    fn drain_worker(&mut self) {
+        let (slot, name) = self.draw_worker();
+        let Some(process) = self.workers.get_mut(&name) else {
+            return;
+        };
+        if self.store.workers.get(&name) != Some(&process.listed) || self.is_store_out() {
+            return;
+        }
+        let mut listed = self.store.workers[&name].clone();
+        listed.draining = true;
+        let life = self.workers[&name].life;
+        let (leave_ms, replace_ms) = (self.draw(500..4_000), self.draw(300..2_000));
+        let unlist_ms = self.draw(0..400);
+        let text = format!("{name} drains and leaves in {leave_ms} ms");
+        self.oracle.note(None, text);
+        self.change_store(StoreChange::WorkerListed(listed));
+        self.after(leave_ms, move |model| {
+            if !model.is_alive(&name, life) {
+                return;
+            }
+            model.end_worker(&name);
+            model.unlist_later(&name, unlist_ms);
+            let next = model.new_name(slot);
+            model.after(replace_ms, move |model| model.start_worker(slot, &next));
+        });
+    }
+
+    /// Removes a worker from the list for a while, though it is alive.
+    fn hide_worker(&mut self) {
+        let (_, name) = self.draw_worker();
+        if !self.workers.contains_key(&name) || !self.store.workers.contains_key(&name) {
+            return;
+        }
+        let listed = self.store.workers[&name].clone();
+        let duration_ms = self.draw(300..6_000);
+        let text = format!("fault: {name} is unlisted for {duration_ms} ms");
+        self.oracle.record_fault(duration_ms, text);
+        let life = self.workers[&name].life;
+        self.change_store(StoreChange::WorkerUnlisted(name));
+        self.list_later(listed, life, duration_ms);
+    }
+
+    /// Cuts a worker off for a while.
+    fn cut_worker(&mut self) {
+        let (_, name) = self.draw_worker();
+        let duration_ms = self.draw(300..7_000);
+        let text = format!("fault: {name} is cut off for {duration_ms} ms");
+        self.oracle.record_fault(duration_ms, text);
+        self.cut_until_ms.insert(name, self.now_ms + duration_ms);
+        self.end_owner_soon();
+        self.cancel_some();
+    }
+
+    /// In many cases, ends the owner while another fault lasts.
+    fn end_owner_soon(&mut self) {
+        if self.chance(0.5) {
+            let delay_ms = self.draw(300..2_500);
+            self.after(delay_ms, |model| {
+                if model.chance(0.7) {
+                    model.stop_owner();
+                } else {
+                    model.kill_owner();
+                }
+            });
+        }
+    }
+
+    /// Cancels some open jobs within the next seconds.
+    fn cancel_some(&mut self) {
+        let names: Vec<_> = self.store.jobs.keys().rev().take(8).cloned().collect();
+        for name in names {
+            if self.chance(0.25) {
+                let delay_ms = self.draw(0..2_500);
+                self.cancel_later(name, delay_ms);
+            }
+        }
+    }
+
+    fn stop_owner(&mut self) {
+        if let Some(owner) = self.current_owner() {
+            self.oracle
+                .record_fault(0, format!("fault: owner {owner} shuts down"));
+            self.shut_down(owner);
+            self.cancel_some();
+        }
+    }
+
+    fn kill_owner(&mut self) {
+        if let Some(owner) = self.current_owner() {
+            self.oracle
+                .record_fault(0, format!("fault: owner {owner} is killed"));
+            self.owners[owner].is_killed = true;
+            self.cancel_some();
+        }
+    }
+
+    fn freeze_owner(&mut self) {
+        if let Some(owner) = self.current_owner() {
+            let duration_ms = self.draw(300..6_000);
+            let text = format!("fault: owner {owner} freezes for {duration_ms} ms");
+            self.oracle.record_fault(duration_ms, text);
+            self.owners[owner].frozen_until_ms = self.now_ms + duration_ms;
+            self.cancel_some();
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -0,0 +1,195 @@
+//! The fleet and its virtual time.
+
+use {
+    super::{
+        owner_process::OwnerProcess,
+        run_oracle::RunOracle,
+        store_model::{StoreChange, StoreModel},
+        worker_calls::PendingCall,
+        worker_process::WorkerProcess,
+    },
+    dotterelshore_domain::names::WorkerName,
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::{collections::BTreeMap, ops::Range},
+};
+
+/// Wall-clock time at the start, in milliseconds since the Unix epoch.
+pub(super) const WALL_MS: u64 = 1_700_000_000_000;
+/// Start of virtual time, in milliseconds.
+const START_MS: u64 = 100_000;
+/// How long faults are injected, in milliseconds.
+const FAULT_PHASE_MS: u64 = 14_000;
+/// How long jobs are submitted after the last fault, in milliseconds.
+const QUIET_JOBS_MS: u64 = 8_000;
+/// Quiet stretch at the end, in milliseconds: calls are carried out up to 12 s late.
+const QUIET_PHASE_MS: u64 = 30_000;
+/// Time between the oracle's checks, in milliseconds.
+const CHECK_PERIOD_MS: u64 = 50;
+
+type Action = Box<dyn FnOnce(&mut FleetModel)>;
+
+/// Ends of the current faults of the network and the store, in milliseconds.
+#[derive(Debug, Default)]
+pub(super) struct FaultWindows {
+    /// Until then calls to workers are lost, late or slow.
+    pub(super) network: u64,
+    /// Until then writes to the store are lost or late, and watches slow.
+    pub(super) store: u64,
+    /// Until then the store answers nothing.
+    pub(super) outage: u64,
+}
+
+/// The fleet in virtual time.
+pub(crate) struct FleetModel {
+    pub(super) now_ms: u64,
+    pub(super) rng: StdRng,
+    actions: BTreeMap<(u64, u64), Action>,
+    sequence: u64,
+    pub(super) workers: BTreeMap<WorkerName, WorkerProcess>,
+    pub(super) cut_until_ms: BTreeMap<WorkerName, u64>,
+    pub(super) calls: BTreeMap<u64, PendingCall>,
+    pub(super) store: StoreModel,
+    pub(super) owners: Vec<OwnerProcess>,
+    pub(super) windows: FaultWindows,
+    pub(super) oracle: RunOracle,
+    pub(super) faults_until_ms: u64,
+    pub(super) jobs_until_ms: u64,
+    pub(super) jobs: u64,
+    pub(super) numbers: u64,
+}
+
+impl FleetModel {
+    /// Plays a seed.
+    pub(crate) fn play(seed: u64) -> Self {
+        let mut model = Self {
+            now_ms: START_MS,
+            rng: StdRng::seed_from_u64(seed),
+            actions: BTreeMap::new(),
+            sequence: 0,
+            workers: BTreeMap::new(),
+            cut_until_ms: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            store: StoreModel::default(),
+            owners: Vec::new(),
+            windows: FaultWindows::default(),
+            oracle: RunOracle::default(),
+            faults_until_ms: START_MS + FAULT_PHASE_MS,
+            jobs_until_ms: START_MS + FAULT_PHASE_MS + QUIET_JOBS_MS,
+            jobs: 0,
+            numbers: 0,
+        };
+        model.oracle.set_now(START_MS);
+        model.start_workers();
+        model.await_claim();
+        model.after(1_000, Self::submit_jobs);
+        model.after(2_000, Self::inject_faults);
+        model.check_periodically();
+        model.run_until(START_MS + FAULT_PHASE_MS + QUIET_PHASE_MS);
+        model.oracle.check_final();
+        model
+    }
+
+    /// Returns the first violation with its trace.
+    pub(crate) fn violation(&self) -> Option<String> {
+        self.oracle.violation()
+    }
+
+    /// Returns the whole trace.
+    pub(crate) fn trace(&self) -> Vec<String> {
+        self.oracle.trace()
+    }
+
+    fn run_until(&mut self, end_ms: u64) {
+        while let Some(((at_ms, _), action)) = self.actions.pop_first() {
+            if at_ms > end_ms {
+                return;
+            }
+            self.now_ms = at_ms;
+            self.oracle.set_now(at_ms);
+            action(self);
+        }
+    }
+
+    fn check_periodically(&mut self) {
+        self.oracle.check_cancelled();
+        self.after(CHECK_PERIOD_MS, Self::check_periodically);
+    }
+
+    /// Acts after a delay.
+    pub(super) fn after(&mut self, delay_ms: u64, action: impl FnOnce(&mut Self) + 'static) {
+        self.sequence += 1;
+        let key = (self.now_ms + delay_ms, self.sequence);
+        self.actions.insert(key, Box::new(action));
+    }
+
+    /// Acts in an owner's process after a delay: later if it is frozen then, never if it was
+    /// killed.
+    pub(super) fn after_in_owner(
+        &mut self,
+        owner: usize,
+        delay_ms: u64,
+        action: impl FnOnce(&mut Self) + 'static,
+    ) {
+        self.after(delay_ms, move |model| {
+            model.act_in_owner(owner, Box::new(action));
+        });
+    }
+
+    fn act_in_owner(&mut self, owner: usize, action: Action) {
+        let process = &self.owners[owner];
+        if process.is_killed {
+            return;
+        }
+        let frozen_ms = process.frozen_until_ms.saturating_sub(self.now_ms);
+        if frozen_ms > 0 {
+            let delay_ms = frozen_ms + self.draw(0..20);
+            self.after(delay_ms, move |model| model.act_in_owner(owner, action));
+        } else {
+            action(self);
+        }
+    }
+
+    pub(super) fn draw(&mut self, range: Range<u64>) -> u64 {
+        self.rng.random_range(range)
+    }
+
+    pub(super) fn chance(&mut self, probability: f64) -> bool {
+        self.rng.random_bool(probability)
+    }
+
+    pub(super) fn wall_ms(&self) -> u64 {
+        WALL_MS + self.now_ms
+    }
+
+    pub(super) fn is_store_out(&self) -> bool {
+        self.now_ms < self.windows.outage
+    }
+
+    /// Changes a record in the store, which the owners' watches deliver.
+    pub(super) fn change_store(&mut self, change: StoreChange) {
+        let of_jobs = matches!(
+            change,
+            StoreChange::JobAdded(_) | StoreChange::JobCancelled(_)
+        );
+        self.store.change(change);
+        for owner in 0..self.owners.len() {
+            if !self.owners[owner].is_ended {
+                let delay_ms = self.watch_delay();
+                self.after_in_owner(owner, delay_ms, move |model| {
+                    if of_jobs {
+                        model.deliver_jobs(owner);
+                    } else {
+                        model.deliver_workers(owner);
+                    }
+                });
+            }
+        }
+    }
+
+    fn watch_delay(&mut self) -> u64 {
+        let outage_ms = self.windows.outage.saturating_sub(self.now_ms);
+        let is_slow = self.now_ms < self.windows.store && self.chance(0.15);
+        let range = if is_slow { 300..2_800 } else { 2..20 };
+        outage_ms + self.draw(range)
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/schedule_model/mod.rs
@@ -0,0 +1,18 @@
+//! A fleet in virtual time: model workers, a network, a store and a succession of owners, each
+//! with a real schedule.
+
+mod fault_plan;
+mod fleet_model;
+mod job_source;
+mod owner_planning;
+mod owner_process;
+mod owner_storage;
+mod ownership;
+mod run_oracle;
+mod store_model;
+mod takeover;
+mod worker_calls;
+mod worker_process;
+mod worker_tasks;
+
+pub(crate) use fleet_model::FleetModel;
--- /dev/null
+++ b/crates/domain/tests/schedule_model/run_oracle.rs
@@ -0,0 +1,315 @@
+//! Checks what workers observe against the users' rules, and keeps the trace.
+
+use {
+    dotterelshore_domain::{
+        names::JobName,
+        schedule::{EndReason, EndedRun, JobRecord, TaskName},
+    },
+    std::{collections::BTreeMap, fmt::Write},
+};
+
+/// How long starts of a cancelled job are tolerated, in milliseconds.
+const CANCEL_BOUND_MS: u64 = 3_000;
+/// How much longer its runs are tolerated, in milliseconds.
+const STOP_BOUND_MS: u64 = 400;
+/// Time after the last fault, or a late start, from which the bounds count, in milliseconds.
+pub(super) const STABLE_WINDOW_MS: u64 = 3_000;
+
+/// A run at work.
+#[derive(Debug)]
+struct ObservedRun {
+    started_ms: u64,
+    late: bool,
+    reported: bool,
+}
+
+/// What happened to a task.
+#[derive(Debug, Default)]
+struct TaskHistory {
+    /// Each start: when, and the run.
+    starts: Vec<(u64, u32)>,
+    /// Each end `done` that may be acknowledged: the incarnation, the number, and when.
+    done: Vec<(u64, u64, u64)>,
+    /// When the task ended whose acknowledged end is `done`.
+    acknowledged_ms: Option<u64>,
+    was_done: bool,
+    failures: usize,
+}
+
+/// What is known of a job.
+#[derive(Debug)]
+struct ObservedJob {
+    record: JobRecord,
+    cancelled_ms: Option<u64>,
+}
+
+/// The rules on runs, as observed at the workers.
+#[derive(Debug, Default)]
+pub(super) struct RunOracle {
+    now_ms: u64,
+    /// End of the last fault.
+    fault_until_ms: u64,
+    at_work: BTreeMap<(TaskName, u32, u64), ObservedRun>,
+    tasks: BTreeMap<TaskName, TaskHistory>,
+    jobs: BTreeMap<JobName, ObservedJob>,
+    trace: Vec<(u64, Option<JobName>, String)>,
+    /// The first violation, with its job.
+    violation: Option<(JobName, String)>,
+}
+
+impl RunOracle {
+    pub(super) fn set_now(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+    }
+
+    pub(super) fn note(&mut self, job: Option<&JobName>, text: String) {
+        self.trace.push((self.now_ms, job.cloned(), text));
+    }
+
+    /// Notes a fault that lasts for a while.
+    pub(super) fn record_fault(&mut self, duration_ms: u64, text: String) {
+        self.fault_until_ms = self.fault_until_ms.max(self.now_ms + duration_ms);
+        self.note(None, text);
+    }
+
+    pub(super) fn record_job(&mut self, record: JobRecord) {
+        let name = record.name.clone();
+        let observed = ObservedJob {
+            record,
+            cancelled_ms: None,
+        };
+        self.jobs.insert(name.clone(), observed);
+        self.note(Some(&name), format!("job {name} stored"));
+    }
+
+    pub(super) fn record_cancel(&mut self, name: &JobName) {
+        if let Some(job) = self.jobs.get_mut(name) {
+            job.cancelled_ms = Some(self.now_ms);
+        }
+        self.note(Some(name), format!("cancellation of {name} stored"));
+    }
+
+    pub(super) fn record_start(&mut self, task: &TaskName, run: u32, life: u64, late: bool) {
+        let kind = if late { "late start" } else { "start" };
+        self.note(
+            Some(&task.job),
+            format!("{kind} of {task} run {run} at life {life}"),
+        );
+        if self.at_work.keys().any(|(other, ..)| other == task) {
+            self.fail(&task.job, format!("two runs of {task} at work"));
+        }
+        let history = self.tasks.entry(task.clone()).or_default();
+        history.starts.push((self.now_ms, run));
+        if history.acknowledged_ms.is_some() {
+            self.fail(
+                &task.job,
+                format!("{task} starts after its acknowledged end"),
+            );
+        }
+        self.check_order(task);
+        let cancelled_ms = self.jobs.get(&task.job).and_then(|job| job.cancelled_ms);
+        let bound_ms = cancelled_ms
+            .map(|at_ms| at_ms.max(self.fault_until_ms) + CANCEL_BOUND_MS.max(STABLE_WINDOW_MS));
+        if !late && bound_ms.is_some_and(|bound_ms| self.now_ms > bound_ms) {
+            self.fail(&task.job, format!("{task} starts after its cancellation"));
+        }
+        let observed = ObservedRun {
+            started_ms: self.now_ms,
+            late,
+            reported: false,
+        };
+        self.at_work.insert((task.clone(), run, life), observed);
+    }
+
+    /// Checks that the steps which a task depends on are done.
+    fn check_order(&mut self, task: &TaskName) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            self.fail(&task.job, format!("{task} is of no stored job"));
+            return;
+        };
+        let steps = &job.record.plan.steps;
+        let after = steps[usize::from(task.step)].after.iter();
+        let is_done = |step: &u16| {
+            (0..steps[usize::from(*step)].count).all(|index| {
+                let earlier = TaskName {
+                    step: *step,
+                    index,
+                    ..task.clone()
+                };
+                self.tasks
+                    .get(&earlier)
+                    .is_some_and(|history| history.was_done)
+            })
+        };
+        if !after.into_iter().all(is_done) {
+            self.fail(&task.job, format!("{task} starts before its turn"));
+        }
+    }
+
+    /// Records the end of a run; `number` is `None` if the worker does not list it.
+    pub(super) fn record_end(
+        &mut self,
+        task: &TaskName,
+        run: u32,
+        life: u64,
+        reason: EndReason,
+        number: Option<u64>,
+    ) {
+        self.note(
+            Some(&task.job),
+            format!("end of {task} run {run} at life {life}: {reason:?}, listed as {number:?}"),
+        );
+        self.at_work.remove(&(task.clone(), run, life));
+        let history = self.tasks.entry(task.clone()).or_default();
+        match (reason, number) {
+            (EndReason::Done, Some(number)) => {
+                history.was_done = true;
+                history.done.push((life, number, self.now_ms));
+            }
+            (EndReason::Failed, _) => history.failures += 1,
+            _ => {}
+        }
+    }
+
+    /// Records that a worker lost its runs, or its lease expired: earlier ends there no longer
+    /// count as acknowledged.
+    pub(super) fn record_lapse(&mut self, life: u64) {
+        for history in self.tasks.values_mut() {
+            history.done.retain(|(at_life, ..)| *at_life != life);
+        }
+    }
+
+    pub(super) fn record_acknowledged(&mut self, life: u64, end: &EndedRun) {
+        let task = &end.task;
+        self.note(
+            Some(&task.job),
+            format!("end {} of {task} acknowledged at life {life}", end.number),
+        );
+        let Some(history) = self.tasks.get_mut(task) else {
+            return;
+        };
+        let known =
+            |(at_life, number, _): &&(u64, u64, u64)| *at_life == life && *number == end.number;
+        let Some((_, _, ended_ms)) = history.done.iter().find(known).copied() else {
+            return;
+        };
+        let restarted = history.starts.iter().any(|(at_ms, _)| *at_ms > ended_ms);
+        history.acknowledged_ms = Some(ended_ms);
+        if restarted {
+            self.fail(
+                &task.job,
+                format!("{task} started after an end that counts"),
+            );
+        }
+    }
+
+    /// Checks that no run of a cancelled job is past its bound.
+    pub(super) fn check_cancelled(&mut self) {
+        let mut overdue = Vec::new();
+        for ((task, run, life), observed) in &mut self.at_work {
+            let cancelled_ms = self.jobs.get(&task.job).and_then(|job| job.cancelled_ms);
+            let Some(cancelled_ms) = cancelled_ms else {
+                continue;
+            };
+            let mut from_ms = cancelled_ms.max(self.fault_until_ms + STABLE_WINDOW_MS);
+            if observed.late {
+                from_ms = from_ms.max(observed.started_ms + STABLE_WINDOW_MS);
+            }
+            let is_overdue = self.now_ms > from_ms + CANCEL_BOUND_MS + STOP_BOUND_MS;
+            if is_overdue && !std::mem::replace(&mut observed.reported, true) {
+                overdue.push((task.clone(), *run, *life));
+            }
+        }
+        for (task, run, life) in overdue {
+            let text =
+                format!("{task} run {run} at life {life} runs on, and its job was cancelled");
+            self.fail(&task.job, text);
+        }
+    }
+
+    /// Checks the state after the quiet stretch at the end.
+    pub(super) fn check_final(&mut self) {
+        let mut faults = Vec::new();
+        for (name, job) in &self.jobs {
+            let tasks = self.tasks.range(first_task(name)..);
+            let tasks = tasks.take_while(|(task, _)| task.job == *name);
+            let attempts = job.record.attempts as usize;
+            let failed = tasks
+                .into_iter()
+                .any(|(_, history)| history.failures >= attempts);
+            let at_work = |task: &TaskName| self.at_work.keys().any(|(other, ..)| other == task);
+            let is_done = |task: &TaskName| {
+                let history = self.tasks.get(task);
+                history.is_some_and(|history| history.was_done)
+            };
+            let ended = job.cancelled_ms.is_some() || failed;
+            for (task, long_running) in tasks_of(&job.record) {
+                let fault = match (ended, long_running) {
+                    (false, true) if !at_work(&task) => "is not at work",
+                    (false, false) if !is_done(&task) => "is not done",
+                    (false, false) | (true, _) if at_work(&task) => "is at work, and its job ended",
+                    _ => continue,
+                };
+                faults.push((
+                    name.clone(),
+                    format!("{task} {fault} after the quiet stretch"),
+                ));
+            }
+        }
+        for (name, fault) in faults {
+            self.fail(&name, fault);
+        }
+    }
+
+    fn fail(&mut self, job: &JobName, text: String) {
+        self.note(Some(job), format!("VIOLATION: {text}"));
+        if self.violation.is_none() {
+            self.violation = Some((job.clone(), text));
+        }
+    }
+
+    /// Returns the whole trace, to compare two runs.
+    pub(super) fn trace(&self) -> Vec<String> {
+        let lines = self.trace.iter();
+        lines
+            .map(|(at_ms, _, text)| format!("{at_ms:>6} {text}"))
+            .collect()
+    }
+
+    /// Returns the first violation with the trace of its job, faults and owners.
+    pub(super) fn violation(&self) -> Option<String> {
+        let (job, text) = self.violation.as_ref()?;
+        let mut lines = format!("{text}\n");
+        for (at_ms, of_job, line) in &self.trace {
+            if of_job.as_ref().is_none_or(|of_job| of_job == job) {
+                writeln!(lines, "{at_ms:>6} {line}").expect("writing to a string");
+            }
+        }
+        Some(lines)
+    }
+}
+
+fn first_task(job: &JobName) -> TaskName {
+    TaskName {
+        job: job.clone(),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+/// Returns the tasks of a job, each with whether it is long-running.
+fn tasks_of(record: &JobRecord) -> Vec<(TaskName, bool)> {
+    let mut tasks = Vec::new();
+    for (number, step) in (0u16..).zip(&record.plan.steps) {
+        for index in 0..step.count {
+            let task = TaskName {
+                step: number,
+                index,
+                ..first_task(&record.name)
+            };
+            tasks.push((task, step.long_running));
+        }
+    }
+    tasks
+}
--- /dev/null
+++ b/crates/domain/tests/schedule_model/store_model.rs
@@ -0,0 +1,136 @@
+//! The platform's store, as far as the schedule depends on it.
+
+use {
+    dotterelshore_domain::{
+        names::{JobName, WorkerName},
+        schedule::{JobRecord, ListedWorker, ProgressRecord, WorkerSnapshot},
+    },
+    std::collections::BTreeMap,
+};
+
+/// A change that watches deliver.
+#[derive(Debug, Clone)]
+pub(super) enum StoreChange {
+    JobAdded(JobRecord),
+    JobCancelled(JobName),
+    WorkerListed(ListedWorker),
+    WorkerUnlisted(WorkerName),
+}
+
+/// An owner's write.
+#[derive(Debug, Clone)]
+pub(super) enum OwnerWrite {
+    Progress(Vec<(JobName, ProgressRecord)>),
+    Snapshots(Vec<WorkerSnapshot>),
+    Handover { term: u32, orphans_left_ms: u64 },
+}
+
+impl OwnerWrite {
+    /// The index of the chain in which the write is ordered.
+    fn chain(&self) -> usize {
+        usize::from(matches!(self, Self::Progress(_)))
+    }
+}
+
+/// A write on its way to the store, with the state that it expects there.
+#[derive(Debug, Clone)]
+pub(super) struct ExpectingWrite {
+    pub(super) write: OwnerWrite,
+    token: u64,
+    chain_revision: u64,
+}
+
+/// The owner's key.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OwnerKey {
+    pub(super) token: u64,
+    pub(super) lease_until_ms: u64,
+}
+
+/// The records and the log of changes.
+#[derive(Debug, Default)]
+pub(super) struct StoreModel {
+    pub(super) revision: u64,
+    pub(super) owner_key: Option<OwnerKey>,
+    pub(super) term: u32,
+    pub(super) jobs: BTreeMap<JobName, JobRecord>,
+    pub(super) cancelled: Vec<JobName>,
+    pub(super) progress: BTreeMap<JobName, ProgressRecord>,
+    pub(super) workers: BTreeMap<WorkerName, ListedWorker>,
+    pub(super) snapshots: Vec<WorkerSnapshot>,
+    pub(super) handover: Option<(u32, u64)>,
+    changes: Vec<(u64, StoreChange)>,
+    chain_revisions: [u64; 2],
+}
+
+impl StoreModel {
+    /// Applies and logs a change.
+    pub(super) fn change(&mut self, change: StoreChange) {
+        self.revision += 1;
+        match change.clone() {
+            StoreChange::JobAdded(record) => {
+                self.jobs.insert(record.name.clone(), record);
+            }
+            StoreChange::JobCancelled(job) => self.cancelled.push(job),
+            StoreChange::WorkerListed(listed) => {
+                self.workers.insert(listed.name.clone(), listed);
+            }
+            StoreChange::WorkerUnlisted(name) => {
+                self.workers.remove(&name);
+            }
+        }
+        self.changes.push((self.revision, change));
+    }
+
+    pub(super) fn changes_after(&self, revision: u64) -> Vec<StoreChange> {
+        let first = self.changes.partition_point(|(at, _)| *at <= revision);
+        let changes = self.changes[first..].iter();
+        changes.map(|(_, change)| change.clone()).collect()
+    }
+
+    /// Claims ownership and returns the fencing token.
+    pub(super) fn claim(&mut self, lease_until_ms: u64) -> u64 {
+        self.revision += 1;
+        self.term += 1;
+        self.owner_key = Some(OwnerKey {
+            token: self.revision,
+            lease_until_ms,
+        });
+        self.revision
+    }
+
+    pub(super) fn is_owner(&self, token: u64) -> bool {
+        self.owner_key.is_some_and(|key| key.token == token)
+    }
+
+    /// Adds to a write what it expects to find.
+    pub(super) fn expect(&self, write: OwnerWrite, token: u64) -> ExpectingWrite {
+        ExpectingWrite {
+            token,
+            chain_revision: self.chain_revisions[write.chain()],
+            write,
+        }
+    }
+
+    /// Applies an owner's write if it finds what it expects, and returns whether it did.
+    pub(super) fn apply(&mut self, expecting: ExpectingWrite) -> bool {
+        let chain_revision = &mut self.chain_revisions[expecting.write.chain()];
+        let is_owner = self
+            .owner_key
+            .is_some_and(|key| key.token == expecting.token);
+        if !is_owner || *chain_revision != expecting.chain_revision {
+            return false;
+        }
+        self.revision += 1;
+        *chain_revision = self.revision;
+        match expecting.write {
+            OwnerWrite::Progress(records) => self.progress.extend(records),
+            OwnerWrite::Snapshots(snapshots) => self.snapshots = snapshots,
+            OwnerWrite::Handover {
+                term,
+                orphans_left_ms,
+            } => self.handover = Some((term, orphans_left_ms)),
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -0,0 +1,310 @@
+//! The owner's two tasks of each worker: one polls its lists, one sends orders.
+
+use {
+    super::{
+        fleet_model::FleetModel,
+        owner_process::WorkerTasks,
+        worker_calls::{PendingCall, WorkerAnswer, WorkerRequest},
+    },
+    dotterelshore_domain::{
+        names::WorkerName,
+        schedule::{StartOrder, StartRefusal, StartReply, WorkerOrder, WorkerReport},
+    },
+    std::collections::VecDeque,
+};
+
+/// Lease of a worker's runs, in milliseconds.
+pub(super) const WORKER_LEASE_MS: u64 = 3_600;
+/// How long a poll waits for a run to end, in milliseconds.
+const POLL_WAIT_MS: u64 = 1_500;
+/// How long a poll waits while a long-running task starts, in milliseconds.
+const STARTING_POLL_WAIT_MS: u64 = 250;
+/// Pause after a poll, in milliseconds.
+const POLL_PAUSE_MS: u64 = 35;
+/// Pause after a failed poll, and while authority is missing, in milliseconds.
+const POLL_RETRY_PAUSE_MS: u64 = 200;
+
+impl FleetModel {
+    /// Starts the tasks of a worker, unless they already run.
+    pub(super) fn start_worker_tasks(
+        &mut self,
+        owner: usize,
+        worker: &WorkerName,
+        started_ms: u64,
+    ) {
+        if self.owners[owner].tasks.contains_key(worker) {
+            return;
+        }
+        let number = self.take_number();
+        let tasks = WorkerTasks {
+            number,
+            orders: VecDeque::new(),
+            is_sending: false,
+            reading: None,
+            is_unreachable: false,
+            started_ms,
+        };
+        self.owners[owner].tasks.insert(worker.clone(), tasks);
+        self.poll_after(owner, worker, number, 0);
+    }
+
+    fn poll_after(&mut self, owner: usize, worker: &WorkerName, number: u64, delay_ms: u64) {
+        let worker = worker.clone();
+        self.after_in_owner(owner, delay_ms, move |model| {
+            model.poll(owner, &worker, number);
+        });
+    }
+
+    fn poll(&mut self, owner: usize, worker: &WorkerName, number: u64) {
+        let now_ms = self.now_ms;
+        let process = &mut self.owners[owner];
+        let tasks = process.tasks.get_mut(worker);
+        let Some(tasks) = tasks.filter(|tasks| tasks.number == number) else {
+            return;
+        };
+        if process.is_ended {
+            return;
+        }
+        if now_ms >= process.authority_until_ms {
+            self.poll_after(owner, worker, number, POLL_RETRY_PAUSE_MS);
+            return;
+        }
+        let Some(status) = process.schedule.worker(worker) else {
+            process.tasks.remove(worker);
+            return;
+        };
+        if tasks.started_ms != status.listed.started_ms {
+            tasks.started_ms = status.listed.started_ms;
+            tasks.reading = None;
+        }
+        let is_unreachable = tasks.is_unreachable;
+        let lease_until_ms = self.lease_until(owner, worker);
+        let schedule = &mut self.owners[owner].schedule;
+        let lease_until_ms =
+            lease_until_ms.filter(|_| !is_unreachable && schedule.renew_lease(worker, now_ms));
+        let wait_ms = if schedule.has_unready_task(worker) {
+            STARTING_POLL_WAIT_MS
+        } else {
+            POLL_WAIT_MS
+        };
+        let request = WorkerRequest::Poll {
+            lease_until_ms,
+            acknowledged_end: schedule.acknowledged_end(worker),
+            wait_ms: lease_until_ms.map(|_| wait_ms),
+        };
+        self.send_call(owner, worker, number, request);
+    }
+
+    /// Returns the end of a lease that begins now, on the worker's clock.
+    fn lease_until(&self, owner: usize, worker: &WorkerName) -> Option<u64> {
+        let tasks = self.owners[owner].tasks.get(worker)?;
+        let (clock_ms, at_ms) = tasks.reading?;
+        Some(clock_ms + (self.now_ms - at_ms) + WORKER_LEASE_MS)
+    }
+
+    /// Closes a call with an answer, unless that has been done.
+    pub(super) fn close_call(&mut self, id: u64, answer: WorkerAnswer) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let (owner, worker, number) = (call.owner, call.worker.clone(), call.tasks);
+        if matches!(call.request, WorkerRequest::Poll { .. }) {
+            let pause_ms = self.apply_poll_answer(&call, answer);
+            self.poll_after(owner, &worker, number, pause_ms);
+            return;
+        }
+        self.apply_order_answer(&call, &answer);
+        let tasks = self.owners[owner].tasks.get_mut(&worker);
+        if let Some(tasks) = tasks.filter(|tasks| tasks.number == number) {
+            tasks.is_sending = false;
+            self.send_orders(owner, &worker);
+        }
+    }
+
+    /// Applies the answer to a poll and returns the pause until the next one.
+    fn apply_poll_answer(&mut self, call: &PendingCall, answer: WorkerAnswer) -> u64 {
+        let (owner, worker, now_ms) = (call.owner, &call.worker, self.now_ms);
+        match answer {
+            WorkerAnswer::Lists(report) => {
+                let first = matches!(call.request, WorkerRequest::Poll { wait_ms: None, .. });
+                self.apply_lists(owner, worker, call.tasks, &report, first);
+                return POLL_PAUSE_MS;
+            }
+            WorkerAnswer::Fenced => self.mark_fenced(owner, call.token),
+            _ => {
+                let process = &mut self.owners[owner];
+                process.schedule.mark_unreachable(worker);
+                let tasks = process.tasks.get_mut(worker);
+                if let Some(tasks) = tasks.filter(|tasks| tasks.number == call.tasks)
+                    && !std::mem::replace(&mut tasks.is_unreachable, true)
+                {
+                    let text = format!("owner {owner} finds {worker} silent at {now_ms}");
+                    self.oracle.note(None, text);
+                }
+            }
+        }
+        POLL_RETRY_PAUSE_MS
+    }
+
+    fn apply_lists(
+        &mut self,
+        owner: usize,
+        worker: &WorkerName,
+        number: u64,
+        report: &WorkerReport,
+        first: bool,
+    ) {
+        let (now_ms, wall_ms) = (self.now_ms, self.wall_ms());
+        let process = &mut self.owners[owner];
+        let tasks = process.tasks.get_mut(worker);
+        if let Some(tasks) = tasks.filter(|tasks| tasks.number == number) {
+            tasks.is_unreachable = false;
+            tasks.reading = Some((report.clock_ms, now_ms));
+        }
+        let orders = process
+            .schedule
+            .apply_report(worker, report, now_ms, wall_ms);
+        self.dispatch(owner, orders);
+        if !report.finished.is_empty() {
+            self.notify_recorder(owner);
+            self.notify_planner(owner);
+        } else if first {
+            self.notify_planner(owner);
+        }
+    }
+
+    fn apply_order_answer(&mut self, call: &PendingCall, answer: &WorkerAnswer) {
+        let owner = call.owner;
+        match &call.request {
+            WorkerRequest::Start { order, .. } => {
+                let reply = match answer {
+                    WorkerAnswer::Start(reply) => *reply,
+                    _ => StartReply::Unknown,
+                };
+                self.apply_start_reply(owner, order, reply);
+            }
+            WorkerRequest::Stop(order) => {
+                if let WorkerAnswer::Stopped(clock_ms) = answer {
+                    self.owners[owner].schedule.confirm_stop(order, *clock_ms);
+                }
+            }
+            WorkerRequest::Poll { .. } => {}
+        }
+    }
+
+    fn apply_start_reply(&mut self, owner: usize, order: &StartOrder, reply: StartReply) {
+        let now_ms = self.now_ms;
+        if reply == StartReply::Refused(StartRefusal::Fenced) {
+            let token = self.owners[owner].token;
+            self.mark_fenced(owner, token);
+        }
+        let text = format!(
+            "owner {owner}: start of {} run {} at {}: {reply:?}",
+            order.task, order.run, order.worker
+        );
+        self.oracle.note(Some(&order.task.job), text);
+        self.owners[owner].schedule.apply_start_reply(
+            &order.worker,
+            &order.task,
+            order.run,
+            reply,
+            now_ms,
+        );
+        if matches!(reply, StartReply::Refused(_)) {
+            self.notify_planner(owner);
+        }
+    }
+
+    /// Puts orders into the queues of their workers.
+    pub(super) fn dispatch(&mut self, owner: usize, orders: Vec<WorkerOrder>) {
+        for order in orders {
+            let worker = order.worker().clone();
+            let (kind, job, text) = match &order {
+                WorkerOrder::Start(order) => (
+                    "start",
+                    &order.task.job,
+                    format!("{} run {}", order.task, order.run),
+                ),
+                WorkerOrder::Stop(order) => (
+                    "stop",
+                    &order.task.job,
+                    format!("{} run {}", order.task, order.run),
+                ),
+                WorkerOrder::Pace(..) => continue,
+            };
+            let tasks = self.owners[owner].tasks.get_mut(&worker);
+            let queued = tasks.as_ref().map(|tasks| tasks.orders.len());
+            let text =
+                format!("owner {owner} orders {kind} of {text} at {worker}, queue {queued:?}");
+            self.oracle.note(Some(job), text);
+            if let Some(tasks) = tasks {
+                tasks.orders.push_back(order);
+                self.send_orders(owner, &worker);
+            }
+        }
+    }
+
+    /// Sends the next order of a worker's queue, unless one is under way.
+    fn send_orders(&mut self, owner: usize, worker: &WorkerName) {
+        loop {
+            let process = &mut self.owners[owner];
+            let Some(tasks) = process.tasks.get_mut(worker) else {
+                return;
+            };
+            if tasks.is_sending {
+                return;
+            }
+            let number = tasks.number;
+            let Some(order) = tasks.orders.pop_front() else {
+                return;
+            };
+            let Some(status) = process.schedule.worker(worker) else {
+                continue;
+            };
+            let reachable = status.reachable;
+            let request = match order {
+                WorkerOrder::Start(order) => self.prepare_start(owner, order, reachable),
+                WorkerOrder::Stop(order) => {
+                    let has_authority = process.has_authority(self.now_ms);
+                    has_authority.then_some(WorkerRequest::Stop(order))
+                }
+                WorkerOrder::Pace(..) => None,
+            };
+            if let Some(request) = request {
+                if let Some(tasks) = self.owners[owner].tasks.get_mut(worker) {
+                    tasks.is_sending = true;
+                }
+                self.send_call(owner, worker, number, request);
+                return;
+            }
+        }
+    }
+
+    /// Checks a start order right before it is sent.
+    fn prepare_start(
+        &mut self,
+        owner: usize,
+        order: StartOrder,
+        reachable: bool,
+    ) -> Option<WorkerRequest> {
+        let now_ms = self.now_ms;
+        if !self.owners[owner].schedule.is_start_pending(&order) {
+            return None;
+        }
+        let lease_until_ms = self.lease_until(owner, &order.worker);
+        let process = &mut self.owners[owner];
+        if let Some(lease_until_ms) = lease_until_ms
+            && reachable
+            && process.has_authority(now_ms)
+            && process.schedule.renew_lease(&order.worker, now_ms)
+        {
+            return Some(WorkerRequest::Start {
+                order,
+                lease_until_ms,
+            });
+        }
+        let reply = StartReply::Refused(StartRefusal::Late);
+        self.apply_start_reply(owner, &order, reply);
+        None
+    }
+}
