--- a/crates/domain/tests/schedule_model/fleet_model.rs
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -10,7 +10,10 @@
     },
     dotterelshore_domain::names::WorkerName,
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeMap, ops::Range},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        ops::Range,
+    },
 };
 
 /// Wall-clock time at the start, in milliseconds since the Unix epoch.
@@ -66,6 +69,8 @@
     pub(super) oracle: RunOracle,
     pub(super) faults_until_ms: u64,
     pub(super) jobs_until_ms: u64,
+    /// Workers that answer and get no tasks, each with the time since when.
+    held_back: BTreeMap<WorkerName, u64>,
     pub(super) jobs: u64,
     pub(super) numbers: u64,
 }
@@ -88,6 +93,7 @@
             oracle: RunOracle::new(profile.stable_window_ms),
             faults_until_ms: START_MS + FAULT_PHASE_MS,
             jobs_until_ms: START_MS + FAULT_PHASE_MS + QUIET_JOBS_MS,
+            held_back: BTreeMap::new(),
             jobs: 0,
             numbers: 0,
         };
@@ -125,9 +131,27 @@
 
     fn check_periodically(&mut self) {
         self.oracle.check_cancelled();
+        self.check_held_back();
         self.after(CHECK_PERIOD_MS, Self::check_periodically);
     }
 
+    /// Checks that no worker that answers is held back as unreachable for long.
+    fn check_held_back(&mut self) {
+        let process = self.current_owner().map(|owner| &self.owners[owner]);
+        let workers = process
+            .into_iter()
+            .flat_map(|process| process.schedule.workers());
+        let held_back = workers
+            .filter(|status| status.present && status.reported && status.reachable)
+            .filter(|status| status.recorded_unreachable);
+        let held_back: BTreeSet<_> = held_back.map(|status| status.listed.name.clone()).collect();
+        self.held_back.retain(|name, _| held_back.contains(name));
+        for name in held_back {
+            let since_ms = *self.held_back.entry(name.clone()).or_insert(self.now_ms);
+            self.oracle.check_held_back(&name, since_ms);
+        }
+    }
+
     /// Acts after a delay.
     pub(super) fn after(&mut self, delay_ms: u64, action: impl FnOnce(&mut Self) + 'static) {
         self.sequence += 1;
--- a/crates/domain/tests/schedule_model/owner_storage.rs
+++ b/crates/domain/tests/schedule_model/owner_storage.rs
@@ -202,8 +202,13 @@
         then: impl FnOnce(&mut Self, bool) + 'static,
     ) {
         self.owners[owner].schedule.begin_snapshot_write(&snapshots);
+        let unreachable = snapshots.iter().filter(|row| row.unreachable.is_some());
+        let unreachable: Vec<_> = unreachable.map(|row| row.listed.name.to_string()).collect();
         let write = OwnerWrite::Snapshots(snapshots.clone());
         self.commit(owner, write, move |model, stored| {
+            let text =
+                format!("owner {owner} stores snapshots, unreachable {unreachable:?}: {stored}");
+            model.oracle.note(None, text);
             if stored {
                 let schedule = &mut model.owners[owner].schedule;
                 schedule.finish_snapshot_write(&snapshots);
--- a/crates/domain/tests/schedule_model/run_oracle.rs
+++ b/crates/domain/tests/schedule_model/run_oracle.rs
@@ -2,7 +2,7 @@
 
 use {
     dotterelshore_domain::{
-        names::JobName,
+        names::{JobName, WorkerName},
         schedule::{EndReason, EndedRun, JobRecord, TaskName},
     },
     std::{collections::BTreeMap, fmt::Write},
@@ -15,6 +15,8 @@
 /// Time after a fault from which no lease expires, in milliseconds: the bound of the rules and a
 /// worker's lease.
 const LEASE_BOUND_MS: u64 = 3_000 + 4_000;
+/// Longest time that a worker which answers gets no tasks without a fault, in milliseconds.
+const HELD_BACK_BOUND_MS: u64 = 3_000;
 /// Time after a late start from which the bounds count, in milliseconds.
 const LATE_START_WINDOW_MS: u64 = 3_000;
 
@@ -58,8 +60,8 @@
     tasks: BTreeMap<TaskName, TaskHistory>,
     jobs: BTreeMap<JobName, ObservedJob>,
     trace: Vec<(u64, Option<JobName>, String)>,
-    /// The first violation, with its job.
-    violation: Option<(JobName, String)>,
+    /// The first violation, with its job if it is of one.
+    violation: Option<(Option<JobName>, String)>,
 }
 
 impl RunOracle {
@@ -278,10 +280,19 @@
         }
     }
 
+    /// Checks a worker that answers and gets no tasks.
+    pub(super) fn check_held_back(&mut self, worker: &WorkerName, since_ms: u64) {
+        let since_ms = since_ms.max(self.fault_until_ms);
+        if self.now_ms > since_ms + HELD_BACK_BOUND_MS && self.violation.is_none() {
+            let text = format!("{worker} answers, and is held back as unreachable");
+            self.violation = Some((None, text));
+        }
+    }
+
     fn fail(&mut self, job: &JobName, text: String) {
         self.note(Some(job), format!("VIOLATION: {text}"));
         if self.violation.is_none() {
-            self.violation = Some((job.clone(), text));
+            self.violation = Some((Some(job.clone()), text));
         }
     }
 
@@ -298,7 +309,10 @@
         let (job, text) = self.violation.as_ref()?;
         let mut lines = format!("{text}\n");
         for (at_ms, of_job, line) in &self.trace {
-            if of_job.as_ref().is_none_or(|of_job| of_job == job) {
+            if of_job
+                .as_ref()
+                .is_none_or(|of_job| Some(of_job) == job.as_ref())
+            {
                 writeln!(lines, "{at_ms:>6} {line}").expect("writing to a string");
             }
         }
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -53,6 +53,7 @@
     rules_hold_under_late_orders(LATE_ORDERS, 1, 15);
     run_restored_after_its_cancellation_ends(MIXED_FAULTS, 287, 287);
     stop_is_sent_in_time_among_late_orders(LATE_ORDERS, 139, 139);
+    worker_gets_tasks_after_a_failed_snapshot_write(LATE_ORDERS_AND_FAULTS, 278, 278);
     task_started_at_an_unnoticed_incarnation_runs_once(MIXED_FAULTS, 220, 220);
 }
 
--- /dev/null
+++ b/crates/domain/tests/snapshot_handover_test.rs
@@ -0,0 +1,106 @@
+//! Tests of worker snapshots that an owner leaves while its progress is not recorded.
+
+mod samples;
+
+use {
+    dotterelshore_domain::{
+        names::WorkerName,
+        schedule::{
+            EndReason, EndedRun, FleetSchedule, OrderRule, Resources, StartOrder, StartReply,
+            StepPlan, WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    std::sync::Arc,
+};
+
+const LEASE_MS: u64 = 3_600;
+const ORPHANS_MS: u64 = 6_000;
+
+fn starts(schedule: &mut FleetSchedule) -> Vec<StartOrder> {
+    let orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX).into_iter();
+    let starts = orders.filter_map(|order| match order {
+        WorkerOrder::Start(start) => Some(start),
+        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
+    });
+    starts.collect()
+}
+
+/// A task is done on a worker that then falls silent, and the owner leaves. The next owner must
+/// not start it again while the worker may still list that end.
+fn done_task_is_not_restarted(recorded: bool) {
+    let step = StepPlan {
+        count: 1,
+        need: Resources {
+            cpu_milli: 1_000,
+            memory_mb: 100,
+            gpus: 0,
+        },
+        estimate_ms: 500,
+        ..StepPlan::default()
+    };
+    let later = StepPlan {
+        after: vec![0],
+        ..step.clone()
+    };
+    let mut record = sample_job("j-1", step);
+    record.plan.steps.push(later);
+    let worker = WorkerName::try_from("w-1").expect("a name");
+    let mut earlier = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    earlier.upsert_worker(sample_worker("w-1", 8_000));
+    earlier.apply_report(&worker, &WorkerReport::default(), NOW_MS, WALL_MS);
+    earlier.add_job(record.clone(), None, 0, NOW_MS, WALL_MS);
+    let started = starts(&mut earlier);
+    let [order] = &*started else {
+        panic!("one start, not {started:?}");
+    };
+    assert!(earlier.renew_lease(&worker, NOW_MS), "a lease");
+    let reply = StartReply::Started { clock_ms: 10 };
+    earlier.apply_start_reply(&worker, &order.task, order.run, reply, NOW_MS);
+    let end = EndedRun {
+        number: 1,
+        task: order.task.clone(),
+        run: order.run,
+        reason: EndReason::Done,
+        checkpoint: Arc::from(""),
+    };
+    let report = WorkerReport {
+        clock_ms: 500,
+        finished: vec![end],
+        ..WorkerReport::default()
+    };
+    earlier.apply_report(&worker, &report, NOW_MS, WALL_MS);
+    let batch = earlier.take_progress_batch();
+    let progress = batch.records.first().map(|(_, progress)| progress);
+    earlier.mark_unreachable(&worker);
+    let snapshots = earlier.worker_snapshots(NOW_MS);
+
+    let mut next = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + ORPHANS_MS);
+    next.add_job(
+        record,
+        progress.filter(|_| recorded),
+        1_000,
+        NOW_MS,
+        WALL_MS,
+    );
+    for snapshot in snapshots {
+        next.restore_worker(snapshot, NOW_MS);
+    }
+    for name in ["w-1", "w-2"] {
+        next.upsert_worker(sample_worker(name, 8_000));
+    }
+    let other = WorkerName::try_from("w-2").expect("a name");
+    next.apply_report(&other, &WorkerReport::default(), NOW_MS, WALL_MS);
+    let again = starts(&mut next);
+    assert!(
+        again.iter().all(|start| start.task != order.task),
+        "{} starts again though the silent worker lists its end",
+        order.task
+    );
+}
+
+named_cases! { done_task_is_not_restarted:
+    recorded_task_is_not_restarted(true);
+    unrecorded_task_is_not_restarted(false);
+}
