Record no runs of a silent worker before its listed ends are recorded

A task could run twice after a takeover while writes were lost: an owner had applied an end that a worker listed, could not record it, and recorded the worker as silent with the runs that were left. The next owner knew neither the end nor the run, counted the worker as fully known, and started the task again.

Change: until the ends that a silent worker listed are recorded, its runs count as unknown to the next owner, which holds back the jobs of its pool.

Evidence: unrecorded_task_is_not_restarted failed before ("j-1.0.0.0 starts again though the silent worker lists its end") and passes; recorded_task_is_not_restarted passes before and after.

--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -218,9 +218,10 @@
         !self.reported && !self.runs_known && now_ms <= self.lease_until_ms
     }
 
-    /// Whether it does not answer and has no other runs than those known.
+    /// Whether it does not answer, has no other runs than those known, and has listed no end that
+    /// is not recorded: the next owner would start its task again.
     pub(super) fn is_silent_with_known_runs(&self, now_ms: u64) -> bool {
-        !self.reachable && !self.may_have_orphans(now_ms)
+        !self.reachable && !self.may_have_orphans(now_ms) && self.applied_end <= self.recorded_end
     }
 
     /// Records the outcome of a run that was not stopped. Consecutive failures eject the
