--- a/crates/scheduler/tests/cancel_test.rs
+++ b/crates/scheduler/tests/cancel_test.rs
@@ -1,12 +1,14 @@
 //! End-to-end tests of cancellations around the end of an owner, with workers that do not answer
 //! or execute orders late.
 
+mod cancel_rule;
 mod fixture;
 
 use {
+    cancel_rule::CANCEL_TIMEOUT,
     dotterelshore_emulator::WorkerFaultMode,
     dotterelshore_testkit::named_cases,
-    fixture::{CANCEL_TIMEOUT, FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
+    fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
     nix::sys::signal::Signal,
     serde_json::Value,
     std::time::Duration,
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -1,12 +1,14 @@
 //! End-to-end tests of scheduler processes on an emulated platform, over real sockets.
 
+mod cancel_rule;
 mod fixture;
 
 use {
     bytes::Bytes,
+    cancel_rule::CANCEL_TIMEOUT,
     dotterelshore_emulator::{SchedulerProcess, StoreFaultMode},
     dotterelshore_testkit::named_cases,
-    fixture::{CANCEL_TIMEOUT, FleetFixture, long_running, program, run_test, two_steps},
+    fixture::{FleetFixture, long_running, program, run_test, two_steps},
     hyper::Method,
     nix::sys::signal::Signal,
     serde_json::json,
--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -4,12 +4,14 @@
 //! To run other seeds: `DOTTERELSHORE_SOAK_SEEDS=100-149 cargo test -p dotterelshore-scheduler
 //! --test soak_test -- --ignored`.
 
+mod cancel_rule;
 mod fixture;
 
 use {
+    cancel_rule::CANCEL_TIMEOUT,
     dotterelshore_emulator::{StoreFaultMode, WorkerFaultMode},
     dotterelshore_testkit::named_cases,
-    fixture::{CANCEL_TIMEOUT, FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
+    fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
     nix::sys::signal::Signal,
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::time::{Duration, Instant},
