--- a/crates/domain/tests/schedule_model/owner_storage.rs
+++ b/crates/domain/tests/schedule_model/owner_storage.rs
@@ -168,9 +168,7 @@
         state.is_busy = true;
         self.store_snapshots(owner, snapshots.clone(), move |model, stored| {
             let pause_ms = if stored { 0 } else { SNAPSHOT_RETRY_MS };
-            if stored {
-                model.owners[owner].snapshots.stored = Some(names);
-            }
+            model.owners[owner].snapshots.stored = stored.then_some(names);
             model.after_in_owner(owner, pause_ms, move |model| {
                 model.start_stored_workers(owner, &snapshots);
                 let state = &mut model.owners[owner].snapshots;
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -114,6 +114,9 @@
             match store_worker_snapshots(&node, &leadership, &snapshots).await {
                 Ok(()) => stored = Some(names),
                 Err(error) => {
+                    // The workers that it lists as unreachable are held back until another one
+                    // is stored, whether or not the list changes.
+                    stored = None;
                     node.metrics.count_retry("roster");
                     log_event!(Warn, "worker-snapshots-not-stored", error = error);
                     tokio::time::sleep(SNAPSHOT_RETRY_PAUSE).await;
