Entry: stop an adopted task whose cancellation is recorded already

What callers saw: a cancellation is acknowledged while the entry that supervises the job is down; another entry adopts the job and the task runs on until its own end.

Cause: a cancelled task is fenced only on the notification, which the entry that records the cancellation sends once, to the owner of that moment. The entry that adopts the job reads a record that requests the cancellation, and renews the lease all the same.

Before, at a lease of 3 s, 20 s after the platform listed the owner as removed (a trial with these two durations):

the task of a cancelled job runs on after 20s: JobReport { job: alpha:long, state: Running(RunPlace { worker: proofs-batch-0, entry: EntryStamp { name: entry-east-0, .. } }), attempts: 0, cancel_requested: true }

The task that watches an epoch now takes the request from the record that it starts with, and fences from its first call on. A job that is handed over, and one that is read again after a refused write, take the same path.

--- a/crates/entry/src/jobs/job_run.rs
+++ b/crates/entry/src/jobs/job_run.rs
@@ -125,7 +125,7 @@
     };
     let run = worker_run(&started, grant.endpoint().address.clone(), &place);
     let outcome = match run.start(node, &started).await {
-        StartResult::Sent => watch_task(node, &run, &place.worker, cancel_signal).await,
+        StartResult::Sent => watch_task(node, &started, &run, &place.worker, cancel_signal).await,
         StartResult::Refused => {
             grant.record_outcome(TargetOutcome::Full);
             EpochOutcome::NotStarted
@@ -166,7 +166,7 @@
     };
     let worker = node.fleet.instance(&place.worker).ok_or_else(unknown)?;
     let run = worker_run(record, worker.record.address, place);
-    let outcome = match watch_task(node, &run, &place.worker, cancel_signal).await {
+    let outcome = match watch_task(node, record, &run, &place.worker, cancel_signal).await {
         EpochOutcome::EntryLeaving => {
             return Err(Refusal::not_run(
                 ResultCode::EntryLeaving,
@@ -192,6 +192,7 @@
 /// A cancelled task is fenced instead of renewed.
 async fn watch_task(
     node: &EntryNode,
+    record: &JobRecord,
     run: &WorkerRun,
     worker: &InstanceName,
     cancel_signal: &Notify,
@@ -199,7 +200,8 @@
     let pause_max = node.settings.task_lease / 3;
     let mut pause = RENEWAL_PAUSE_INITIAL;
     let mut shutting_down = node.shutting_down.subscribe();
-    let mut fencing = false;
+    // The previous owner may have ended before it fenced a cancelled task.
+    let mut fencing = record.cancel_requested;
     loop {
         let report = if fencing {
             run.fence(node).await
