Entry: stop a cancelled task although its owner was not notified

What callers saw: a cancellation is acknowledged and the task runs on until its own end.

Cause: the entry that records a cancellation notifies the job's owner once and waits at most 500 ms. The owner reads the record only when it changes it, and goes on renewing the lease. A notification is lost with the peer call or its connection, and when it reaches a successor between its read of the record and the registration of the job.

Before, with the links between the owner and the other entries cut, at a lease of 3 s, 20 s after the acknowledgement (a trial with these two durations):

the task of a cancelled job runs on after 20s: JobReport { job: alpha:long, state: Running(RunPlace { worker: proofs-batch-0, entry: EntryStamp { name: entry-east-0, .. } }), attempts: 0, cancel_requested: true }

The owner now also reads the record of a job that it watches every 2 s, within 10 %, whether it started, adopted or was handed the job, so that a lost notification only delays the stop. Once it knows, it fences at the initial interval of 15 ms, doubling, instead of up to a third of the lease later; a fence that is lost is repeated sooner too, and the end is recorded sooner.

Ten running jobs cost 100 reads in 20 s, 0.5 a second each; a job that runs for less than 1.8 s costs none.

--- a/crates/entry/src/jobs/job_run.rs
+++ b/crates/entry/src/jobs/job_run.rs
@@ -13,7 +13,7 @@
     dotterelshore_domain::{
         codes::{Refusal, ResultCode},
         job::{JobRecord, JobState, RunPlace},
-        names::InstanceName,
+        names::{InstanceName, JobName},
         table::TargetKind,
     },
     dotterelshore_wire::{
@@ -22,19 +22,22 @@
         peer_message::PeerCall,
         store_client::UpdateDecision,
         target_message::{TaskReport, TaskState},
-        timer_hub::jittered_pause,
+        timer_hub::{jittered_pause, jittered_period},
     },
-    std::{sync::Arc, time::Duration},
+    std::{pin::pin, sync::Arc, time::Duration},
     tokio::sync::Notify,
 };
 
-/// Initial interval between lease renewals; it doubles up to a third of the lease.
+/// Initial interval between lease renewals, or fences; it doubles up to a third of the lease.
 const RENEWAL_PAUSE_INITIAL: Duration = Duration::from_millis(15);
 /// Pause between store retries; it doubles from the initial to the maximum value.
 const STORE_PAUSE_INITIAL: Duration = Duration::from_millis(50);
 const STORE_PAUSE_MAX: Duration = Duration::from_secs(3);
 /// Pause after a job could not be started.
 const START_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Interval between reads of the record of a running job, which show a cancellation whose
+/// notification was lost.
+const RECORD_CHECK_PERIOD: Duration = Duration::from_secs(2);
 /// Longest wait for a peer to acknowledge a handover.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -200,6 +203,7 @@
     let pause_max = node.settings.task_lease / 3;
     let mut pause = RENEWAL_PAUSE_INITIAL;
     let mut shutting_down = node.shutting_down.subscribe();
+    let mut cancelled = pin!(await_cancellation(node, &record.name, cancel_signal));
     // The previous owner may have ended before it fenced a cancelled task.
     let mut fencing = record.cancel_requested;
     loop {
@@ -235,13 +239,35 @@
         }
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            () = cancel_signal.notified() => fencing = true,
+            () = &mut cancelled, if !fencing => {
+                fencing = true;
+                pause = RENEWAL_PAUSE_INITIAL;
+            }
             _ = shutting_down.wait_for(|shutting_down| *shutting_down) => return EpochOutcome::EntryLeaving,
         }
         pause = pause_max.min(pause * 2);
     }
 }
 
+/// Waits until a running job's cancellation is notified, or found in its record.
+async fn await_cancellation(node: &EntryNode, job: &JobName, cancel_signal: &Notify) {
+    loop {
+        let pause = jittered_period(RECORD_CHECK_PERIOD);
+        if tokio::time::timeout(pause, cancel_signal.notified())
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        if let Ok(Some(read)) = node.store.get::<JobRecord>(&job_key(job)).await
+            && read.value.cancel_requested
+        {
+            log_event!(Info, "cancellation-found", job = job);
+            return;
+        }
+    }
+}
+
 /// Records the outcome of an epoch, and retries while the store is unavailable.
 async fn record_epoch_outcome(
     node: &EntryNode,
--- a/crates/load/tests/cancellation_test.rs
+++ b/crates/load/tests/cancellation_test.rs
@@ -29,6 +29,8 @@
 /// Why the owner does not receive the notification.
 #[derive(Debug, Clone, Copy)]
 enum NotificationFault {
+    /// Its links to the other entries are cut, and stay cut.
+    OwnerPartitioned,
     /// It was killed; the platform lists it as removed after the cancellation.
     OwnerKilled,
 }
@@ -123,6 +125,10 @@
 ) {
     let other = deployment.entry_address(OTHER).to_string();
     match fault {
+        NotificationFault::OwnerPartitioned => {
+            deployment.set_partitioned(&[OWNER], &[OTHER, 2], true);
+            caller.cancel(&other).await;
+        }
         NotificationFault::OwnerKilled => {
             let cancel = async {
                 tokio::time::sleep(Duration::from_millis(100)).await;
@@ -164,5 +170,6 @@
 }
 
 named_cases! { assert_cancelled_task_stops:
+    task_stops_if_owner_misses_cancellation(NotificationFault::OwnerPartitioned);
     task_stops_if_owner_is_killed_before_cancellation(NotificationFault::OwnerKilled);
 }
