Entry: start a handed job whose successor was not notified

What callers saw: an accepted job never ends. The entry that supervises it leaves and its record names another entry, but no entry runs its task: the worker's lease lapses, and the record stays as it is. By the code, a cancellation of such a job is acknowledged and has no effect either (not run).

Cause: the entry that leaves makes another one the owner, and notifies it once. If the call is lost (the test's case), the successor fails to read the record, or the leaving entry is killed in between, nobody looks again: a takeover adopts only jobs whose owner is the removed entry.

Before, with the links between the owner and the other entries cut when it left, a task of 6 s and the owner listed as removed at its exit:

no entry supervises the job after 20s: JobReport { job: alpha:handed, state: Running(RunPlace { worker: proofs-batch-0, entry: EntryStamp { name: entry-east-0, .. } }), attempts: 0, cancel_requested: false }

and in the log of the owner: event=job-handed job=alpha:handed noted=false.

Every entry lists the jobs when it takes over from a removed one. It now also starts the tasks of open jobs that name it as the owner and have no task in it. The list may be older than the end of a task; every change is a compare-and-swap under the epoch and the owner, so such a task is refused, reads the record again and ends. No read is added. Until the takeover the job is without an owner's task, as after a killed entry.

With it the test passes: the job ends as finished. All failure cases pass too.

--- a/crates/entry/src/jobs/job_registry.rs
+++ b/crates/entry/src/jobs/job_registry.rs
@@ -93,10 +93,10 @@
     Ok(())
 }
 
-/// Starts a job's task, unless the job already has one in this entry.
-pub(super) fn start_job_task(node: &Arc<EntryNode>, record: JobRecord) {
+/// Starts a job's task unless the job already has one in this entry, and returns whether it did.
+pub(super) fn start_job_task(node: &Arc<EntryNode>, record: JobRecord) -> bool {
     let Some(cancel_signal) = node.jobs.register(&record.name) else {
-        return;
+        return false;
     };
     let node = Arc::clone(node);
     tokio::spawn(async move {
@@ -104,6 +104,7 @@
         run_job(&node, record, &cancel_signal).await;
         node.jobs.unregister(&job);
     });
+    true
 }
 
 /// Starts the task of a job that another entry handed over to this one.
@@ -123,7 +124,8 @@
     }
 }
 
-/// Adopts the unfinished jobs of a removed entry, and returns their number.
+/// Starts the tasks of the unfinished jobs that a removed entry owned, or handed over to this
+/// entry without notifying it, and returns their number.
 ///
 /// # Errors
 ///
@@ -139,7 +141,14 @@
         let Some(record) = record.map(|record| record.value) else {
             continue;
         };
-        if record.owner != *removed || record.state.is_terminal() {
+        if record.state.is_terminal() {
+            continue;
+        }
+        if record.owner == node.stamp {
+            adopted += u32::from(start_job_task(node, record));
+            continue;
+        }
+        if record.owner != *removed {
             continue;
         }
         let updated = node
@@ -157,8 +166,7 @@
             .await;
         match updated {
             Ok(record) => {
-                adopted += 1;
-                start_job_task(node, record);
+                adopted += u32::from(start_job_task(node, record));
             }
             Err(refusal)
                 if matches!(
