--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -8,10 +8,11 @@
         job_progress::{JobRecord, JobState, ProgressRecord},
         live_job::LiveJob,
         queue_table::QueueTable,
+        run_tracking::DroppedRuns,
         share_bucket::ShareBucket,
         task_name::TaskName,
         worker_order::WorkerOrder,
-        worker_status::{ListedWorker, WorkerStatus},
+        worker_status::WorkerStatus,
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -48,57 +49,6 @@
     }
 }
 
-/// Load of a pool and the size of its workers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct PoolLoad {
-    /// Reserved by runs, in thousandths of a core.
-    pub reserved_milli: u64,
-    /// Requested by ready tasks without a run, in thousandths of a core.
-    pub waiting_milli: u64,
-    /// Needed to keep up with the arrival rate, in thousandths of a core.
-    pub arriving_milli: u64,
-    /// Capacity of one worker, in thousandths of a core.
-    pub worker_milli: u64,
-    /// Memory that runs reserve and ready tasks request, in megabytes.
-    pub memory_mb: u64,
-    /// Memory of one worker, in megabytes.
-    pub worker_memory_mb: u64,
-    /// Fewest workers over which the tasks of one long-running step have to be spread.
-    pub spread: usize,
-    /// Long-running tasks that wait for a worker.
-    pub long_running_waiting: usize,
-    /// Workers that accept new tasks.
-    pub available: usize,
-    /// Listed workers that have reported but accept no new tasks.
-    pub unavailable: usize,
-}
-
-impl PoolLoad {
-    fn add_reserved(&mut self, used: Resources) {
-        self.reserved_milli = self.reserved_milli.saturating_add(used.cpu_milli);
-        self.memory_mb = self.memory_mb.saturating_add(used.memory_mb);
-    }
-
-    pub(super) fn add_waiting(&mut self, tasks: u64, need: Resources) {
-        let waiting_milli = tasks.saturating_mul(need.cpu_milli);
-        self.waiting_milli = self.waiting_milli.saturating_add(waiting_milli);
-        let memory_mb = tasks.saturating_mul(need.memory_mb);
-        self.memory_mb = self.memory_mb.saturating_add(memory_mb);
-    }
-
-    fn fit_worker(&mut self, capacity: Resources) {
-        self.worker_milli = self.worker_milli.max(capacity.cpu_milli);
-        self.worker_memory_mb = self.worker_memory_mb.max(capacity.memory_mb);
-    }
-
-    /// Whether tasks run, wait or arrive.
-    fn has_demand(&self) -> bool {
-        let milli = self.reserved_milli.max(self.waiting_milli);
-        milli.max(self.arriving_milli).max(self.memory_mb) > 0
-            || self.spread.max(self.long_running_waiting) > 0
-    }
-}
-
 /// Progress to be recorded, with the run ends that it covers.
 #[derive(Debug, Clone, Default)]
 pub struct ProgressBatch {
@@ -109,39 +59,6 @@
     pub ends: Vec<(WorkerName, u64, u64)>,
 }
 
-/// Why a worker's runs were dropped from the schedule without a report of their end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DropReason {
-    /// A later incarnation is listed, or a later worker on the same instance reports.
-    Replaced,
-    /// It was unlisted after an order for its instance.
-    Disrupted,
-    /// The platform's list shows that its instance no longer hosts it.
-    InstanceGone,
-    /// Its lease expired.
-    LeaseExpired,
-}
-
-/// A worker whose runs were dropped without a report of their end.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DroppedRuns {
-    /// The worker.
-    pub worker: WorkerName,
-    /// Why its runs were dropped.
-    pub reason: DropReason,
-    /// The number of runs.
-    pub runs: usize,
-}
-
-/// Runs whose job has ended.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct LingeringRuns {
-    /// The number of runs.
-    pub runs: usize,
-    /// Time since the earliest end of their jobs, in milliseconds.
-    pub oldest_ms: u64,
-}
-
 /// Schedules the jobs of the pools under one ownership on their workers.
 #[derive(Debug, Default)]
 pub struct FleetSchedule {
@@ -187,95 +104,6 @@
         }
     }
 
-    /// Adds or updates a listed worker and returns whether anything changed. A new incarnation
-    /// of the worker ends all runs that the one before has listed; one that it has not may have
-    /// been started at the new incarnation.
-    pub fn upsert_worker(&mut self, mut listed: ListedWorker) -> bool {
-        if let Some(known) = self.workers.get(&listed.name) {
-            if listed.started_ms == 0 {
-                listed.started_ms = known.listed.started_ms;
-            }
-            if known.present && known.listed == listed {
-                return false;
-            }
-            if known.listed.started_ms != listed.started_ms {
-                self.replace_incarnation(listed);
-                return true;
-            }
-        }
-        let orphans_until_ms = self.orphans_until_ms;
-        let status = self
-            .workers
-            .entry(listed.name.clone())
-            .or_insert_with(|| WorkerStatus::new(listed.clone(), orphans_until_ms));
-        status.listed = listed;
-        status.present = true;
-        true
-    }
-
-    fn replace_incarnation(&mut self, listed: ListedWorker) {
-        let name = listed.name.clone();
-        let Some(mut earlier) = self.workers.remove(&name) else {
-            return;
-        };
-        let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
-        for (task, number) in std::mem::take(&mut earlier.runs) {
-            let job = self.jobs.get_mut(&task.job);
-            let Some(job) = job.filter(|job| job.may_run_at_next(&task, &name, number)) else {
-                earlier.runs.insert((task, number));
-                continue;
-            };
-            status.used += job.record.plan.steps[usize::from(task.step)].reserved();
-            status.lease_until_ms = status.lease_until_ms.max(earlier.lease_until_ms);
-            status.runs_known = true;
-            if let Some(run) = job.run_mut(&task, &name, number) {
-                run.carry_over();
-            }
-            status.runs.insert((task, number));
-        }
-        self.workers.insert(name.clone(), earlier);
-        self.drop_runs(&name, DropReason::Replaced);
-        self.workers.insert(name, status);
-    }
-
-    /// Ends the runs of earlier workers on the instance of a worker that reports for the first
-    /// time. Its row alone is no proof: another writer may have written it.
-    pub(super) fn end_replaced_workers(&mut self, name: &WorkerName) {
-        let Some(status) = self.workers.get(name).filter(|status| !status.reported) else {
-            return;
-        };
-        let listed = status.listed.clone();
-        let replaced: Vec<_> = self
-            .workers
-            .values()
-            .map(|status| &status.listed)
-            .filter(|own| {
-                own.instance.is_some()
-                    && own.instance == listed.instance
-                    && own.name != listed.name
-                    && own.started_ms < listed.started_ms
-            })
-            .map(|own| own.name.clone())
-            .collect();
-        for name in replaced {
-            self.drop_runs(&name, DropReason::Replaced);
-            self.workers.remove(&name);
-        }
-    }
-
-    /// Marks a worker as no longer listed. Its runs may go on until its lease expires, unless
-    /// an order just disrupted its instance: then they are released at once.
-    pub fn unlist_worker(&mut self, name: &WorkerName, now_ms: u64) {
-        let Some(status) = self.workers.get_mut(name) else {
-            return;
-        };
-        status.present = false;
-        if now_ms < status.disrupted_until_ms {
-            self.drop_runs(name, DropReason::Disrupted);
-            self.workers.remove(name);
-        }
-    }
-
     /// Returns the worker with this name.
     pub fn worker(&self, name: &WorkerName) -> Option<&WorkerStatus> {
         self.workers.get(name)
@@ -316,43 +144,6 @@
         status.map_or(0, |status| status.recorded_end)
     }
 
-    /// Returns the load of each pool that has a demand or a worker that has reported. Workers
-    /// that have not reported determine a pool's size of workers only if all of them have not.
-    pub fn pool_loads(&self, now_ms: u64) -> FastMap<PoolName, PoolLoad> {
-        let reported = self.workers.values().filter(|status| status.reported);
-        let reporting: FastSet<_> = reported.map(|status| status.listed.pool.clone()).collect();
-        let mut loads: FastMap<PoolName, PoolLoad> = FastMap::default();
-        for status in self.workers.values() {
-            let load = loads.entry(status.listed.pool.clone()).or_default();
-            load.add_reserved(status.used);
-            if status.reported || !reporting.contains(&status.listed.pool) {
-                load.fit_worker(status.listed.capacity);
-            }
-            if status.accepts_tasks(now_ms) {
-                load.available += 1;
-            } else if status.present && status.reported {
-                load.unavailable += 1;
-            }
-        }
-        for (pool, names) in &self.active {
-            let load = loads.entry(pool.clone()).or_default();
-            for job in names.iter().filter_map(|name| self.jobs.get(name)) {
-                job.add_load(load);
-            }
-        }
-        for (pool, arrivals) in &self.arrivals {
-            loads.entry(pool.clone()).or_default().arriving_milli = arrivals.required_milli(now_ms);
-        }
-        loads.retain(|pool, load| reporting.contains(pool) || load.has_demand());
-        let typical_milli = loads.values().map(|load| load.worker_milli).max();
-        let typical_memory_mb = loads.values().map(|load| load.worker_memory_mb).max();
-        for load in loads.values_mut().filter(|load| load.worker_milli == 0) {
-            load.worker_milli = typical_milli.unwrap_or_default();
-            load.worker_memory_mb = typical_memory_mb.unwrap_or_default();
-        }
-        loads
-    }
-
     /// Adds a job. `run_base` is above any run number that an earlier owner may have used, 0
     /// if there was none.
     pub fn add_job(
@@ -417,25 +208,6 @@
         self.jobs.values().filter(is_pending).count()
     }
 
-    /// Counts the runs whose job has ended, and the time since the earliest of these ends.
-    pub fn lingering_runs(&self, wall_ms: u64) -> LingeringRuns {
-        let mut lingering = LingeringRuns::default();
-        let tasks = self.workers.values().flat_map(WorkerStatus::tasks);
-        for job in tasks.filter_map(|task| self.jobs.get(&task.job)) {
-            if job.ended.is_some() {
-                let ended_ms = job.ended_ms.unwrap_or(wall_ms);
-                lingering.runs += 1;
-                lingering.oldest_ms = lingering.oldest_ms.max(wall_ms.saturating_sub(ended_ms));
-            }
-        }
-        lingering
-    }
-
-    /// Takes the list of workers whose runs were dropped since the last call.
-    pub fn take_dropped_runs(&mut self) -> Vec<DroppedRuns> {
-        std::mem::take(&mut self.dropped)
-    }
-
     /// Counts the jobs that have not ended.
     pub fn open_jobs(&self) -> usize {
         self.active.values().map(FastSet::len).sum()
@@ -552,70 +324,4 @@
         }
         orders
     }
-
-    /// Releases all runs of a worker that can't have any more, and notes why.
-    pub(super) fn drop_runs(&mut self, name: &WorkerName, reason: DropReason) {
-        let Some(status) = self.workers.get(name) else {
-            return;
-        };
-        let runs: Vec<_> = status.runs.iter().cloned().collect();
-        if !runs.is_empty() {
-            self.dropped.push(DroppedRuns {
-                worker: name.clone(),
-                reason,
-                runs: runs.len(),
-            });
-        }
-        for (task, run) in runs {
-            self.release(&task, name, run);
-        }
-    }
-
-    /// Releases a run's reservation and returns whether the run was known.
-    pub(super) fn release(&mut self, task: &TaskName, worker: &WorkerName, run: u32) -> bool {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return false;
-        };
-        let Some(state) = job.task_mut(task) else {
-            return false;
-        };
-        let before = state.runs.len();
-        state
-            .runs
-            .retain(|known| known.run != run || known.worker != *worker);
-        if state.runs.len() == before {
-            return false;
-        }
-        job.run_count -= 1;
-        let step = &job.record.plan.steps[usize::from(task.step)];
-        if let Some(status) = self.workers.get_mut(worker) {
-            status.runs.remove(&(task.clone(), run));
-            status.used -= step.reserved();
-        }
-        if let Some(team) = job
-            .record
-            .team
-            .as_ref()
-            .and_then(|team| self.teams.get_mut(team))
-        {
-            team.used -= step.need;
-        }
-        true
-    }
-
-    /// Reserves a run's resources on its worker and under its team's ceiling.
-    pub(super) fn reserve(&mut self, task: &TaskName, worker: &WorkerName, run: u32) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        job.run_count += 1;
-        let step = &job.record.plan.steps[usize::from(task.step)];
-        if let Some(status) = self.workers.get_mut(worker) {
-            status.runs.insert((task.clone(), run));
-            status.used += step.reserved();
-        }
-        if let Some(team) = &job.record.team {
-            self.teams.entry(team.clone()).or_default().used += step.need;
-        }
-    }
 }
--- a/crates/domain/src/schedule/instance_moves.rs
+++ b/crates/domain/src/schedule/instance_moves.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        fleet_schedule::{FleetSchedule, PoolLoad},
+        fleet_schedule::FleetSchedule,
         instance_plan::{InstanceOrder, InstancePlan},
         pool_demand::wanted_instances,
+        pool_load::PoolLoad,
     },
     crate::{
         collections::{FastMap, FastSet},
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        fleet_schedule::PoolLoad,
         job_order::JobUrgency,
         job_plan::{Resources, StepPlan},
         job_progress::{JobRecord, JobState, ProgressRecord, StepProgress, TaskFailures},
+        pool_load::PoolLoad,
         step_advice::StepAdvice,
         task_name::TaskName,
-        worker_order::{StopOrder, WorkerOrder},
+        task_run::{RunPhase, TaskRun},
     },
     crate::names::WorkerName,
     std::{collections::BTreeMap, sync::Arc},
@@ -18,118 +18,6 @@
 /// rules.
 const LATE_VALUE_FACTOR: u64 = 3;
 
-/// Progress, in percent, at which a long-running task is ready.
-pub(super) const READY_PERCENT: f64 = 100.0;
-
-/// Phase of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RunPhase {
-    /// An earlier owner recorded it. Its worker has not reported to this owner.
-    Restored,
-    /// The start order is in flight.
-    Ordered,
-    /// The start order was not answered.
-    Unconfirmed,
-    /// The worker started it.
-    Running {
-        /// The worker's clock when the run was first known to be there, in milliseconds.
-        clock_ms: u64,
-    },
-    /// A stop was ordered.
-    Stopping {
-        /// The worker's clock when it confirmed the stop, in milliseconds; `None` until then.
-        clock_ms: Option<u64>,
-        /// When the stop was last ordered, in scheduler milliseconds.
-        ordered_ms: u64,
-        /// When the order was last sent, in scheduler milliseconds; `None` while it waits for its
-        /// turn.
-        sent_ms: Option<u64>,
-    },
-}
-
-/// One run of a task.
-#[derive(Debug, Clone)]
-pub(super) struct TaskRun {
-    pub(super) run: u32,
-    pub(super) worker: WorkerName,
-    pub(super) phase: RunPhase,
-    pub(super) phase_since_ms: u64,
-    /// Whether its worker's incarnation, as the schedule knows it, has listed it.
-    pub(super) is_reported: bool,
-    pub(super) progress_percent: f64,
-    pub(super) progressed_ms: u64,
-    /// The pace last sent to it, in percent; `None` if that is unknown.
-    pub(super) pace_percent: Option<u32>,
-    /// When the pace was last sent, in scheduler milliseconds.
-    pub(super) paced_ms: u64,
-}
-
-impl TaskRun {
-    /// Creates a run of which only the start order is known.
-    pub(super) fn ordered(worker: WorkerName, run: u32, now_ms: u64) -> Self {
-        Self {
-            run,
-            worker,
-            phase: RunPhase::Ordered,
-            phase_since_ms: now_ms,
-            is_reported: false,
-            progress_percent: 0.0,
-            progressed_ms: now_ms,
-            pace_percent: Some(100),
-            paced_ms: now_ms,
-        }
-    }
-
-    /// Creates a run that an earlier owner recorded. Its progress and pace are not known.
-    pub(super) fn restored(worker: WorkerName, run: u32, now_ms: u64) -> Self {
-        Self {
-            phase: RunPhase::Restored,
-            pace_percent: None,
-            ..Self::ordered(worker, run, now_ms)
-        }
-    }
-
-    /// Marks the run as stopping and returns the stop order.
-    pub(super) fn stop(&mut self, task: &TaskName, now_ms: u64) -> WorkerOrder {
-        let sent_ms = match self.phase {
-            RunPhase::Stopping { sent_ms, .. } => sent_ms,
-            _ => None,
-        };
-        self.phase = RunPhase::Stopping {
-            clock_ms: None,
-            ordered_ms: now_ms,
-            sent_ms,
-        };
-        WorkerOrder::Stop(StopOrder {
-            worker: self.worker.clone(),
-            task: task.clone(),
-            run: self.run,
-        })
-    }
-
-    /// Leaves it open whether the run is at its worker's next incarnation, whose clock differs.
-    pub(super) fn carry_over(&mut self) {
-        self.phase = match self.phase {
-            RunPhase::Stopping { ordered_ms, .. } => RunPhase::Stopping {
-                clock_ms: None,
-                ordered_ms,
-                sent_ms: None,
-            },
-            _ => RunPhase::Unconfirmed,
-        };
-    }
-
-    /// Whether a stop was ordered.
-    pub(super) fn is_stopping(&self) -> bool {
-        matches!(self.phase, RunPhase::Stopping { .. })
-    }
-
-    /// Whether a long-running task was past its startup at its worker's last report.
-    pub(super) fn is_serving(&self) -> bool {
-        matches!(self.phase, RunPhase::Running { .. }) && self.progress_percent >= READY_PERCENT
-    }
-}
-
 /// State of one task.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TaskState {
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -14,30 +14,34 @@
 mod pace_controller;
 mod placement;
 mod pool_demand;
+mod pool_load;
 mod queue_table;
 mod run_reports;
+mod run_tracking;
 mod share_bucket;
 mod start_replies;
 mod step_advice;
 mod task_name;
+mod task_run;
 mod worker_disruption;
+mod worker_listing;
 mod worker_order;
 mod worker_snapshots;
 mod worker_status;
 
 pub use {
-    fleet_schedule::{
-        DropReason, DroppedRuns, FleetSchedule, LingeringRuns, PoolLoad, ProgressBatch,
-    },
+    fleet_schedule::{FleetSchedule, ProgressBatch},
     instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
     job_progress::{JobRecord, JobState, ProgressRecord, StepProgress, TaskFailures},
     maintenance_wave::{WaveProgress, WaveSpec},
     pace_controller::PaceController,
+    pool_load::PoolLoad,
     queue_table::{
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
     },
+    run_tracking::{DropReason, DroppedRuns, LingeringRuns},
     start_replies::{StartRefusal, StartReply},
     step_advice::AdviceRequest,
     task_name::TaskName,
--- a/crates/domain/src/schedule/orphaned_runs.rs
+++ b/crates/domain/src/schedule/orphaned_runs.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        fleet_schedule::{DropReason, FleetSchedule},
+        fleet_schedule::FleetSchedule,
         instance_plan::{InstanceActivity, ListedInstance},
+        run_tracking::DropReason,
         worker_status::WorkerStatus,
     },
     crate::{
--- a/crates/domain/src/schedule/pace_controller.rs
+++ b/crates/domain/src/schedule/pace_controller.rs
@@ -4,8 +4,8 @@
 use {
     super::{
         fleet_schedule::FleetSchedule,
-        live_job::RunPhase,
         task_name::TaskName,
+        task_run::RunPhase,
         worker_order::{StopOrder, WorkerOrder},
         worker_status::WorkerReport,
     },
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -4,8 +4,9 @@
     super::{
         fleet_schedule::FleetSchedule,
         job_plan::{Resources, StepPlan},
-        live_job::{LiveJob, TaskRun},
+        live_job::LiveJob,
         task_name::TaskName,
+        task_run::TaskRun,
         worker_order::{StartOrder, WorkerOrder},
         worker_status::WorkerStatus,
     },
--- a/crates/domain/src/schedule/pool_demand.rs
+++ b/crates/domain/src/schedule/pool_demand.rs
@@ -1,6 +1,6 @@
 //! Number of instances that a pool's load calls for.
 
-use super::fleet_schedule::PoolLoad;
+use super::pool_load::PoolLoad;
 
 /// Headroom of a pool over its current load, in percent. It serves work that arrives while
 /// another instance is being moved in.
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
-        fleet_schedule::{DropReason, FleetSchedule},
+        fleet_schedule::FleetSchedule,
         job_progress::JobState,
-        live_job::{READY_PERCENT, RunPhase, TaskRun},
+        run_tracking::DropReason,
         task_name::TaskName,
+        task_run::{READY_PERCENT, RunPhase, TaskRun},
         worker_order::{StopOrder, WorkerOrder},
         worker_status::{EndReason, EndedRun, ReportedRun, WorkerReport},
     },
--- a/crates/domain/src/schedule/start_replies.rs
+++ b/crates/domain/src/schedule/start_replies.rs
@@ -3,9 +3,9 @@
 use {
     super::{
         fleet_schedule::FleetSchedule,
-        live_job::RunPhase,
         run_reports::STOP_RESEND_MS,
         task_name::TaskName,
+        task_run::RunPhase,
         worker_order::{StartOrder, StopOrder},
     },
     crate::names::WorkerName,
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         fleet_schedule::FleetSchedule,
-        live_job::{LiveJob, TaskRun, TaskState},
+        live_job::{LiveJob, TaskState},
         task_name::TaskName,
+        task_run::TaskRun,
         worker_order::WorkerOrder,
         worker_status::WorkerStatus,
     },
--- /dev/null
+++ b/crates/domain/src/schedule/worker_listing.rs
@@ -0,0 +1,101 @@
+//! Workers as they are listed, and the ends of their incarnations.
+
+use {
+    super::{
+        fleet_schedule::FleetSchedule,
+        run_tracking::DropReason,
+        worker_status::{ListedWorker, WorkerStatus},
+    },
+    crate::names::WorkerName,
+};
+
+impl FleetSchedule {
+    /// Adds or updates a listed worker and returns whether anything changed. A new incarnation
+    /// of the worker ends all runs that the one before has listed; one that it has not may have
+    /// been started at the new incarnation.
+    pub fn upsert_worker(&mut self, mut listed: ListedWorker) -> bool {
+        if let Some(known) = self.workers.get(&listed.name) {
+            if listed.started_ms == 0 {
+                listed.started_ms = known.listed.started_ms;
+            }
+            if known.present && known.listed == listed {
+                return false;
+            }
+            if known.listed.started_ms != listed.started_ms {
+                self.replace_incarnation(listed);
+                return true;
+            }
+        }
+        let orphans_until_ms = self.orphans_until_ms;
+        let status = self
+            .workers
+            .entry(listed.name.clone())
+            .or_insert_with(|| WorkerStatus::new(listed.clone(), orphans_until_ms));
+        status.listed = listed;
+        status.present = true;
+        true
+    }
+
+    fn replace_incarnation(&mut self, listed: ListedWorker) {
+        let name = listed.name.clone();
+        let Some(mut earlier) = self.workers.remove(&name) else {
+            return;
+        };
+        let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
+        for (task, number) in std::mem::take(&mut earlier.runs) {
+            let job = self.jobs.get_mut(&task.job);
+            let Some(job) = job.filter(|job| job.may_run_at_next(&task, &name, number)) else {
+                earlier.runs.insert((task, number));
+                continue;
+            };
+            status.used += job.record.plan.steps[usize::from(task.step)].reserved();
+            status.lease_until_ms = status.lease_until_ms.max(earlier.lease_until_ms);
+            status.runs_known = true;
+            if let Some(run) = job.run_mut(&task, &name, number) {
+                run.carry_over();
+            }
+            status.runs.insert((task, number));
+        }
+        self.workers.insert(name.clone(), earlier);
+        self.drop_runs(&name, DropReason::Replaced);
+        self.workers.insert(name, status);
+    }
+
+    /// Ends the runs of earlier workers on the instance of a worker that reports for the first
+    /// time. Its row alone is no proof: another writer may have written it.
+    pub(super) fn end_replaced_workers(&mut self, name: &WorkerName) {
+        let Some(status) = self.workers.get(name).filter(|status| !status.reported) else {
+            return;
+        };
+        let listed = status.listed.clone();
+        let replaced: Vec<_> = self
+            .workers
+            .values()
+            .map(|status| &status.listed)
+            .filter(|own| {
+                own.instance.is_some()
+                    && own.instance == listed.instance
+                    && own.name != listed.name
+                    && own.started_ms < listed.started_ms
+            })
+            .map(|own| own.name.clone())
+            .collect();
+        for name in replaced {
+            self.drop_runs(&name, DropReason::Replaced);
+            self.workers.remove(&name);
+        }
+    }
+
+    /// Marks a worker as no longer listed. Its runs may go on until its lease expires, unless
+    /// an order just disrupted its instance: then they are released at once.
+    pub fn unlist_worker(&mut self, name: &WorkerName, now_ms: u64) {
+        let Some(status) = self.workers.get_mut(name) else {
+            return;
+        };
+        status.present = false;
+        if now_ms < status.disrupted_until_ms {
+            self.drop_runs(name, DropReason::Disrupted);
+            self.workers.remove(name);
+        }
+    }
+}
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -2,7 +2,7 @@
 
 use super::{
     fleet_schedule::FleetSchedule,
-    live_job::TaskRun,
+    task_run::TaskRun,
     worker_status::{ListedWorker, UnreachableRuns, WorkerSnapshot, WorkerStatus},
 };
 
