Move the update of a reported run to the run

apply_reported_run had two jobs; what a report says of a known run, and whether the run is stalled, are methods of the run.

--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -6,7 +6,7 @@
         job_progress::JobState,
         run_tracking::DropReason,
         task_name::TaskName,
-        task_run::{READY_PERCENT, RunPhase, TaskRun},
+        task_run::{RunPhase, TaskRun},
         worker_order::{StopOrder, WorkerOrder},
         worker_status::{EndReason, EndedRun, ReportedRun, WorkerReport},
     },
@@ -20,10 +20,6 @@
 /// How long an unanswered start may appear in the worker's reports before a stop rules it out,
 /// in milliseconds. Some tens of round trips.
 const UNCONFIRMED_START_MS: u64 = 200;
-/// Time without progress after which a run counts as stalled, in milliseconds. Longer than a
-/// poll waits. Progress is reported in percent and the users' tasks take a second or a few, so
-/// that a run that works advances within this time even at a sixth of its usual speed.
-const STALL_TIMEOUT_MS: u64 = 1_800;
 /// A worker that still answers with less than this left of its disruption window, in
 /// milliseconds, was not disrupted by the order.
 const SURVIVAL_WINDOW_MS: u64 = 1_000;
@@ -229,25 +225,9 @@
             .iter_mut()
             .find(|run| run.run == reported.run && run.worker == *worker)
         {
-            run.is_reported = true;
-            if matches!(
-                run.phase,
-                RunPhase::Restored | RunPhase::Ordered | RunPhase::Unconfirmed
-            ) {
-                run.phase = RunPhase::Running { clock_ms };
-            }
-            if !needed && !run.is_stopping() {
-                orders.push(run.stop(&reported.task, now_ms));
-            }
-            if run.progress_percent.to_bits() != reported.progress_percent.to_bits() {
-                run.progress_percent = reported.progress_percent;
-                run.progressed_ms = now_ms;
-            }
-            let stalled = !best_effort
-                && matches!(run.phase, RunPhase::Running { .. })
-                && reported.progress_percent < READY_PERCENT
-                && now_ms > run.progressed_ms.max(run.phase_since_ms) + STALL_TIMEOUT_MS;
-            if stalled {
+            run.update(reported, clock_ms, now_ms);
+            let stalled = needed && !best_effort && run.is_stalled(now_ms);
+            if stalled || !needed && !run.is_stopping() {
                 orders.push(run.stop(&reported.task, now_ms));
             }
             if !reported.checkpoint.is_empty() {
--- a/crates/domain/src/schedule/task_run.rs
+++ b/crates/domain/src/schedule/task_run.rs
@@ -4,6 +4,7 @@
     super::{
         task_name::TaskName,
         worker_order::{StopOrder, WorkerOrder},
+        worker_status::ReportedRun,
     },
     crate::names::WorkerName,
 };
@@ -11,6 +12,11 @@
 /// Progress, in percent, at which a long-running task is ready.
 pub(super) const READY_PERCENT: f64 = 100.0;
 
+/// Time without progress after which a run counts as stalled, in milliseconds. Longer than a
+/// poll waits. Progress is reported in percent and the users' tasks take a second or a few, so
+/// that a run that works advances within this time even at a sixth of its usual speed.
+const STALL_TIMEOUT_MS: u64 = 1_800;
+
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RunPhase {
@@ -79,6 +85,28 @@
         }
     }
 
+    /// Updates the run by a report that lists it, at a time of its worker's clock.
+    pub(super) fn update(&mut self, reported: &ReportedRun, clock_ms: u64, now_ms: u64) {
+        self.is_reported = true;
+        if matches!(
+            self.phase,
+            RunPhase::Restored | RunPhase::Ordered | RunPhase::Unconfirmed
+        ) {
+            self.phase = RunPhase::Running { clock_ms };
+        }
+        if self.progress_percent.to_bits() != reported.progress_percent.to_bits() {
+            self.progress_percent = reported.progress_percent;
+            self.progressed_ms = now_ms;
+        }
+    }
+
+    /// Whether it runs, is not ready, and has made no progress for too long.
+    pub(super) fn is_stalled(&self, now_ms: u64) -> bool {
+        matches!(self.phase, RunPhase::Running { .. })
+            && self.progress_percent < READY_PERCENT
+            && now_ms > self.progressed_ms.max(self.phase_since_ms) + STALL_TIMEOUT_MS
+    }
+
     /// Marks the run as stopping and returns the stop order.
     pub(super) fn stop(&mut self, task: &TaskName, now_ms: u64) -> WorkerOrder {
         let sent_ms = match self.phase {
