--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -2,7 +2,8 @@
 //! callers and workers observe.
 //!
 //! To run other seeds: `DOTTERELSHORE_SOAK_SEEDS=100-149 cargo test -p dotterelshore-scheduler
-//! --test soak_test -- --ignored`.
+//! --test soak_test -- --ignored`. `DOTTERELSHORE_SOAK_SIZE=30x60` runs them with thirty processes
+//! and sixty workers.
 
 mod cancel_rule;
 mod fixture;
@@ -19,9 +20,18 @@
 
 /// How long faults are injected.
 const FAULT_PHASE: Duration = Duration::from_secs(8);
-/// Processes and workers of one run.
-const NODES: usize = 4;
-const WORKERS: usize = 4;
+/// Number of processes and workers of one run.
+#[derive(Debug, Clone, Copy)]
+struct SoakSize {
+    nodes: usize,
+    workers: usize,
+}
+
+/// The size of a run in CI.
+const SMALL: SoakSize = SoakSize {
+    nodes: 4,
+    workers: 4,
+};
 /// Delay of orders that a worker executes late. The quiet stretch begins after it.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(2_500);
 /// Time between checks of what is due.
@@ -30,6 +40,8 @@
 const SECOND_SEED: u64 = 1 << 32;
 /// Environment variable with the seeds of a manual run, as FIRST-LAST.
 const SEEDS_VARIABLE: &str = "DOTTERELSHORE_SOAK_SEEDS";
+/// Environment variable with the size of a manual run, as processes and workers: `30x60`.
+const SIZE_VARIABLE: &str = "DOTTERELSHORE_SOAK_SIZE";
 
 /// The recovery from an injected fault.
 enum Recovery {
@@ -41,6 +53,7 @@
 }
 
 struct SoakRun {
+    size: SoakSize,
     fixture: FleetFixture,
     rng: StdRng,
     /// Draws the faults of workers and the early cancellations, so that these leave the other
@@ -65,7 +78,7 @@
     }
 
     fn healthy_node(&mut self) -> Option<usize> {
-        let node = self.rng.random_range(0..NODES);
+        let node = self.rng.random_range(0..self.size.nodes);
         (!self.faulty_nodes.contains(&node)).then_some(node)
     }
 
@@ -104,8 +117,8 @@
                 self.schedule_recovery(300, 3_000, Recovery::ClearStoreFault);
             }
             5 => self.fixture.fleet.compact_store(),
-            6 if self.crashed_workers.len() + 2 < WORKERS => {
-                let worker = self.rng.random_range(0..WORKERS);
+            6 if self.crashed_workers.len() + 2 < self.size.workers => {
+                let worker = self.rng.random_range(0..self.size.workers);
                 if !self.crashed_workers.contains(&worker) {
                     self.fixture.fleet.crash_worker(worker);
                     self.crashed_workers.push(worker);
@@ -118,7 +131,7 @@
 
     /// Injects a random fault of a worker, beside those of other workers.
     fn inject_worker_fault(&mut self) {
-        let worker = self.second_rng.random_range(0..WORKERS);
+        let worker = self.second_rng.random_range(0..self.size.workers);
         let modes = [
             WorkerFaultMode::Silent,
             WorkerFaultMode::LateOrders(LATE_ORDER_DELAY),
@@ -127,7 +140,7 @@
         let mode = modes[self.second_rng.random_range(0..modes.len())];
         let pause = Duration::from_millis(self.second_rng.random_range(300..4_000));
         if self.second_rng.random_bool(0.4)
-            && self.faulty_workers.len() + 1 < WORKERS
+            && self.faulty_workers.len() + 1 < self.size.workers
             && !self.faulty_workers.contains(&worker)
         {
             self.fixture.fleet.set_worker_fault_mode(worker, mode);
@@ -142,7 +155,7 @@
     async fn disturb_owner(&mut self) {
         self.apply_due_recoveries(true);
         let mut jobs = self.submit_long_running(6).await;
-        for _ in 0..WORKERS {
+        for _ in 0..self.size.workers {
             self.inject_worker_fault();
         }
         jobs.extend(self.submit_long_running(4).await);
@@ -244,7 +257,7 @@
         while let Some(at) = self.due_cancels.iter().position(|(due, _)| *due <= now) {
             let job = self.due_cancels[at].1.clone();
             self.due_cancels[at].0 = now + Duration::from_millis(200);
-            let node = self.second_rng.random_range(0..NODES);
+            let node = self.second_rng.random_range(0..self.size.nodes);
             let call = self.fixture.fleet.cancel(&self.fixture.nodes[node], &job);
             let response = tokio::time::timeout(Duration::from_millis(500), call).await;
             if response.is_ok_and(|response| response.status == 200) {
@@ -256,7 +269,7 @@
 
     /// Makes a caller's call: most submit a job, some cancel one.
     async fn call(&mut self) {
-        let node = self.rng.random_range(0..NODES);
+        let node = self.rng.random_range(0..self.size.nodes);
         if self.rng.random_bool(0.15)
             && let Some(job) = self.long_running.pop()
         {
@@ -373,10 +386,11 @@
     }
 }
 
-fn soak(seed: u64) {
+fn soak(seed: u64, size: SoakSize) {
     run_test(async {
         let mut soak = SoakRun {
-            fixture: FleetFixture::start(NODES, WORKERS).await,
+            size,
+            fixture: FleetFixture::start(size.nodes, size.workers).await,
             rng: StdRng::seed_from_u64(seed),
             second_rng: StdRng::seed_from_u64(seed ^ SECOND_SEED),
             recoveries: Vec::new(),
@@ -412,10 +426,10 @@
 // Regression: seed 211 freezes an owner for longer than its workers' leases, which made the
 // emulator's checker count a run whose lease had expired as still running.
 named_cases! { soak:
-    soak_with_seed_1(1);
-    soak_with_seed_2(2);
-    soak_with_seed_3(3);
-    soak_with_seed_211(211);
+    soak_with_seed_1(1, SMALL);
+    soak_with_seed_2(2, SMALL);
+    soak_with_seed_3(3, SMALL);
+    soak_with_seed_211(211, SMALL);
 }
 
 /// Runs the seeds that the environment variable names, and lists those that fail.
@@ -428,10 +442,11 @@
         first.parse().expect("a number"),
         last.parse().expect("a number"),
     );
+    let size = std::env::var(SIZE_VARIABLE).map_or(SMALL, |size| parse_size(&size));
     let failed: Vec<u64> = (first..=last)
         .filter(|seed| {
             let seed = *seed;
-            let result = std::thread::spawn(move || soak(seed)).join();
+            let result = std::thread::spawn(move || soak(seed, size)).join();
             println!(
                 "seed {seed}: {}",
                 if result.is_ok() { "passed" } else { "failed" }
@@ -441,3 +456,11 @@
         .collect();
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
+
+fn parse_size(size: &str) -> SoakSize {
+    let (nodes, workers) = size.split_once('x').expect("NODESxWORKERS");
+    SoakSize {
+        nodes: nodes.parse().expect("a number"),
+        workers: workers.parse().expect("a number"),
+    }
+}
