Shorten the wait of the watch of jobs alone

Change: only the owner's watch of jobs waits 1.5 s, which is the one that brings cancellations; the others wait 2.2 s as before.

--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -31,10 +31,13 @@
 /// Suffix of the key that marks a job as cancelled.
 const CANCEL_SUFFIX: &str = "/cancel";
 
-/// How long one watch waits for a change. A silent connection is detected once the client's slack
-/// has passed as well, early enough for a cancellation to be applied within the users' three
+/// How long one watch waits for a change. The call times out once the client's slack has passed
+/// as well, so that a silent connection is detected within the platform's window of three
 /// seconds.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+const WATCH_WAIT: Duration = Duration::from_millis(2_200);
+/// How long the owner's watch of jobs waits: a cancellation behind a silent connection must be
+/// applied within the users' three seconds.
+const JOB_WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// How long a watch waits after a fault: not at all, so that recovery is noticed at once.
 const RECOVERY_WATCH_WAIT: Duration = Duration::ZERO;
 /// Pause after a failed call to the store.
@@ -115,10 +118,10 @@
         let outcome = match revision {
             None => read_snapshot(node, prefix, &mut apply).await.map(Some),
             Some(after) => {
-                let wait = if is_failing {
-                    RECOVERY_WATCH_WAIT
-                } else {
-                    WATCH_WAIT
+                let wait = match prefix {
+                    _ if is_failing => RECOVERY_WATCH_WAIT,
+                    JOB_PREFIX => JOB_WATCH_WAIT,
+                    _ => WATCH_WAIT,
                 };
                 watch_once(node, prefix, after, wait, &mut apply).await
             }
