Look up a run on a worker in one place

Five places searched a task's runs by number and worker with a loop of their own, beside TaskState::run_on; they call it now, or its twin for changes. replace_incarnation takes the runs that may go on out of the earlier status and drops the rest, in place of removing, refilling and inserting that status.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -38,6 +38,12 @@
         let mut runs = self.runs.iter();
         runs.find(|known| known.run == run && known.worker == *worker)
     }
+
+    /// Returns the run with this number on a worker, to change it.
+    pub(super) fn run_on_mut(&mut self, worker: &WorkerName, run: u32) -> Option<&mut TaskRun> {
+        let mut runs = self.runs.iter_mut();
+        runs.find(|known| known.run == run && known.worker == *worker)
+    }
 }
 
 /// The tasks of one step in one occurrence.
@@ -166,17 +172,6 @@
         self.step(name)?.tasks.get(name.index as usize)
     }
 
-    /// Returns a run of a task, to change it.
-    pub(super) fn run_mut(
-        &mut self,
-        task: &TaskName,
-        worker: &WorkerName,
-        run: u32,
-    ) -> Option<&mut TaskRun> {
-        let mut runs = self.task_mut(task)?.runs.iter_mut();
-        runs.find(|known| known.run == run && known.worker == *worker)
-    }
-
     /// Whether a run may have been started at the next incarnation of its worker: this owner
     /// ordered it, and the incarnation before has not listed it.
     pub(super) fn may_run_at_next(&self, task: &TaskName, worker: &WorkerName, run: u32) -> bool {
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -220,11 +220,7 @@
             return;
         };
         let needed = active && !task.done;
-        if let Some(run) = task
-            .runs
-            .iter_mut()
-            .find(|run| run.run == reported.run && run.worker == *worker)
-        {
+        if let Some(run) = task.run_on_mut(worker, reported.run) {
             run.update(reported, clock_ms, now_ms);
             let stalled = needed && !best_effort && run.is_stalled(now_ms);
             if stalled || !needed && !run.is_stopping() {
@@ -370,6 +366,7 @@
         task: &TaskName,
         run: u32,
     ) -> Option<&mut TaskRun> {
-        self.jobs.get_mut(&task.job)?.run_mut(task, worker, run)
+        let state = self.jobs.get_mut(&task.job)?.task_mut(task)?;
+        state.run_on_mut(worker, run)
     }
 }
--- a/crates/domain/src/schedule/start_replies.rs
+++ b/crates/domain/src/schedule/start_replies.rs
@@ -50,15 +50,10 @@
     /// Whether a start order is still valid. One that was delayed, as while the process was
     /// frozen, may have been given up and replaced by an order to another worker.
     pub fn is_start_pending(&self, order: &StartOrder) -> bool {
-        let task = self
-            .jobs
-            .get(&order.task.job)
-            .and_then(|job| job.task(&order.task));
-        task.is_some_and(|task| {
-            task.runs.iter().any(|run| {
-                run.run == order.run && run.worker == order.worker && run.phase == RunPhase::Ordered
-            })
-        })
+        let job = self.jobs.get(&order.task.job);
+        let task = job.and_then(|job| job.task(&order.task));
+        let run = task.and_then(|task| task.run_on(&order.worker, order.run));
+        run.is_some_and(|run| run.phase == RunPhase::Ordered)
     }
 
     /// Applies a worker's reply to a start order.
@@ -110,8 +105,7 @@
             // The run is not tracked, and only its worker knows whether it has ended.
             return true;
         };
-        let mut runs = task.runs.iter_mut();
-        let run = runs.find(|run| run.run == order.run && run.worker == order.worker);
+        let run = task.run_on_mut(&order.worker, order.run);
         let Some(RunPhase::Stopping {
             clock_ms: None,
             sent_ms,
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -127,10 +127,8 @@
                 step.long_running && !step.best_effort
             };
             let state = job.filter(must_become_ready).and_then(|job| job.task(task));
-            state.is_some_and(|state| {
-                let mut runs = state.runs.iter().filter(|run| run.run == *number);
-                runs.any(|run| run.worker == *name && !run.is_serving() && !run.is_stopping())
-            })
+            let run = state.and_then(|state| state.run_on(name, *number));
+            run.is_some_and(|run| !run.is_serving() && !run.is_stopping())
         })
     }
 
--- a/crates/domain/src/schedule/worker_listing.rs
+++ b/crates/domain/src/schedule/worker_listing.rs
@@ -4,6 +4,7 @@
     super::{
         fleet_schedule::FleetSchedule,
         run_tracking::DropReason,
+        task_name::TaskName,
         worker_status::{ListedWorker, WorkerStatus},
     },
     crate::names::WorkerName,
@@ -38,26 +39,30 @@
 
     fn replace_incarnation(&mut self, listed: ListedWorker) {
         let name = listed.name.clone();
-        let Some(mut earlier) = self.workers.remove(&name) else {
+        let Some(earlier) = self.workers.get_mut(&name) else {
             return;
         };
+        let may_go_on = |(task, run): &(TaskName, u32)| {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|job| job.may_run_at_next(task, &name, *run))
+        };
+        let carried: Vec<_> = earlier.runs.extract_if(may_go_on).collect();
         let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
-        for (task, number) in std::mem::take(&mut earlier.runs) {
-            let job = self.jobs.get_mut(&task.job);
-            let Some(job) = job.filter(|job| job.may_run_at_next(&task, &name, number)) else {
-                earlier.runs.insert((task, number));
+        if !carried.is_empty() {
+            status.lease_until_ms = status.lease_until_ms.max(earlier.lease_until_ms);
+            status.runs_known = true;
+        }
+        self.drop_runs(&name, DropReason::Replaced);
+        for (task, number) in carried {
+            let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
             status.used += job.record.plan.steps[usize::from(task.step)].reserved();
-            status.lease_until_ms = status.lease_until_ms.max(earlier.lease_until_ms);
-            status.runs_known = true;
-            if let Some(run) = job.run_mut(&task, &name, number) {
+            if let Some(run) = self.find_run(&name, &task, number) {
                 run.carry_over();
             }
             status.runs.insert((task, number));
         }
-        self.workers.insert(name.clone(), earlier);
-        self.drop_runs(&name, DropReason::Replaced);
         self.workers.insert(name, status);
     }
 
