Copy a listed worker only when its client or row changes

Each poll and each order to a worker copied its whole row, labels included, to compare two fields with the row before, and each planning pass copied the row of every hosted worker for its name and pool. Both compare in place now.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -289,7 +289,7 @@
     pub(super) fn update_workers(&mut self, schedule: &mut FleetSchedule, now_ms: u64) {
         let hosted = hosted_workers(schedule);
         for (name, status) in &mut self.instances {
-            status.worker = hosted.get(name).map(|listed| listed.name.clone());
+            status.worker = hosted.get(name).map(|(worker, _)| worker.clone());
             let list_trusted = status
                 .ordered_ms
                 .is_none_or(|at| now_ms >= at + ORDER_PRECEDENCE_MS);
@@ -302,10 +302,10 @@
                 }
             }
             // A worker's report is newer than the list.
-            status.up |= hosted.get(name).is_some_and(|listed| {
-                listed.pool == status.pool
+            status.up |= hosted.get(name).is_some_and(|(worker, pool)| {
+                *pool == status.pool
                     && schedule
-                        .worker(&listed.name)
+                        .worker(worker)
                         .is_some_and(|status| status.reported)
             });
             let idle = status.up
@@ -328,8 +328,8 @@
 }
 
 /// Returns the worker that each instance hosts: the newest of those that answer, else the newest.
-fn hosted_workers(schedule: &FleetSchedule) -> FastMap<InstanceName, ListedWorker> {
-    let mut hosted: FastMap<InstanceName, ((bool, u64), &ListedWorker)> = FastMap::default();
+fn hosted_workers(schedule: &FleetSchedule) -> FastMap<InstanceName, (WorkerName, PoolName)> {
+    let mut hosted: FastMap<&InstanceName, ((bool, u64), &ListedWorker)> = FastMap::default();
     for status in schedule.workers() {
         let Some(instance) = &status.listed.instance else {
             continue;
@@ -337,11 +337,12 @@
         let answers = status.present && status.reported && status.reachable;
         let rank = (answers, status.listed.started_ms);
         if hosted.get(instance).is_none_or(|(best, _)| *best < rank) {
-            hosted.insert(instance.clone(), (rank, &status.listed));
+            hosted.insert(instance, (rank, &status.listed));
         }
     }
-    let listed = hosted.into_iter();
-    listed
-        .map(|(instance, (_, listed))| (instance, listed.clone()))
-        .collect()
+    let hosted = hosted.into_iter().map(|(instance, (_, listed))| {
+        let worker = (listed.name.clone(), listed.pool.clone());
+        (instance.clone(), worker)
+    });
+    hosted.collect()
 }
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -92,6 +92,7 @@
 /// A client of a worker that follows its incarnations and the address under which it is listed.
 #[derive(Debug, Clone)]
 pub(super) struct ListedClient {
+    /// The worker as it was listed when the client was made.
     listed: ListedWorker,
     client: WorkerClient,
 }
@@ -104,14 +105,12 @@
 
     /// Returns a client of the worker as it is listed now; `None` if it left the schedule.
     pub(super) fn current(&mut self, leadership: &Leadership) -> Option<WorkerClient> {
-        let listed = lock(&leadership.schedule)
-            .worker(&self.listed.name)
-            .map(|status| status.listed.clone())?;
+        let schedule = lock(&leadership.schedule);
+        let listed = &schedule.worker(&self.listed.name)?.listed;
         let same_incarnation = listed.started_ms == self.listed.started_ms;
         if !same_incarnation || listed.address != self.listed.address {
-            self.client = WorkerClient::new(&listed);
+            *self = Self::new(listed.clone());
         }
-        self.listed = listed;
         Some(self.client.clone())
     }
 }
