Check a request's authority on the URI that is built for it

The check parsed the authority once more for each request. It now reads what the URI's own parser found, which must be the authority that was given.

--- a/crates/wire/src/http_client.rs
+++ b/crates/wire/src/http_client.rs
@@ -4,7 +4,7 @@
     crate::reset_connector::ResetConnector,
     bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, StatusCode, header, http::uri::Authority},
+    hyper::{HeaderMap, Request, StatusCode, Uri, header},
     hyper_util::{
         client::legacy::Client,
         rt::{TokioExecutor, TokioTimer},
@@ -200,24 +200,25 @@
     headers: &[(&str, &str)],
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>, HttpFault> {
-    check_authority(authority)?;
     let mut builder = Request::builder()
         .method(method)
         .uri(format!("http://{authority}{path}"));
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    builder
+    let request = builder
         .body(Full::new(body))
         .map_err(|error| HttpFault::NotSent {
             detail: error.to_string(),
-        })
+        })?;
+    check_authority(request.uri(), authority)?;
+    Ok(request)
 }
 
-/// Checks that an authority is a host and a port from 1 to 65535, or a host alone. Its parser
-/// takes a port beyond that range for none.
-fn check_authority(authority: &str) -> Result<(), HttpFault> {
-    let parsed: Option<Authority> = authority.parse().ok();
+/// Checks that an authority is a host and a port from 1 to 65535, or a host alone. The URI's
+/// parser takes a port beyond that range for none.
+fn check_authority(uri: &Uri, authority: &str) -> Result<(), HttpFault> {
+    let parsed = uri.authority().filter(|parsed| *parsed == authority);
     let is_valid = parsed.is_some_and(|parsed| match parsed.port_u16() {
         Some(port) => port > 0 && !authority.contains('@'),
         None => parsed.host() == authority,
