--- a/crates/domain/tests/ended_job_test.rs
+++ b/crates/domain/tests/ended_job_test.rs
@@ -1,83 +1,39 @@
 //! Tests of runs whose job has ended: each is stopped, however the owner learns of it.
 
+mod lasting_run;
 mod samples;
 
 use {
-    dotterelshore_domain::{
-        names::{JobName, WorkerName},
-        schedule::{
-            FleetSchedule, JobState, LingeringRuns, OrderRule, ProgressRecord, ReportedRun,
-            Resources, StepPlan, StepProgress, StopOrder, TaskName, UnreachableRuns, WorkerOrder,
-            WorkerReport, WorkerSnapshot,
-        },
+    dotterelshore_domain::schedule::{
+        FleetSchedule, JobState, LingeringRuns, OrderRule, ProgressRecord, StepPlan, StepProgress,
+        UnreachableRuns, WorkerOrder, WorkerSnapshot,
     },
     dotterelshore_testkit::named_cases,
+    lasting_run::{
+        JOB, WORKER_MILLI, job_name, lasting_step, report, stop_order, task, worker_name,
+    },
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
-    std::sync::Arc,
 };
 
 /// Worker lease, in milliseconds.
 const LEASE_MS: u64 = 4_000;
-/// Processor capacity of the worker, in thousandths of a core.
-const WORKER_MILLI: u64 = 64_000;
 /// Run numbers of the new owner are above this.
 const RUN_BASE: u32 = 2_000;
 /// The run that the earlier owner left.
 const EARLIER_RUN: u32 = 1_001;
 
-fn name<T: TryFrom<&'static str>>(text: &'static str) -> T
-where
-    T::Error: std::fmt::Debug,
-{
-    T::try_from(text).expect("a name")
-}
-
-fn task() -> TaskName {
-    "left.0.0.0".parse().expect("a task")
-}
-
 fn stop(run: u32) -> WorkerOrder {
-    WorkerOrder::Stop(StopOrder {
-        worker: name("w-1"),
-        task: task(),
-        run,
-    })
-}
-
-fn report(clock_ms: u64, runs: &[u32]) -> WorkerReport {
-    let running = runs.iter().map(|run| ReportedRun {
-        task: task(),
-        run: *run,
-        checkpoint: Arc::from(""),
-        progress_percent: 100.0,
-        metric: 0.0,
-    });
-    WorkerReport {
-        clock_ms,
-        running: running.collect(),
-        ..WorkerReport::default()
-    }
+    WorkerOrder::Stop(stop_order(run))
 }
 
 /// Returns the schedule of a new owner that read a job with one long-running task and the stored
 /// snapshot of a worker that the earlier owner lost contact with, while the task ran there.
 fn taken_over(progress: Option<&ProgressRecord>, is_cancelled: bool) -> FleetSchedule {
     let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + 2 * LEASE_MS);
-    let step = StepPlan {
-        count: 1,
-        need: Resources {
-            cpu_milli: 4_000,
-            memory_mb: 1_000,
-            gpus: 0,
-        },
-        long_running: true,
-        max_unavailable: Some(1),
-        ..StepPlan::default()
-    };
-    let record = sample_job("left", step);
+    let record = sample_job(JOB, lasting_step());
     schedule.add_job(record, progress, RUN_BASE, NOW_MS, WALL_MS);
     if is_cancelled {
-        schedule.cancel(&name("left"), NOW_MS, WALL_MS);
+        schedule.cancel(&job_name(), NOW_MS, WALL_MS);
     }
     let snapshot = WorkerSnapshot {
         listed: sample_worker("w-1", WORKER_MILLI),
@@ -100,7 +56,7 @@
     });
     let mut schedule = taken_over(progress.as_ref(), is_cancelled);
     let first = report(20, &[EARLIER_RUN]);
-    let mut orders = schedule.apply_report(&name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
+    let mut orders = schedule.apply_report(&worker_name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
     orders.extend(schedule.tick(NOW_MS + 1_000, true));
     assert!(
         orders.contains(&stop(EARLIER_RUN)),
@@ -120,10 +76,9 @@
 fn restored_run_of_open_job_goes_on_until_cancelled() {
     let mut schedule = taken_over(None, false);
     let first = report(20, &[EARLIER_RUN]);
-    let reported = schedule.apply_report(&name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
+    let reported = schedule.apply_report(&worker_name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
     assert_eq!(reported, Vec::new(), "it goes on");
-    let job: JobName = name("left");
-    let orders = schedule.cancel(&job, NOW_MS + 20, WALL_MS + 20);
+    let orders = schedule.cancel(&job_name(), NOW_MS + 20, WALL_MS + 20);
     assert_eq!(orders, vec![stop(EARLIER_RUN)]);
 }
 
@@ -131,7 +86,7 @@
 #[test]
 fn runs_of_ended_jobs_are_counted_until_they_end() {
     let mut schedule = taken_over(None, true);
-    let worker: WorkerName = name("w-1");
+    let worker = worker_name("w-1");
     let first = report(20, &[EARLIER_RUN]);
     schedule.apply_report(&worker, &first, NOW_MS + 10, WALL_MS + 10);
     let lingering = LingeringRuns {
@@ -139,11 +94,7 @@
         oldest_ms: 500,
     };
     assert_eq!(schedule.lingering_runs(WALL_MS + 500), lingering);
-    let order = StopOrder {
-        worker: worker.clone(),
-        task: task(),
-        run: EARLIER_RUN,
-    };
+    let order = stop_order(EARLIER_RUN);
     schedule.confirm_stop(&order, 30);
     schedule.apply_report(&worker, &report(40, &[]), NOW_MS + 600, WALL_MS + 600);
     assert_eq!(
@@ -165,14 +116,10 @@
 /// of answered ones do not hold up the others.
 fn queued_stop_is_due(event: Option<StopEvent>, later_ms: u64, is_due: bool) {
     let mut schedule = taken_over(None, true);
-    let worker: WorkerName = name("w-1");
+    let worker = worker_name("w-1");
     let first = report(20, &[EARLIER_RUN]);
     schedule.apply_report(&worker, &first, NOW_MS, WALL_MS);
-    let mut order = StopOrder {
-        worker: worker.clone(),
-        task: task(),
-        run: EARLIER_RUN,
-    };
+    let mut order = stop_order(EARLIER_RUN);
     match event {
         Some(StopEvent::Sent) => assert!(schedule.begin_stop(&order, NOW_MS), "the first is sent"),
         Some(StopEvent::Confirmed) => schedule.confirm_stop(&order, 30),
@@ -204,7 +151,7 @@
     schedule.upsert_worker(sample_worker("w-1", WORKER_MILLI));
     let first = report(20, &[EARLIER_RUN]);
     let orders = schedule.apply_report(
-        &name("w-1"),
+        &worker_name("w-1"),
         &first,
         orphans_until_ms + after_ms,
         WALL_MS + LEASE_MS + after_ms,
@@ -233,11 +180,11 @@
             ..StepProgress::default()
         }],
     };
-    let record = sample_job("left", step);
+    let record = sample_job(JOB, step);
     schedule.add_job(record, Some(&progress), RUN_BASE, NOW_MS, WALL_MS);
     schedule.upsert_worker(sample_worker("w-1", WORKER_MILLI));
     let first = report(20, &[EARLIER_RUN]);
-    let orders = schedule.apply_report(&name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
+    let orders = schedule.apply_report(&worker_name("w-1"), &first, NOW_MS + 10, WALL_MS + 10);
     assert_eq!(orders, vec![stop(EARLIER_RUN)]);
 }
 
@@ -247,12 +194,8 @@
 fn stop_ordered_again_waits_for_the_reply_to_the_one_before() {
     let mut schedule = taken_over(None, true);
     let first = report(20, &[EARLIER_RUN]);
-    schedule.apply_report(&name("w-1"), &first, NOW_MS, WALL_MS);
-    let order = StopOrder {
-        worker: name("w-1"),
-        task: task(),
-        run: EARLIER_RUN,
-    };
+    schedule.apply_report(&worker_name("w-1"), &first, NOW_MS, WALL_MS);
+    let order = stop_order(EARLIER_RUN);
     assert!(schedule.begin_stop(&order, NOW_MS + 300), "the first");
     assert_eq!(schedule.tick(NOW_MS + 450, true), Vec::new(), "not yet");
     assert!(!schedule.begin_stop(&order, NOW_MS + 450), "not yet");
@@ -269,7 +212,7 @@
 fn unanswered_stop_is_ordered_again() {
     let mut schedule = taken_over(None, true);
     let first = report(20, &[EARLIER_RUN]);
-    schedule.apply_report(&name("w-1"), &first, NOW_MS, WALL_MS);
+    schedule.apply_report(&worker_name("w-1"), &first, NOW_MS, WALL_MS);
     assert_eq!(schedule.tick(NOW_MS + 300, true), Vec::new(), "not yet");
     assert_eq!(schedule.tick(NOW_MS + 500, true), vec![stop(EARLIER_RUN)]);
 }
--- a/crates/domain/tests/lost_stop_test.rs
+++ b/crates/domain/tests/lost_stop_test.rs
@@ -1,24 +1,20 @@
 //! Tests of runs that stay at work after a stop, an end or a lease was lost from view.
 
+mod lasting_run;
 mod samples;
 
 use {
-    dotterelshore_domain::{
-        names::{JobName, WorkerName},
-        schedule::{
-            EndReason, EndedRun, FleetSchedule, OrderRule, ReportedRun, Resources, StepPlan,
-            StopOrder, TaskName, WorkerOrder, WorkerReport,
-        },
-    },
+    dotterelshore_domain::schedule::{EndReason, EndedRun, FleetSchedule, OrderRule, WorkerOrder},
     dotterelshore_testkit::named_cases,
+    lasting_run::{
+        JOB, WORKER_MILLI, job_name, lasting_step, report, stop_order, task, worker_name,
+    },
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
 
 /// Worker lease, in milliseconds.
 const LEASE_MS: u64 = 3_600;
-/// Processor capacity of a worker, in thousandths of a core.
-const WORKER_MILLI: u64 = 64_000;
 /// The number of a run whose start order the worker carried out late.
 const LATE_RUN: u32 = 1;
 /// The number of the run that was started in its place.
@@ -29,57 +25,10 @@
 /// is resent, and two ticks.
 const RESEND_MAX_MS: u64 = 600;
 
-fn worker_name(text: &str) -> WorkerName {
-    WorkerName::try_from(text).expect("a name")
-}
-
-fn job_name() -> JobName {
-    JobName::try_from("lasting").expect("a name")
-}
-
-fn task() -> TaskName {
-    "lasting.0.0.0".parse().expect("a task")
-}
-
-fn stop_order(run: u32) -> StopOrder {
-    StopOrder {
-        worker: worker_name("w-1"),
-        task: task(),
-        run,
-    }
-}
-
-fn report(clock_ms: u64, runs: &[u32]) -> WorkerReport {
-    let running = runs.iter().map(|run| ReportedRun {
-        task: task(),
-        run: *run,
-        checkpoint: Arc::from(""),
-        progress_percent: 100.0,
-        metric: 0.0,
-    });
-    WorkerReport {
-        started_ms: Some(1),
-        clock_ms,
-        running: running.collect(),
-        finished: Vec::new(),
-    }
-}
-
 /// Returns a schedule with one lasting task, which runs on the first of two workers.
 fn schedule_with_run() -> FleetSchedule {
     let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
-    let step = StepPlan {
-        count: 1,
-        need: Resources {
-            cpu_milli: 4_000,
-            memory_mb: 1_000,
-            gpus: 0,
-        },
-        long_running: true,
-        max_unavailable: Some(1),
-        ..StepPlan::default()
-    };
-    schedule.add_job(sample_job("lasting", step), None, 0, NOW_MS, WALL_MS);
+    schedule.add_job(sample_job(JOB, lasting_step()), None, 0, NOW_MS, WALL_MS);
     schedule.upsert_worker(sample_worker("w-1", WORKER_MILLI));
     let first = report(10, &[CURRENT_RUN]);
     schedule.apply_report(&worker_name("w-1"), &first, NOW_MS, WALL_MS);
--- a/crates/domain/tests/odd_worker_test.rs
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -207,12 +207,8 @@
     silent_worker_in_spare_pool_moves_no_instance("spare");
 }
 
-/// An instance hosts the worker that reports, whatever other rows name the instance.
-fn hosted_worker(change: impl FnOnce(&mut ListedWorker)) {
-    let (mut schedule, _) = schedule_with_run();
-    let mut odd = odd_worker();
-    change(&mut odd);
-    schedule.upsert_worker(odd);
+/// Returns a plan with the instance of the sound worker.
+fn plan_with_instance() -> (InstancePlan, InstanceName) {
     let instance = InstanceName::try_from("m-1").expect("a name");
     let mut plan = InstancePlan::new(2_000, 64.0);
     let row = ListedInstance {
@@ -222,6 +218,16 @@
         worker: None,
     };
     plan.apply_instance_list(vec![row], NOW_MS);
+    (plan, instance)
+}
+
+/// An instance hosts the worker that reports, whatever other rows name the instance.
+fn hosted_worker(change: impl FnOnce(&mut ListedWorker)) {
+    let (mut schedule, _) = schedule_with_run();
+    let mut odd = odd_worker();
+    change(&mut odd);
+    schedule.upsert_worker(odd);
+    let (mut plan, instance) = plan_with_instance();
     let _orders = plan.plan(&mut schedule, NOW_MS);
     assert_eq!(plan.worker_of(&instance), Some(&worker_name("sound")));
 }
@@ -241,15 +247,7 @@
     let mut odd = odd_worker();
     odd.started_ms += started_later_ms;
     schedule.upsert_worker(odd);
-    let instance = InstanceName::try_from("m-1").expect("a name");
-    let mut plan = InstancePlan::new(2_000, 64.0);
-    let row = ListedInstance {
-        name: instance.clone(),
-        pool: pool(),
-        activity: InstanceActivity::Up,
-        worker: None,
-    };
-    plan.apply_instance_list(vec![row], NOW_MS);
+    let (mut plan, instance) = plan_with_instance();
     let spec = WaveSpec {
         number: 1,
         instances: vec![instance],
--- a/crates/load/tests/cancellation_test.rs
+++ b/crates/load/tests/cancellation_test.rs
@@ -1,13 +1,16 @@
 //! Cancellations whose notification does not reach the entry that supervises the job.
 
+mod batch_request;
+
 use {
+    batch_request::batch_request,
     dotterelshore_domain::job::JobState,
     dotterelshore_load::{
         checker::{check_history, read_folder},
         deployment::{DeploymentOptions, DeploymentShape, RunningDeployment},
         driver::{CallerClient, CallerRequest},
     },
-    dotterelshore_standins::{history::HistoryEvent, targets::TargetWork},
+    dotterelshore_standins::history::HistoryEvent,
     dotterelshore_testkit::named_cases,
     std::time::Duration,
     tokio::time::Instant,
@@ -45,19 +48,7 @@
     /// Submits a job at the owner and waits until its task runs.
     async fn submit(deployment: &RunningDeployment) -> Self {
         let client = CallerClient::new(deployment.history.clone());
-        let request = CallerRequest {
-            id: "long".to_owned(),
-            team: "alpha".to_owned(),
-            key: "key-of-alpha".to_owned(),
-            queue: "proofs-batch".to_owned(),
-            idempotent: false,
-            timeout: Duration::from_secs(5),
-            work: TargetWork {
-                work_ms: u64::try_from(WORK_DURATION.as_millis()).expect("a duration in range"),
-                nonce: "n-long".to_owned(),
-                ..TargetWork::default()
-            },
-        };
+        let request = batch_request("long", WORK_DURATION);
         let owner = deployment.entry_address(OWNER).to_string();
         let accepted = client.submit(&owner, &request).await;
         let caller = Self {
--- a/crates/load/tests/handover_test.rs
+++ b/crates/load/tests/handover_test.rs
@@ -1,13 +1,15 @@
 //! Handovers of jobs whose notification does not reach the successor.
 
+mod batch_request;
+
 use {
+    batch_request::batch_request,
     dotterelshore_domain::job::JobState,
     dotterelshore_load::{
         checker::{check_history, read_folder},
         deployment::{DeploymentOptions, DeploymentShape, RunningDeployment},
-        driver::{CallerClient, CallerRequest},
+        driver::CallerClient,
     },
-    dotterelshore_standins::targets::TargetWork,
     dotterelshore_testkit::rstest,
     std::time::Duration,
     tokio::time::Instant,
@@ -33,19 +35,7 @@
         .await
         .expect("the deployment starts");
     let client = CallerClient::new(deployment.history.clone());
-    let request = CallerRequest {
-        id: "handed".to_owned(),
-        team: "alpha".to_owned(),
-        key: "key-of-alpha".to_owned(),
-        queue: "proofs-batch".to_owned(),
-        idempotent: false,
-        timeout: Duration::from_secs(5),
-        work: TargetWork {
-            work_ms: u64::try_from(WORK_DURATION.as_millis()).expect("a duration in range"),
-            nonce: "n-handed".to_owned(),
-            ..TargetWork::default()
-        },
-    };
+    let request = batch_request("handed", WORK_DURATION);
     let owner = deployment.entry_address(0).to_string();
     let accepted = client.submit(&owner, &request).await;
     let job = accepted.expect("the job is accepted").job.to_string();
