Hand the owner's calls to workers to other entries where its processor does not carry them

Cause: one owner of half a core made every poll, start and stop of 1,100 workers itself (51 % of a core at 100 entries and more), so that half of the work started after 5.5 s.

Change: the owner still decides, plans and records. The calls to workers are carried by other entries, its delegates: it sends them over one connection each, and they forward nothing that is older than 0.7 s by their own clock. DelegateRoster assigns workers by the entries' processor and link, within the data centre where it can; a delegate that is silent or leaves loses its workers at once. An owner calls a small fleet itself, as before.

Ruled out: owners by pool, since demand comes to one pool at a time; delegates that renew leases by themselves, since leases, ceilings and drains would need agreement.

--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -1,6 +1,7 @@
 //! Scheduling of multi-step jobs on the workers of a fleet, and maintenance of its instances.
 
 mod arrival_rate;
+mod delegate_roster;
 mod fleet_schedule;
 mod instance_moves;
 mod instance_plan;
@@ -30,6 +31,7 @@
 mod worker_status;
 
 pub use {
+    delegate_roster::{DelegateRoster, EntryResources},
     fleet_schedule::{FleetSchedule, ProgressBatch},
     instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
@@ -47,7 +49,7 @@
     task_name::TaskName,
     worker_order::{StartOrder, StopOrder, WorkerOrder},
     worker_status::{
-        EndReason, EndedRun, ListedWorker, ReportedRun, UnreachableRuns, WorkerReport,
+        EndReason, EndedRun, ListedWorker, PollRequest, ReportedRun, UnreachableRuns, WorkerReport,
         WorkerSnapshot, WorkerStatus,
     },
 };
--- a/crates/domain/src/schedule/start_replies.rs
+++ b/crates/domain/src/schedule/start_replies.rs
@@ -9,10 +9,11 @@
         worker_order::{StartOrder, StopOrder},
     },
     crate::names::WorkerName,
+    serde::{Deserialize, Serialize},
 };
 
 /// A worker's reply to a start order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartReply {
     /// The run started.
     Started {
@@ -26,7 +27,7 @@
 }
 
 /// Why a worker refused to start a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRefusal {
     /// Another owner holds the worker.
     Fenced,
--- a/crates/domain/src/schedule/worker_order.rs
+++ b/crates/domain/src/schedule/worker_order.rs
@@ -1,9 +1,14 @@
 //! Orders to workers.
 
-use {super::task_name::TaskName, crate::names::WorkerName, std::sync::Arc};
+use {
+    super::task_name::TaskName,
+    crate::names::WorkerName,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
 
 /// An order to start a task.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// The worker.
     pub worker: WorkerName,
@@ -20,7 +25,7 @@
 }
 
 /// An order to stop a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StopOrder {
     /// The worker.
     pub worker: WorkerName,
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -43,7 +43,7 @@
 }
 
 /// A run that a worker reports as running.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportedRun {
     /// The task.
     pub task: TaskName,
@@ -59,7 +59,7 @@
 }
 
 /// Why a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndReason {
     /// The task completed.
     Done,
@@ -76,7 +76,7 @@
 }
 
 /// A run that ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRun {
     /// Sequence number of the end, per incarnation of the worker.
     pub number: u64,
@@ -90,8 +90,22 @@
     pub checkpoint: Arc<str>,
 }
 
+/// A poll of a worker's lists of runs, which may extend its lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollRequest {
+    /// New end of the lease on the worker's runs, in milliseconds of its clock; `None` does not
+    /// extend it.
+    pub lease_until_ms: Option<u64>,
+    /// The owner's fencing token.
+    pub fencing_token: u64,
+    /// Number of the last end that is recorded, so that the worker may drop it and earlier ones.
+    pub acknowledged_end: u64,
+    /// How long to wait for a run to end, in milliseconds; `None` means no wait.
+    pub wait_ms: Option<u64>,
+}
+
 /// Runs and run ends that a worker reports.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// Start of its incarnation, in milliseconds since the Unix epoch; `None` if not reported.
     pub started_ms: Option<u64>,
--- /dev/null
+++ b/crates/scheduler/src/delegation/link_frame.rs
@@ -0,0 +1,115 @@
+//! Messages between the owner and a delegate.
+
+use {
+    dotterelshore_domain::{
+        names::WorkerName,
+        schedule::{ListedWorker, PollRequest, StartOrder, StartReply, StopOrder, WorkerReport},
+    },
+    dotterelshore_platform::WorkerFault,
+    serde::{Deserialize, Serialize},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between a delegate's frames while it has no replies.
+pub(super) const STAMP_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time without a frame after which the owner gives a delegate up.
+pub(super) const DELEGATE_SILENCE_MAX: Duration = Duration::from_millis(700);
+/// Longest time without a frame after which a delegate gives the owner up.
+pub(super) const OWNER_SILENCE_MAX: Duration = Duration::from_secs(2);
+/// Greatest age of a call that a delegate still sends, in milliseconds. The owner has given an
+/// older one up, or soon will.
+pub(super) const CALL_AGE_MAX_MS: u64 = 700;
+
+/// The worker that a call is for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WorkerTarget {
+    /// Its name.
+    pub(crate) name: WorkerName,
+    /// Its address, as host and port.
+    pub(crate) address: Arc<str>,
+    /// Start of its incarnation, in milliseconds since the Unix epoch.
+    pub(crate) started_ms: u64,
+}
+
+impl WorkerTarget {
+    /// The target of calls to a listed worker.
+    pub(crate) fn of_listed(listed: &ListedWorker) -> Self {
+        Self {
+            name: listed.name.clone(),
+            address: Arc::clone(&listed.address),
+            started_ms: listed.started_ms,
+        }
+    }
+}
+
+/// A call to a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum WorkerCall {
+    /// Polls the lists of runs.
+    Poll(PollRequest),
+    /// Starts a task.
+    Start {
+        /// The order.
+        order: StartOrder,
+        /// End of the lease, in milliseconds of the worker's clock.
+        lease_until_ms: u64,
+        /// The owner's fencing token.
+        token: u64,
+    },
+    /// Stops a run.
+    Stop {
+        /// The order.
+        order: StopOrder,
+        /// The owner's fencing token.
+        token: u64,
+    },
+    /// Sets the pace of a run.
+    Pace {
+        /// The run.
+        order: StopOrder,
+        /// The pace, in percent.
+        percent: u32,
+        /// The owner's fencing token.
+        token: u64,
+    },
+}
+
+/// The outcome of a [`WorkerCall`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum WorkerReply {
+    /// The outcome of a poll.
+    Polled(Result<WorkerReport, WorkerFault>),
+    /// The outcome of a start.
+    Started(StartReply),
+    /// The outcome of a stop or a pace: the worker's clock, in milliseconds.
+    Confirmed(Result<u64, WorkerFault>),
+    /// The call was too old and was not sent.
+    NotSent,
+}
+
+/// A call with the number by which its reply refers to it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct NumberedCall {
+    pub(super) number: u64,
+    pub(super) target: WorkerTarget,
+    pub(super) call: WorkerCall,
+}
+
+/// What the owner sends.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct CallFrame {
+    /// The newest stamp that the owner had received from the delegate. The calls were sent after
+    /// it, so that the delegate knows their greatest age by its own clock.
+    pub(super) stamp_ms: u64,
+    pub(super) calls: Vec<NumberedCall>,
+}
+
+/// What a delegate sends.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct ReplyFrame {
+    /// The delegate's clock when it sent the frame, in milliseconds.
+    pub(super) stamp_ms: u64,
+    /// Whether the delegate shuts down and wants no further calls.
+    pub(super) is_leaving: bool,
+    pub(super) replies: Vec<(u64, WorkerReply)>,
+}
--- /dev/null
+++ b/crates/scheduler/src/leading/delegates.rs
@@ -0,0 +1,218 @@
+//! The owner's delegates: which entries carry calls to workers, and the links to them.
+
+use {
+    super::leadership::Leadership,
+    crate::{
+        delegation::{DelegateLink, LinkCalls, LinkEnd, open_link},
+        entry_row::{entry_of_key, parse_entry_row},
+        node::{SchedulerNode, lock, uptime_ms},
+        store::{ENTRY_PREFIX, PrefixUpdate, ResumeMode, follow_prefix},
+    },
+    dotterelshore_domain::{
+        collections::FastMap,
+        names::{CentreName, EntryName, WorkerName},
+        schedule::DelegateRoster,
+    },
+    dotterelshore_platform::{KvRow, WatchEvent},
+    dotterelshore_wire::log_event,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{sync::Notify, task::JoinSet},
+};
+
+/// Longest time between assignments of workers to delegates.
+const ASSIGN_PERIOD: Duration = Duration::from_millis(250);
+
+/// A link whose task was not started yet.
+#[derive(Debug)]
+struct NewLink {
+    entry: EntryName,
+    address: SocketAddr,
+    calls: LinkCalls,
+}
+
+#[derive(Debug, Default)]
+struct DelegateState {
+    roster: DelegateRoster,
+    addresses: FastMap<EntryName, SocketAddr>,
+    links: FastMap<EntryName, DelegateLink>,
+    new_links: Vec<NewLink>,
+}
+
+/// The delegates of an owner.
+#[derive(Debug)]
+pub(super) struct Delegates {
+    state: Mutex<DelegateState>,
+    /// Wakes the task that assigns workers and starts links.
+    changed: Notify,
+}
+
+impl Delegates {
+    /// Creates the state of an owner with this many cores.
+    pub(super) fn new(owner_cores: f64) -> Self {
+        let state = DelegateState {
+            roster: DelegateRoster::new(owner_cores),
+            ..DelegateState::default()
+        };
+        Self {
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the link to the delegate of a worker; `None` if the owner calls it itself.
+    pub(super) fn link_of(&self, worker: &WorkerName) -> Option<DelegateLink> {
+        let state = lock(&self.state);
+        let delegate = state.roster.delegate_of(worker)?;
+        state.links.get(delegate).cloned()
+    }
+
+    /// Assigns the workers of the fleet and creates the links that this needs.
+    pub(super) fn assign(&self, fleet: &[(WorkerName, CentreName)]) {
+        let mut state = lock(&self.state);
+        let state = &mut *state;
+        state.roster.assign(fleet, uptime_ms());
+        for entry in state.roster.delegates_in_use() {
+            let Some(address) = state.addresses.get(entry) else {
+                continue;
+            };
+            if state.links.contains_key(entry) {
+                continue;
+            }
+            let (link, calls) = DelegateLink::new();
+            state.links.insert(entry.clone(), link);
+            state.new_links.push(NewLink {
+                entry: entry.clone(),
+                address: *address,
+                calls,
+            });
+        }
+        if !state.new_links.is_empty() {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Applies rows of entries; `complete` means that other entries are gone.
+    fn apply_rows(&self, own_name: &EntryName, rows: &[KvRow], complete: bool) {
+        let mut state = lock(&self.state);
+        let mut listed = Vec::new();
+        for row in rows {
+            let Some(name) = entry_of_key(&row.key).filter(|name| name != own_name) else {
+                continue;
+            };
+            let Some(row) = parse_entry_row(row) else {
+                continue;
+            };
+            state.roster.upsert_entry(row.resources(name.clone()));
+            state.addresses.insert(name.clone(), row.address);
+            listed.push(name);
+        }
+        if complete {
+            let gone: Vec<_> = state.addresses.keys().cloned().collect();
+            for name in gone.iter().filter(|name| !listed.contains(name)) {
+                state.remove(name);
+            }
+        }
+        self.changed.notify_one();
+    }
+
+    fn remove_entry(&self, name: &EntryName) {
+        lock(&self.state).remove(name);
+        self.changed.notify_one();
+    }
+
+    fn take_new_links(&self) -> Vec<NewLink> {
+        std::mem::take(&mut lock(&self.state).new_links)
+    }
+
+    /// Records that a frame of a delegate arrived.
+    fn mark_answering(&self, entry: &EntryName, is_leaving: bool) {
+        let mut state = lock(&self.state);
+        if is_leaving {
+            state.roster.mark_leaving(entry);
+            self.changed.notify_one();
+        } else {
+            state.roster.mark_answering(entry);
+        }
+    }
+
+    /// Removes a link that ended, so that its workers are assigned elsewhere.
+    fn remove_link(&self, entry: &EntryName, end: &LinkEnd) {
+        let mut state = lock(&self.state);
+        state.links.remove(entry);
+        if matches!(end, LinkEnd::Leaving) {
+            state.roster.mark_leaving(entry);
+        } else {
+            state.roster.mark_failed(entry, uptime_ms());
+        }
+    }
+}
+
+impl DelegateState {
+    fn remove(&mut self, name: &EntryName) {
+        self.roster.remove_entry(name);
+        self.addresses.remove(name);
+    }
+}
+
+/// Follows the entries' rows, until aborted.
+pub(super) async fn follow_entries(node: Arc<SchedulerNode>, leadership: Arc<Leadership>) {
+    let delegates = &leadership.delegates;
+    let own_name = &node.settings.name;
+    follow_prefix(
+        &node,
+        ENTRY_PREFIX,
+        ResumeMode::CatchUp,
+        None,
+        |update| match update {
+            PrefixUpdate::Snapshot(rows) => delegates.apply_rows(own_name, &rows, true),
+            PrefixUpdate::Change(WatchEvent::Written(row)) => {
+                delegates.apply_rows(own_name, &[row], false);
+            }
+            PrefixUpdate::Change(WatchEvent::Removed { key, .. }) => {
+                if let Some(name) = entry_of_key(&key) {
+                    delegates.remove_entry(&name);
+                }
+            }
+        },
+    )
+    .await;
+}
+
+/// Assigns workers to delegates and runs the links to them, until aborted.
+pub(super) async fn run_delegates(node: Arc<SchedulerNode>, leadership: Arc<Leadership>) {
+    let mut interval = node.timer.interval(ASSIGN_PERIOD);
+    let mut links = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = interval.tick() => {}
+            () = leadership.delegates.changed.notified() => {}
+            Some(ended) = links.join_next() => if let Err(error) = ended {
+                log_event!(Error, "link-task-failed", error = error);
+            },
+        }
+        leadership.assign_delegates();
+        for link in leadership.delegates.take_new_links() {
+            links.spawn(run_link(Arc::clone(&leadership), link));
+        }
+    }
+}
+
+async fn run_link(leadership: Arc<Leadership>, link: NewLink) {
+    let NewLink {
+        entry,
+        address,
+        calls,
+    } = link;
+    log_event!(Info, "delegate-linked", entry = entry);
+    let delegates = &leadership.delegates;
+    let end = open_link(address, calls, |is_leaving| {
+        delegates.mark_answering(&entry, is_leaving);
+    });
+    let end = end.await;
+    log_event!(Info, "delegate-lost", entry = entry, reason = end);
+    delegates.remove_link(&entry, &end);
+}
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        delegates::Delegates,
         owner_writes::{OwnerWrites, WriteChain},
         progress_recorder, worker_snapshots,
     },
@@ -93,6 +94,8 @@
     pub(crate) plan_notify: Notify,
     /// Wakes the progress recorder.
     pub(crate) record_notify: Notify,
+    /// The entries that carry calls to workers.
+    pub(super) delegates: Delegates,
     /// The owner's writes to the store.
     pub(super) writes: OwnerWrites,
     /// Wakes the task that keeps the worker snapshots current.
@@ -105,9 +108,11 @@
 }
 
 impl Leadership {
-    /// Starts with the authority of a claim and an empty schedule.
-    pub(crate) fn new(claim: OwnerClaim) -> Self {
+    /// Starts with the authority of a claim and an empty schedule, in a process with this many
+    /// cores.
+    pub(crate) fn new(claim: OwnerClaim, cores: f64) -> Self {
         let leadership = Self {
+            delegates: Delegates::new(cores),
             schedule: Mutex::new(FleetSchedule::default()),
             plan_notify: Notify::new(),
             record_notify: Notify::new(),
@@ -183,6 +188,18 @@
         self.plan_notify.notify_one();
     }
 
+    /// Assigns the workers of the fleet to delegates.
+    pub(super) fn assign_delegates(&self) {
+        let fleet: Vec<_> = {
+            let schedule = lock(&self.schedule);
+            let listed = schedule.workers().map(|status| &status.listed);
+            listed
+                .map(|listed| (listed.name.clone(), listed.centre.clone()))
+                .collect()
+        };
+        self.delegates.assign(&fleet);
+    }
+
     /// Opens the order queues of a worker; `None` if they are already open.
     pub(super) fn open_order_queues(&self, name: &WorkerName) -> Option<OrderReceivers> {
         let mut queues = lock(&self.order_queues);
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -1,6 +1,7 @@
 //! Work of the schedule's owner: takeover, planning, orders, recording.
 
 mod advice_task;
+mod delegates;
 mod instance_calls;
 mod instance_task;
 mod job_follow;
@@ -10,6 +11,7 @@
 mod progress_recorder;
 mod takeover;
 mod worker_orders;
+mod worker_route;
 mod worker_snapshots;
 mod worker_stops;
 mod worker_task;
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         advice_task::request_advice,
+        delegates::{follow_entries, run_delegates},
         instance_task::reconcile_instances,
         job_follow::{apply_job_rows, follow_jobs},
         leadership::{HandoverRecord, Leadership},
@@ -86,6 +87,10 @@
     let (n, l) = clone_handles();
     tasks.spawn(async move { follow_jobs(n, l, stored.jobs.revision).await });
     let (n, l) = clone_handles();
+    tasks.spawn(async move { follow_entries(n, l).await });
+    let (n, l) = clone_handles();
+    tasks.spawn(async move { run_delegates(n, l).await });
+    let (n, l) = clone_handles();
     tasks.spawn(async move { maintain_worker_snapshots(n, l).await });
     let (n, l) = clone_handles();
     tasks.spawn(async move { record_progress(n, l).await });
--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -3,11 +3,11 @@
 use {
     super::{
         leadership::{Leadership, RunOrder},
+        worker_route::WorkerRoute,
         worker_task::{ListedClient, WorkerClock},
     },
     crate::node::{SchedulerNode, lock, uptime_ms},
     dotterelshore_domain::schedule::{StartOrder, StartRefusal, StartReply, StopOrder},
-    dotterelshore_platform::WorkerClient,
     dotterelshore_wire::log_event,
     std::sync::Arc,
     tokio::sync::mpsc,
@@ -44,7 +44,7 @@
 async fn pace_run(
     node: &SchedulerNode,
     leadership: &Leadership,
-    client: &WorkerClient,
+    client: &WorkerRoute,
     order: &StopOrder,
     percent: u32,
 ) {
@@ -66,7 +66,7 @@
     node: &SchedulerNode,
     leadership: &Leadership,
     clock: &WorkerClock,
-    client: &WorkerClient,
+    client: &WorkerRoute,
     order: &StartOrder,
 ) {
     if !lock(&leadership.schedule).is_start_pending(order) {
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -123,6 +123,7 @@
                 }
             }
         }
+        leadership.assign_delegates();
         for snapshot in snapshots {
             let name = &snapshot.listed.name;
             let is_stored = stored.as_ref().is_some_and(|stored| {
--- a/crates/scheduler/src/leading/worker_stops.rs
+++ b/crates/scheduler/src/leading/worker_stops.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         leadership::{Leadership, QueuedStop},
+        worker_route::WorkerRoute,
         worker_task::ListedClient,
     },
     crate::node::{SchedulerNode, lock, uptime_ms},
-    dotterelshore_platform::WorkerClient,
     dotterelshore_wire::log_event,
     std::sync::Arc,
     tokio::sync::{Semaphore, mpsc},
@@ -48,7 +48,7 @@
 async fn stop_run(
     node: &SchedulerNode,
     leadership: &Leadership,
-    client: &WorkerClient,
+    client: &WorkerRoute,
     stop: &QueuedStop,
 ) {
     let order = &stop.order;
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -2,15 +2,24 @@
 
 use {
     super::{
-        leadership::Leadership, takeover::WORKER_LEASE, worker_orders::deliver_orders,
+        leadership::Leadership,
+        takeover::WORKER_LEASE,
+        worker_orders::deliver_orders,
+        worker_route::{RouteFault, WorkerRoute},
         worker_stops::deliver_stops,
     },
-    crate::node::{SchedulerNode, lock, millis, uptime_ms},
-    dotterelshore_domain::{names::WorkerName, schedule::ListedWorker},
-    dotterelshore_platform::{PollRequest, WorkerClient, WorkerFault},
+    crate::{
+        delegation::WorkerTarget,
+        node::{SchedulerNode, lock, millis, uptime_ms},
+    },
+    dotterelshore_domain::{
+        names::WorkerName,
+        schedule::{ListedWorker, PollRequest},
+    },
+    dotterelshore_platform::{WorkerClient, WorkerFault},
     dotterelshore_wire::{event_log::unix_millis, log_event},
     std::{
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, OnceLock},
         time::Duration,
     },
 };
@@ -29,6 +38,9 @@
 /// Pause after a failed poll, and between checks for authority while it is missing.
 const POLL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause after the delegate of a worker failed, in which the worker is assigned elsewhere.
+const REROUTE_PAUSE: Duration = Duration::from_millis(20);
+
 /// Reading of a worker's clock, with the local time at which it arrived.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -94,24 +106,35 @@
 pub(super) struct ListedClient {
     /// The worker as it was listed when the client was made.
     listed: ListedWorker,
-    client: WorkerClient,
+    /// Made by the first direct call; shared by the worker's tasks.
+    client: Arc<OnceLock<WorkerClient>>,
 }
 
 impl ListedClient {
     fn new(listed: ListedWorker) -> Self {
-        let client = WorkerClient::new(&listed);
+        let client = Arc::default();
         Self { listed, client }
     }
 
-    /// Returns a client of the worker as it is listed now; `None` if it left the schedule.
-    pub(super) fn current(&mut self, leadership: &Leadership) -> Option<WorkerClient> {
-        let schedule = lock(&leadership.schedule);
-        let listed = &schedule.worker(&self.listed.name)?.listed;
-        let same_incarnation = listed.started_ms == self.listed.started_ms;
-        if !same_incarnation || listed.address != self.listed.address {
-            *self = Self::new(listed.clone());
+    /// Returns the route to the worker as it is listed now; `None` if it left the schedule.
+    pub(super) fn current(&mut self, leadership: &Leadership) -> Option<WorkerRoute> {
+        {
+            let schedule = lock(&leadership.schedule);
+            let listed = &schedule.worker(&self.listed.name)?.listed;
+            let same_incarnation = listed.started_ms == self.listed.started_ms;
+            if !same_incarnation || listed.address != self.listed.address {
+                *self = Self::new(listed.clone());
+            }
+        }
+        if let Some(link) = leadership.delegates.link_of(&self.listed.name) {
+            self.client = Arc::default();
+            return Some(WorkerRoute::Delegated(
+                link,
+                WorkerTarget::of_listed(&self.listed),
+            ));
         }
-        Some(self.client.clone())
+        let client = self.client.get_or_init(|| WorkerClient::new(&self.listed));
+        Some(WorkerRoute::Direct(client.clone()))
     }
 }
 
@@ -124,6 +147,7 @@
     mut client: ListedClient,
 ) {
     let mut is_unreachable = false;
+    let mut is_rerouted = false;
     loop {
         if !leadership.has_authority() {
             if leadership.is_ended() {
@@ -146,6 +170,7 @@
         match current.poll(&request).await {
             Ok(report) => {
                 is_unreachable = false;
+                is_rerouted = false;
                 let now_ms = uptime_ms();
                 *lock(&clock.reading) = Some(ClockReading {
                     clock_ms: report.clock_ms,
@@ -166,7 +191,15 @@
                 }
                 tokio::time::sleep(POLL_PAUSE).await;
             }
-            Err(WorkerFault::Fenced) => {
+            Err(RouteFault::Delegate { source }) if !is_rerouted => {
+                is_rerouted = true;
+                node.metrics.count_retry("worker-route");
+                log_event!(Debug, "poll-rerouted", worker = clock.name, error = source);
+                tokio::time::sleep(REROUTE_PAUSE).await;
+            }
+            Err(RouteFault::Worker {
+                source: WorkerFault::Fenced,
+            }) => {
                 log_event!(Warn, "worker-fenced", worker = clock.name, token = token);
                 leadership.mark_fenced(token);
                 tokio::time::sleep(POLL_RETRY_PAUSE).await;
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -5,6 +5,8 @@
 //! schedule.
 
 mod cli;
+mod delegation;
+mod entry_row;
 mod explain;
 mod front;
 mod job_records;
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        delegation::carry_calls,
         job_records::{record_cancel, record_job, stored_state},
         node::{SchedulerNode, lock},
         store_path::StorePath,
@@ -48,6 +49,8 @@
     Cancel(JobName),
     /// Reads a job's state from the store on behalf of such an entry.
     StoredState(JobName),
+    /// Turns the connection into the link of a delegate, which carries calls to workers.
+    CarryCalls,
 }
 
 /// The reply to a [`PeerCall`].
@@ -198,7 +201,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<BufStream<TcpStream>, PeerFault> {
+pub(crate) async fn connect(address: SocketAddr) -> Result<BufStream<TcpStream>, PeerFault> {
     let connecting = TcpStream::connect(address);
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
     let stream = connected
@@ -243,7 +246,8 @@
         PeerCall::StoreHeard
         | PeerCall::Submit(_)
         | PeerCall::Cancel(_)
-        | PeerCall::StoredState(_) => return None,
+        | PeerCall::StoredState(_)
+        | PeerCall::CarryCalls => return None,
     })
 }
 
@@ -280,6 +284,9 @@
                 return;
             }
         };
+        if call == PeerCall::CarryCalls {
+            return carry_calls(&node, stream).await;
+        }
         let is_store_unreachable = node.is_store_unreachable();
         let reply = match &call {
             PeerCall::StoreHeard => PeerReply::StoreHeard(!is_store_unreachable),
--- a/crates/scheduler/src/store_path.rs
+++ b/crates/scheduler/src/store_path.rs
@@ -2,15 +2,15 @@
 
 use {
     crate::{
+        entry_row::{EntryRow, parse_entry_row},
         node::{SchedulerNode, uptime_ms},
         peers::query_store_access,
         store::{ENTRY_PREFIX, OWNER_KEY},
     },
     dotterelshore_domain::names::CentreName,
-    dotterelshore_platform::{KvFault, KvRow, KvTransaction},
+    dotterelshore_platform::{KvFault, KvTransaction},
     dotterelshore_wire::{log_event, timer_hub::jittered_pause},
     rand::seq::SliceRandom,
-    serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::task::JoinSet,
 };
@@ -49,16 +49,6 @@
     CutOff,
 }
 
-/// An entry's row in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct EntryRow {
-    /// Address for calls from other entries.
-    address: SocketAddr,
-    /// The entry's data centre.
-    centre: CentreName,
-}
-
 /// Summary of the entries' replies on whether they reach the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 struct PeerReplies {
@@ -88,10 +78,7 @@
 }
 
 async fn renew_entry_row(node: Arc<SchedulerNode>) {
-    let row = EntryRow {
-        address: node.settings.peers,
-        centre: node.settings.centre.clone(),
-    };
+    let row = EntryRow::of_settings(&node.settings);
     let Ok(value) = serde_json::to_vec(&row) else {
         log_event!(Error, "entry-row-not-encoded");
         return;
@@ -134,12 +121,6 @@
     }
 }
 
-fn parse_entry_row(row: &KvRow) -> Option<EntryRow> {
-    serde_json::from_slice(&row.value)
-        .inspect_err(|error| log_event!(Warn, "entry-unreadable", key = row.key, error = error))
-        .ok()
-}
-
 /// Probes the store. While it is unreachable, also asks other entries whether they reach it.
 async fn find_store_path(
     node: Arc<SchedulerNode>,
--- /dev/null
+++ b/crates/scheduler/tests/delegate_test.rs
@@ -0,0 +1,174 @@
+//! Tests of the entries that carry the owner's calls to workers, as separate processes.
+
+mod fixture;
+
+use {
+    dotterelshore_testkit::named_cases,
+    fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
+    nix::sys::signal::Signal,
+    std::time::Duration,
+};
+
+/// Cores of each process: so few that each entry but the owner carries the calls to one worker,
+/// and the owner calls the rest.
+const CORES: f64 = 0.0151;
+const NODES: usize = 4;
+const WORKERS: usize = 6;
+/// Longer than the owner waits for a silent delegate, shorter than a worker's lease.
+const FREEZE: Duration = Duration::from_secs(2);
+/// Time after which every call that a delegate still sends has arrived.
+const CALLS_SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Starts processes and waits until the owner's calls are carried by the others.
+async fn start_delegating() -> FleetFixture {
+    let fixture = FleetFixture::start_with_cores(NODES, WORKERS, CORES).await;
+    let has_delegates = fixture.wait_until(SETTLE_TIMEOUT, async || {
+        let delegates = fixture.nodes.iter();
+        let delegates = delegates.filter(|node| node.log().contains("event=delegated"));
+        delegates.count() == NODES - 1
+    });
+    if !has_delegates.await {
+        fixture.print_logs();
+        panic!("the owner delegates no calls");
+    }
+    fixture
+}
+
+/// The position of the process that owns the schedule.
+fn owner(fixture: &FleetFixture) -> usize {
+    let mut nodes = fixture.nodes.iter();
+    let owner = nodes.position(|node| node.log().contains("event=ownership-won"));
+    owner.expect("an owner")
+}
+
+#[test]
+fn owner_of_a_small_fleet_delegates_no_calls() {
+    run_test(async {
+        let fixture = FleetFixture::start(NODES, WORKERS).await;
+        let job = "00000000000000d0";
+        assert_eq!(
+            fixture.submit(job, &two_steps("works", 12)).await.status,
+            200
+        );
+        assert!(fixture.reaches_state(job, "completed").await);
+        let mut nodes = fixture.nodes.iter();
+        assert!(!nodes.any(|node| node.log().contains("event=delegated")));
+    });
+}
+
+#[test]
+fn job_completes_through_delegates() {
+    run_test(async {
+        let fixture = start_delegating().await;
+        let job = "00000000000000d1";
+        let accepted = fixture.submit(job, &two_steps("works", 12)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        assert!(fixture.reaches_state(job, "completed").await);
+        assert_eq!(fixture.fleet.starts(), 24, "each task once");
+        fixture.assert_no_violations();
+    });
+}
+
+/// Jobs complete, each task once at a time, while processes are lost.
+fn processes_lost(signal: Signal, is_owner: bool) {
+    run_test(async {
+        let mut fixture = start_delegating().await;
+        let lasting = "00000000000000d2";
+        assert_eq!(fixture.submit(lasting, &long_running(6)).await.status, 200);
+        assert!(fixture.reaches_state(lasting, "running").await);
+        let job = "00000000000000d3";
+        let accepted = fixture.submit(job, &two_steps("works", 18)).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let owner = owner(&fixture);
+        let lost: Vec<_> = (0..NODES)
+            .filter(|node| (*node == owner) == is_owner)
+            .collect();
+        for node in &lost {
+            fixture.nodes[*node].signal(signal);
+        }
+        if signal == Signal::SIGSTOP {
+            tokio::time::sleep(FREEZE).await;
+            for node in &lost {
+                fixture.nodes[*node].signal(Signal::SIGCONT);
+            }
+        } else {
+            for node in &lost {
+                fixture.nodes[*node].restart();
+            }
+        }
+        assert!(fixture.reaches_state(job, "completed").await, "{job}");
+        assert!(fixture.reaches_state(lasting, "running").await);
+        let all_run = fixture.wait_until(SETTLE_TIMEOUT, async || fixture.fleet.running() == 6);
+        assert!(all_run.await, "{:?}", fixture.fleet.running_tasks());
+        fixture.assert_no_violations();
+    });
+}
+
+named_cases! { processes_lost:
+    jobs_complete_after_delegates_are_killed(Signal::SIGKILL, false);
+    jobs_complete_after_delegates_are_stopped(Signal::SIGTERM, false);
+    jobs_complete_after_delegates_are_frozen(Signal::SIGSTOP, false);
+    jobs_complete_after_owner_with_delegates_is_killed(Signal::SIGKILL, true);
+    jobs_complete_after_owner_with_delegates_is_stopped(Signal::SIGTERM, true);
+    jobs_complete_after_owner_with_delegates_is_frozen(Signal::SIGSTOP, true);
+}
+
+#[test]
+fn runs_go_on_while_their_delegates_are_frozen() {
+    run_test(async {
+        let fixture = start_delegating().await;
+        let lasting = "00000000000000d4";
+        assert_eq!(fixture.submit(lasting, &long_running(6)).await.status, 200);
+        let all_run = fixture.wait_until(SETTLE_TIMEOUT, async || fixture.fleet.running() == 6);
+        assert!(all_run.await);
+        let owner = owner(&fixture);
+        let delegates = || (0..NODES).filter(|node| *node != owner);
+        for node in delegates() {
+            fixture.nodes[node].signal(Signal::SIGSTOP);
+        }
+        // Longer than the longest lease of a worker.
+        tokio::time::sleep(Duration::from_secs(7)).await;
+        for node in delegates() {
+            fixture.nodes[node].signal(Signal::SIGCONT);
+        }
+        assert_eq!(fixture.fleet.starts(), 6, "no run was lost");
+        fixture.assert_no_violations();
+    });
+}
+
+#[test]
+fn woken_delegate_sends_no_old_order() {
+    run_test(async {
+        let fixture = start_delegating().await;
+        let owner = owner(&fixture);
+        let delegates = || (0..NODES).filter(|node| *node != owner);
+        for node in delegates() {
+            fixture.nodes[node].signal(Signal::SIGSTOP);
+        }
+        let job = "00000000000000d5";
+        let body = two_steps("works", 12);
+        let accepted = fixture
+            .fleet
+            .submit(&fixture.nodes[owner], job, &body)
+            .await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let completed = fixture.wait_until(SETTLE_TIMEOUT, async || {
+            let response = fixture.fleet.state(&fixture.nodes[owner], job).await;
+            response.body["state"] == "completed"
+        });
+        assert!(
+            completed.await,
+            "the owner reaches the workers without delegates"
+        );
+        for node in delegates() {
+            fixture.nodes[node].signal(Signal::SIGCONT);
+        }
+        tokio::time::sleep(CALLS_SETTLE).await;
+        assert_eq!(
+            fixture.fleet.outdated_starts(),
+            0,
+            "orders of a frozen delegate"
+        );
+        fixture.assert_no_violations();
+    });
+}
--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -3,7 +3,7 @@
 //!
 //! To run other seeds: `DOTTERELSHORE_SOAK_SEEDS=100-149 cargo test -p dotterelshore-scheduler
 //! --test soak_test -- --ignored`. `DOTTERELSHORE_SOAK_SIZE=30x60` runs them with thirty processes
-//! and sixty workers.
+//! and sixty workers, and `30x60x0.1` with a tenth of a core each.
 
 mod cancel_rule;
 mod fixture;
@@ -20,17 +20,25 @@
 
 /// How long faults are injected.
 const FAULT_PHASE: Duration = Duration::from_secs(8);
-/// Number of processes and workers of one run.
+/// Number of processes and workers of one run, and the cores of each process if they are few.
 #[derive(Debug, Clone, Copy)]
 struct SoakSize {
     nodes: usize,
     workers: usize,
+    cores: Option<f64>,
 }
 
 /// The size of a run in CI.
 const SMALL: SoakSize = SoakSize {
     nodes: 4,
     workers: 4,
+    cores: None,
+};
+/// The size of a run in which other entries carry the calls to half of the workers.
+const DELEGATING: SoakSize = SoakSize {
+    nodes: 4,
+    workers: 6,
+    cores: Some(0.0151),
 };
 /// Delay of orders that a worker executes late. The quiet stretch begins after it.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(2_500);
@@ -40,7 +48,8 @@
 const SECOND_SEED: u64 = 1 << 32;
 /// Environment variable with the seeds of a manual run, as FIRST-LAST.
 const SEEDS_VARIABLE: &str = "DOTTERELSHORE_SOAK_SEEDS";
-/// Environment variable with the size of a manual run, as processes and workers: `30x60`.
+/// Environment variable with the size of a manual run, as processes, workers and cores of each
+/// process: `30x60x0.1`. The cores can be left out.
 const SIZE_VARIABLE: &str = "DOTTERELSHORE_SOAK_SIZE";
 
 /// The recovery from an injected fault.
@@ -388,9 +397,13 @@
 
 fn soak(seed: u64, size: SoakSize) {
     run_test(async {
+        let fixture = match size.cores {
+            Some(cores) => FleetFixture::start_with_cores(size.nodes, size.workers, cores).await,
+            None => FleetFixture::start(size.nodes, size.workers).await,
+        };
         let mut soak = SoakRun {
             size,
-            fixture: FleetFixture::start(size.nodes, size.workers).await,
+            fixture,
             rng: StdRng::seed_from_u64(seed),
             second_rng: StdRng::seed_from_u64(seed ^ SECOND_SEED),
             recoveries: Vec::new(),
@@ -430,6 +443,8 @@
     soak_with_seed_2(2, SMALL);
     soak_with_seed_3(3, SMALL);
     soak_with_seed_211(211, SMALL);
+    soak_with_delegates_with_seed_4(4, DELEGATING);
+    soak_with_delegates_with_seed_5(5, DELEGATING);
 }
 
 /// Runs the seeds that the environment variable names, and lists those that fail.
@@ -458,9 +473,11 @@
 }
 
 fn parse_size(size: &str) -> SoakSize {
-    let (nodes, workers) = size.split_once('x').expect("NODESxWORKERS");
+    let mut parts = size.split('x');
+    let mut next = || parts.next();
     SoakSize {
-        nodes: nodes.parse().expect("a number"),
-        workers: workers.parse().expect("a number"),
+        nodes: next().expect("NODES").parse().expect("a number"),
+        workers: next().expect("WORKERS").parse().expect("a number"),
+        cores: next().map(|cores| cores.parse().expect("a number")),
     }
 }
