Plan with the workers of pools that have startable tasks, gathered once a pass

Cause: each pass read every worker once a pool, looked up every worker by name for each task, and went through the tasks of every open job, also of those with nothing to start.

Change: a pass gathers the workers that accept tasks once, only of pools with startable tasks, and keeps what they reserve beside them (PoolCandidates); a job remembers that it has nothing to start until a run of it ends, a step completes or an occurrence is due; orphaned runs are counted only while some worker may have any; ticks copy only the runs whose stop is due; pending jobs are counted among open ones.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -73,6 +73,8 @@
     pub(super) dropped: Vec<DroppedRuns>,
     pub(super) lease_ms: u64,
     pub(super) orphans_until_ms: u64,
+    /// Whether the last planning pass found workers that may have orphaned runs.
+    pub(super) has_orphans: bool,
 }
 
 impl FleetSchedule {
@@ -203,9 +205,11 @@
 
     /// Counts the jobs of a queue that have not started.
     pub fn pending(&self, queue: &QueueName) -> usize {
+        let active = self.active.values().flatten();
+        let jobs = active.filter_map(|name| self.jobs.get(name));
         let is_pending =
             |job: &&LiveJob| job.record.queue == *queue && job.ended.is_none() && !job.started;
-        self.jobs.values().filter(is_pending).count()
+        jobs.filter(is_pending).count()
     }
 
     /// Counts the jobs that have not ended.
--- a/crates/domain/src/schedule/job_order.rs
+++ b/crates/domain/src/schedule/job_order.rs
@@ -13,6 +13,9 @@
     FirstCome,
 }
 
+/// A job's place in the order: its group, its priority and a time. Smaller goes first.
+pub type JobSortKey = (u32, u32, u64);
+
 /// Properties that decide a job's place in the order. All times are scheduler milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct JobUrgency {
@@ -41,7 +44,7 @@
     /// meet their objective yield to jobs that can, so that a peak makes some jobs late
     /// instead of all. A started job goes before one that is not. A team that submits many
     /// times its share gets what the others leave.
-    pub fn sort_key(&self, rule: OrderRule, now_ms: u64) -> (u32, u32, u64) {
+    pub fn sort_key(&self, rule: OrderRule, now_ms: u64) -> JobSortKey {
         match rule {
             OrderRule::FirstCome => (0, self.priority, self.arrived_ms),
             OrderRule::Objective => {
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -74,7 +74,10 @@
     pub(super) arrived_ms: u64,
     pub(super) added_ms: u64,
     pub(super) from_earlier_owner: bool,
-    pub(super) awaits_orphans: bool,
+    awaits_orphans: bool,
+    /// Whether a task may be startable. Cleared by a check that finds none, and set by every
+    /// change that can make one startable.
+    may_start: bool,
     pub(super) run_base: u32,
     pub(super) started: bool,
     pub(super) over_share: bool,
@@ -101,6 +104,7 @@
             added_ms,
             from_earlier_owner: run_base > 0,
             awaits_orphans: false,
+            may_start: true,
             run_base,
             started: false,
             over_share: false,
@@ -139,6 +143,7 @@
         {
             self.create_occurrences_to(self.due_occurrences);
             self.due_occurrences += 1;
+            self.may_start = true;
         }
     }
 
@@ -211,7 +216,47 @@
             task.done = true;
             step.remaining -= 1;
         }
-        before != step.remaining
+        let is_changed = before != step.remaining;
+        self.may_start |= is_changed;
+        is_changed
+    }
+
+    /// Removes a run. Returns whether the task had it.
+    pub(super) fn remove_run(&mut self, task: &TaskName, worker: &WorkerName, run: u32) -> bool {
+        let Some(state) = self.task_mut(task) else {
+            return false;
+        };
+        let before = state.runs.len();
+        state
+            .runs
+            .retain(|known| known.run != run || known.worker != *worker);
+        let is_removed = state.runs.len() < before;
+        if is_removed {
+            self.run_count -= 1;
+            self.may_start = true;
+        }
+        is_removed
+    }
+
+    /// Whether its tasks wait until orphaned runs of earlier owners have surely ended.
+    pub(super) fn awaits_orphans(&self) -> bool {
+        self.awaits_orphans
+    }
+
+    /// Sets whether its tasks wait for orphaned runs.
+    pub(super) fn set_awaits_orphans(&mut self, awaits_orphans: bool) {
+        self.may_start |= self.awaits_orphans != awaits_orphans;
+        self.awaits_orphans = awaits_orphans;
+    }
+
+    /// Whether some step may start a task that neither runs nor is done.
+    pub(super) fn has_startable_task(&mut self) -> bool {
+        if self.may_start {
+            let has_idle = |step: &StepState| step.tasks.iter().any(TaskState::is_idle);
+            let may_start = self.startable_steps().any(|(_, _, step)| has_idle(step));
+            self.may_start = may_start;
+        }
+        self.may_start
     }
 
     /// Whether every task of every occurrence is done.
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -14,6 +14,7 @@
 mod orphaned_runs;
 mod pace_controller;
 mod placement;
+mod pool_candidates;
 mod pool_demand;
 mod pool_load;
 mod queue_table;
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -3,14 +3,18 @@
 use {
     super::{
         fleet_schedule::FleetSchedule,
+        job_order::JobSortKey,
         job_plan::{Resources, StepPlan},
-        live_job::LiveJob,
+        pool_candidates::{Candidate, PoolCandidates},
         task_name::TaskName,
         task_run::TaskRun,
         worker_order::{StartOrder, WorkerOrder},
         worker_status::WorkerStatus,
     },
-    crate::names::{JobName, PoolName, WorkerName},
+    crate::{
+        collections::{FastMap, FastSet},
+        names::{JobName, PoolName, WorkerName},
+    },
     std::sync::Arc,
 };
 
@@ -30,36 +34,43 @@
         wall_ms: u64,
         sole_until_ms: u64,
     ) -> Vec<WorkerOrder> {
-        let pools: Vec<_> = self
-            .active
-            .iter()
-            .filter(|(_, jobs)| !jobs.is_empty())
-            .map(|(pool, _)| pool.clone())
-            .collect();
-        self.count_orphaned_runs(&pools, now_ms);
+        self.count_orphaned_runs(now_ms);
+        let mut waiting_by_pool = self.waiting_jobs(now_ms, wall_ms, sole_until_ms);
         let mut orders = Vec::new();
-        for pool in pools {
-            self.plan_pool(&pool, (now_ms, wall_ms), sole_until_ms, &mut orders);
+        if waiting_by_pool.is_empty() {
+            return orders;
+        }
+        let mut candidates = PoolCandidates::gather(self, &waiting_by_pool, now_ms);
+        for (pool, waiting) in &mut waiting_by_pool {
+            waiting.sort_unstable();
+            let candidates = candidates.of_pool(pool);
+            self.plan_pool(waiting, candidates, now_ms, &mut orders);
         }
         orders
     }
 
     /// Holds back jobs of earlier owners in pools that may have orphaned runs. Each of their
     /// ready tasks that is not known to run counts towards the ceiling of its team.
-    fn count_orphaned_runs(&mut self, pools: &[PoolName], now_ms: u64) {
+    fn count_orphaned_runs(&mut self, now_ms: u64) {
+        let may_have = self.workers.values().filter(|w| w.may_have_orphans(now_ms));
+        let orphaned: FastSet<PoolName> = may_have.map(|w| w.listed.pool.clone()).collect();
+        if orphaned.is_empty() && !self.has_orphans {
+            return;
+        }
+        self.has_orphans = !orphaned.is_empty();
         for team in self.teams.values_mut() {
             team.orphaned = Resources::default();
         }
-        for pool in pools {
-            let has_orphans = self.workers_with_orphans(pool, now_ms).next().is_some();
-            for name in self.active.get(pool).into_iter().flatten() {
+        for (pool, names) in &self.active {
+            let has_orphans = orphaned.contains(pool);
+            for name in names {
                 let Some(job) = self.jobs.get_mut(name) else {
                     continue;
                 };
                 // A task with a possible orphaned run starts nowhere else, unless it is
                 // speculative.
-                job.awaits_orphans = has_orphans && job.from_earlier_owner;
-                let team = job.record.team.as_ref().filter(|_| job.awaits_orphans);
+                job.set_awaits_orphans(has_orphans && job.from_earlier_owner);
+                let team = job.record.team.as_ref().filter(|_| job.awaits_orphans());
                 if let Some(team) = team.and_then(|team| self.teams.get_mut(team)) {
                     team.orphaned += job.ready_need();
                 }
@@ -67,36 +78,45 @@
         }
     }
 
-    fn plan_pool(
+    /// Returns the jobs with startable tasks by pool, each with its place in the order.
+    fn waiting_jobs(
         &mut self,
-        pool: &PoolName,
-        (now_ms, wall_ms): (u64, u64),
+        now_ms: u64,
+        wall_ms: u64,
         sole_until_ms: u64,
-        orders: &mut Vec<WorkerOrder>,
-    ) {
-        let mut waiting = Vec::new();
-        for name in self.active.get(pool).into_iter().flatten() {
-            let Some(job) = self.jobs.get_mut(name) else {
-                continue;
-            };
-            if job.added_ms >= sole_until_ms {
-                continue;
+    ) -> FastMap<PoolName, Vec<(JobSortKey, JobName)>> {
+        let mut waiting_by_pool = FastMap::default();
+        for (pool, names) in &self.active {
+            let mut waiting = Vec::new();
+            for name in names {
+                let Some(job) = self.jobs.get_mut(name) else {
+                    continue;
+                };
+                if job.added_ms >= sole_until_ms {
+                    continue;
+                }
+                job.create_due_occurrences(wall_ms);
+                if job.has_startable_task() {
+                    waiting.push((job.urgency().sort_key(self.rule, now_ms), name.clone()));
+                }
             }
-            job.create_due_occurrences(wall_ms);
-            if has_idle_task(job) {
-                waiting.push((job.urgency().sort_key(self.rule, now_ms), name.clone()));
+            if !waiting.is_empty() {
+                waiting_by_pool.insert(pool.clone(), waiting);
             }
         }
-        waiting.sort_unstable();
-        let available: Vec<WorkerName> = self
-            .workers
-            .values()
-            .filter(|status| status.listed.pool == *pool && status.accepts_tasks(now_ms))
-            .map(|status| status.listed.name.clone())
-            .collect();
+        waiting_by_pool
+    }
+
+    fn plan_pool(
+        &mut self,
+        waiting: &[(JobSortKey, JobName)],
+        candidates: &mut [Candidate],
+        now_ms: u64,
+        orders: &mut Vec<WorkerOrder>,
+    ) {
         let mut misses = 0;
         for (_, name) in waiting {
-            if self.start_job(&name, &available, now_ms, orders) {
+            if self.start_job(name, candidates, now_ms, orders) {
                 misses = 0;
             } else {
                 misses += 1;
@@ -111,13 +131,13 @@
     fn start_job(
         &mut self,
         name: &JobName,
-        available: &[WorkerName],
+        candidates: &mut [Candidate],
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) -> bool {
         let mut all = true;
         for (occurrence, step) in self.ready_steps(name) {
-            all &= self.start_step(name, (occurrence, step), available, now_ms, orders);
+            all &= self.start_step(name, (occurrence, step), candidates, now_ms, orders);
         }
         all
     }
@@ -135,15 +155,16 @@
         &mut self,
         name: &JobName,
         (occurrence, step): (u32, usize),
-        available: &[WorkerName],
+        candidates: &mut [Candidate],
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) -> bool {
         let Some(job) = self.jobs.get(name) else {
             return true;
         };
-        let plan = job.record.plan.steps[step].clone();
-        let team = job.record.team.clone();
+        let record = Arc::clone(&job.record);
+        let plan = &record.plan.steps[step];
+        let team = record.team.as_ref();
         let tasks = &job.occurrences[&occurrence][step].tasks;
         let idle: Vec<u32> = (0u32..)
             .zip(tasks)
@@ -161,7 +182,7 @@
         let gang_checkpoint = tasks.iter().find_map(|task| task.checkpoint.clone());
         let mut placed: Vec<(TaskName, WorkerName, u32)> = Vec::new();
         let mut all_placed = true;
-        if !self.has_advice(name, (occurrence, step), available, now_ms) {
+        if !self.has_advice(name, (occurrence, step), candidates, now_ms) {
             // The step waits for the adviser, not for room.
             return true;
         }
@@ -172,18 +193,18 @@
                 step: u16::try_from(step).unwrap_or(u16::MAX),
                 index,
             };
-            let allowed = team.as_ref().is_none_or(|team| {
-                self.teams
-                    .get(team)
-                    .is_none_or(|team| team.allows(plan.need))
-            });
-            let Some(worker) = allowed
-                .then(|| self.choose_worker(available, &plan, &task, now_ms))
+            let team = team.and_then(|team| self.teams.get(team));
+            let is_allowed = team.is_none_or(|team| team.allows(plan.need));
+            let Some(chosen) = is_allowed
+                .then(|| self.choose_worker(candidates, plan, &task, now_ms))
                 .flatten()
             else {
                 all_placed = false;
                 break;
             };
+            let chosen = &mut candidates[chosen];
+            chosen.used += plan.reserved();
+            let worker = chosen.name.clone();
             let run = self.assign_run(&task, &worker, gang_run, now_ms);
             placed.push((task, worker, run));
         }
@@ -191,6 +212,9 @@
             for (task, worker, run) in &placed {
                 self.release(task, worker, *run);
             }
+            for candidate in candidates {
+                candidate.update_used(self);
+            }
             return false;
         }
         let Some(job) = self.jobs.get_mut(name) else {
@@ -224,14 +248,16 @@
         &self,
         name: &JobName,
         (occurrence, step): (u32, usize),
-        available: &[WorkerName],
+        candidates: &[Candidate],
         now_ms: u64,
     ) -> bool {
         let Some(job) = self.jobs.get(name).filter(|job| job.record.advised) else {
             return true;
         };
         let step = &job.occurrences[&occurrence][step];
-        let mut statuses = available.iter().filter_map(|name| self.workers.get(name));
+        let mut statuses = candidates
+            .iter()
+            .filter_map(|candidate| self.workers.get(&candidate.name));
         statuses.any(|status| step.advice.ticket(status, now_ms).is_some())
     }
 
@@ -261,23 +287,22 @@
         run
     }
 
-    /// Chooses the worker for a task: near its data first, then the fullest that has room, so
-    /// that large tasks find room too and idle instances can leave the pool. Long-running
-    /// tasks are spread so far that disrupting one instance stays within the limit of their
-    /// step. Workers with pending maintenance come last, so that they become idle.
+    /// Chooses the worker for a task and returns its position: near its data first, then the
+    /// fullest that has room, so that large tasks find room too and idle instances can leave the
+    /// pool. Long-running tasks are spread so far that disrupting one instance stays within the
+    /// limit of their step. Workers with pending maintenance come last, so that they become idle.
     fn choose_worker(
         &self,
-        available: &[WorkerName],
+        candidates: &[Candidate],
         plan: &StepPlan,
         task: &TaskName,
         now_ms: u64,
-    ) -> Option<WorkerName> {
+    ) -> Option<usize> {
         let need = plan.reserved();
         let job = self.jobs.get(&task.job)?;
         let advice = job.step(task).filter(|_| job.record.advised);
-        let fits = |status: &&WorkerStatus| {
-            need.fits(status.used, status.listed.capacity)
-                && advice.is_none_or(|step| step.advice.ticket(status, now_ms).is_some())
+        let is_eligible = |status: &WorkerStatus| {
+            advice.is_none_or(|step| step.advice.ticket(status, now_ms).is_some())
                 && plan
                     .requires
                     .as_ref()
@@ -286,19 +311,28 @@
                     .anti_affinity
                     .is_none_or(|limit| count_same_step(status, task) < limit)
         };
-        let rank = |status: &&WorkerStatus| {
-            let near = plan
-                .affinity
-                .as_ref()
-                .is_none_or(|rack| status.has_label(rack.as_str()));
-            let crowded =
-                plan.long_running && count_same_step(status, task) >= plan.max_per_worker();
-            let free = free_cpu_share(status.used, status.listed.capacity);
-            (!near, crowded, status.pending_maintenance, free)
+        let takes_any = advice.is_none() && plan.requires.is_none() && plan.anti_affinity.is_none();
+        let has_preference = plan.affinity.is_some() || plan.long_running;
+        let rank = |candidate: &Candidate| {
+            let status = has_preference.then(|| self.workers.get(&candidate.name));
+            let (is_far, is_crowded) = status.flatten().map_or((false, false), |status| {
+                let near = plan
+                    .affinity
+                    .as_ref()
+                    .is_none_or(|rack| status.has_label(rack.as_str()));
+                let crowded =
+                    plan.long_running && count_same_step(status, task) >= plan.max_per_worker();
+                (!near, crowded)
+            });
+            let free = free_cpu_share(candidate.used, candidate.capacity);
+            (is_far, is_crowded, candidate.pending_maintenance, free)
         };
-        let statuses = available.iter().filter_map(|name| self.workers.get(name));
-        let chosen = statuses.filter(fits).min_by_key(rank)?;
-        Some(chosen.listed.name.clone())
+        let fitting = candidates.iter().enumerate().filter(|(_, candidate)| {
+            need.fits(candidate.used, candidate.capacity)
+                && (takes_any || self.workers.get(&candidate.name).is_some_and(is_eligible))
+        });
+        let chosen = fitting.min_by_key(|(_, candidate)| rank(candidate));
+        chosen.map(|(position, _)| position)
     }
 }
 
@@ -315,9 +349,3 @@
     };
     u32::try_from(status.tasks().filter(same).count()).unwrap_or(u32::MAX)
 }
-
-/// Whether some step may start a task that neither runs nor is done.
-fn has_idle_task(job: &LiveJob) -> bool {
-    job.startable_steps()
-        .any(|(_, _, step)| step.tasks.iter().any(super::live_job::TaskState::is_idle))
-}
--- /dev/null
+++ b/crates/domain/src/schedule/pool_candidates.rs
@@ -0,0 +1,67 @@
+//! The workers that accept tasks, in one planning pass.
+
+use {
+    super::{fleet_schedule::FleetSchedule, job_plan::Resources},
+    crate::{
+        collections::FastMap,
+        names::{PoolName, WorkerName},
+    },
+};
+
+/// A worker that accepts tasks.
+#[derive(Debug)]
+pub(super) struct Candidate {
+    pub(super) name: WorkerName,
+    /// Resources that its runs reserve.
+    pub(super) used: Resources,
+    pub(super) capacity: Resources,
+    pub(super) pending_maintenance: bool,
+}
+
+impl Candidate {
+    /// Reads what its runs reserve from the schedule.
+    pub(super) fn update_used(&mut self, schedule: &FleetSchedule) {
+        if let Some(status) = schedule.workers.get(&self.name) {
+            self.used = status.used;
+        }
+    }
+}
+
+/// The candidates of some pools.
+#[derive(Debug)]
+pub(super) struct PoolCandidates(FastMap<PoolName, Vec<Candidate>>);
+
+impl PoolCandidates {
+    /// Gathers the candidates of the pools that are the keys of `pools`.
+    pub(super) fn gather<T>(
+        schedule: &FleetSchedule,
+        pools: &FastMap<PoolName, T>,
+        now_ms: u64,
+    ) -> Self {
+        let mut gathered: FastMap<PoolName, Vec<Candidate>> = FastMap::default();
+        for status in schedule.workers.values() {
+            let listed = &status.listed;
+            if !status.accepts_tasks(now_ms) || !pools.contains_key(&listed.pool) {
+                continue;
+            }
+            let candidate = Candidate {
+                name: listed.name.clone(),
+                used: status.used,
+                capacity: listed.capacity,
+                pending_maintenance: status.pending_maintenance,
+            };
+            match gathered.get_mut(&listed.pool) {
+                Some(candidates) => candidates.push(candidate),
+                None => {
+                    gathered.insert(listed.pool.clone(), vec![candidate]);
+                }
+            }
+        }
+        Self(gathered)
+    }
+
+    /// Returns the candidates of a pool.
+    pub(super) fn of_pool(&mut self, pool: &PoolName) -> &mut [Candidate] {
+        self.0.get_mut(pool).map_or(&mut [], Vec::as_mut_slice)
+    }
+}
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -329,31 +329,24 @@
                 self.workers.remove(&name);
             }
         }
-        let mut orders = Vec::new();
-        let placed: Vec<_> = self
+        let due: Vec<_> = self
             .workers
             .values()
             .flat_map(|status| {
-                status
-                    .runs
-                    .iter()
-                    .map(|(task, run)| (status.listed.name.clone(), task.clone(), *run))
+                let runs = status.runs.iter();
+                runs.map(|(task, number)| (&status.listed.name, task, *number))
+            })
+            .filter(|(worker, task, number)| {
+                let job = self.jobs.get(&task.job);
+                let state = job.and_then(|job| job.task(task));
+                let run = state.and_then(|state| state.run_on(worker, *number));
+                run.is_some_and(|run| is_stop_due(run, now_ms))
             })
+            .map(|(worker, task, number)| (worker.clone(), task.clone(), number))
             .collect();
-        for (worker, task, number) in placed {
-            let Some(run) = self.find_run(&worker, &task, number) else {
-                continue;
-            };
-            let resend = match run.phase {
-                RunPhase::Unconfirmed => now_ms > run.phase_since_ms + UNCONFIRMED_START_MS,
-                RunPhase::Stopping {
-                    clock_ms: None,
-                    ordered_ms,
-                    sent_ms,
-                } => now_ms > ordered_ms.max(sent_ms.unwrap_or_default()) + STOP_RESEND_MS,
-                _ => false,
-            };
-            if resend {
+        let mut orders = Vec::new();
+        for (worker, task, number) in due {
+            if let Some(run) = self.find_run(&worker, &task, number) {
                 orders.push(run.stop(&task, now_ms));
             }
         }
@@ -370,3 +363,19 @@
         state.run_on_mut(worker, run)
     }
 }
+
+/// Whether a run's stop has to be sent again, or one has to rule out an unconfirmed start.
+fn is_stop_due(run: &TaskRun, now_ms: u64) -> bool {
+    match run.phase {
+        RunPhase::Unconfirmed => now_ms > run.phase_since_ms + UNCONFIRMED_START_MS,
+        RunPhase::Stopping {
+            clock_ms: None,
+            ordered_ms,
+            sent_ms,
+        } => now_ms > ordered_ms.max(sent_ms.unwrap_or_default()) + STOP_RESEND_MS,
+        RunPhase::Restored
+        | RunPhase::Ordered
+        | RunPhase::Running { .. }
+        | RunPhase::Stopping { .. } => false,
+    }
+}
--- a/crates/domain/src/schedule/run_tracking.rs
+++ b/crates/domain/src/schedule/run_tracking.rs
@@ -81,17 +81,9 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
-        let Some(state) = job.task_mut(task) else {
-            return false;
-        };
-        let before = state.runs.len();
-        state
-            .runs
-            .retain(|known| known.run != run || known.worker != *worker);
-        if state.runs.len() == before {
+        if !job.remove_run(task, worker, run) {
             return false;
         }
-        job.run_count -= 1;
         let step = &job.record.plan.steps[usize::from(task.step)];
         if let Some(status) = self.workers.get_mut(worker) {
             status.runs.remove(&(task.clone(), run));
--- a/crates/domain/src/schedule/step_advice.rs
+++ b/crates/domain/src/schedule/step_advice.rs
@@ -74,7 +74,7 @@
     pub fn next_advice_request(&self, now_ms: u64) -> Option<AdviceRequest> {
         let advised = self.active.values().flatten().filter_map(|name| {
             let job = self.jobs.get(name)?;
-            let eligible = job.record.advised && !job.awaits_orphans;
+            let eligible = job.record.advised && !job.awaits_orphans();
             eligible.then(|| (job.urgency().sort_key(self.rule, now_ms), job))
         });
         let mut advised: Vec<_> = advised.collect();
