--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -72,6 +72,7 @@
     pub(super) dirty: FastSet<JobName>,
     pub(super) dropped: Vec<DroppedRuns>,
     pub(super) lease_ms: u64,
+    lease_max_ms: u64,
     pub(super) orphans_until_ms: u64,
     /// Whether the last planning pass found workers that may have orphaned runs.
     pub(super) has_orphans: bool,
@@ -89,6 +90,23 @@
         }
     }
 
+    /// Sets the longest lease that a worker grants, whatever the end that a call names.
+    #[must_use]
+    pub fn with_longest_lease(self, lease_max_ms: u64) -> Self {
+        Self {
+            lease_max_ms,
+            ..self
+        }
+    }
+
+    /// Returns by how much the lease of a worker's next incarnation may exceed that of the one
+    /// before, in milliseconds: a call timed by the clock of the one before may have reached the
+    /// next, whose clock starts anew, and have given it the longest lease.
+    pub(super) fn unnoticed_restart_ms(&self) -> u64 {
+        let excess_ms = self.lease_max_ms.saturating_sub(self.lease_ms);
+        excess_ms + excess_ms * CLOCK_DRIFT_PERCENT / 100
+    }
+
     /// Returns how long orphaned runs of earlier owners may still go on, in milliseconds.
     /// `None` means that the schedule has not been taken over yet and can't be handed over.
     pub fn orphans_left_ms(&self, now_ms: u64) -> Option<u64> {
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -21,6 +21,7 @@
 mod run_reports;
 mod run_tracking;
 mod share_bucket;
+mod snapshot_shard;
 mod start_replies;
 mod step_advice;
 mod task_name;
@@ -45,6 +46,7 @@
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
     },
     run_tracking::{DropReason, DroppedRuns, LingeringRuns},
+    snapshot_shard::{SnapshotShard, StoredSnapshots},
     start_replies::{StartRefusal, StartReply},
     step_advice::AdviceRequest,
     task_name::TaskName,
--- /dev/null
+++ b/crates/domain/src/schedule/snapshot_shard.rs
@@ -0,0 +1,97 @@
+//! Parts of the worker snapshots that are stored by themselves, so that a change of one worker
+//! does not write the snapshots of the whole fleet.
+
+use {
+    super::{fleet_schedule::FleetSchedule, worker_status::WorkerSnapshot},
+    crate::{
+        collections::{FastMap, FastSet},
+        names::WorkerName,
+    },
+    std::fmt,
+};
+
+/// Number of shards. A shard of the largest planned fleet has some eighty workers.
+const SHARDS: u8 = 64;
+
+/// A part of the worker snapshots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SnapshotShard(u8);
+
+impl SnapshotShard {
+    /// Returns the shard of a worker, by a hash of its name.
+    pub fn of_worker(name: &WorkerName) -> Self {
+        let hash = name
+            .as_str()
+            .bytes()
+            .fold(0u8, |hash, byte| hash.wrapping_mul(31).wrapping_add(byte));
+        Self(hash % SHARDS)
+    }
+
+    /// Returns all shards.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..SHARDS).map(Self)
+    }
+}
+
+impl fmt::Display for SnapshotShard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The workers of the snapshots that are stored, and whether they are listed there as unreachable.
+#[derive(Debug, Default)]
+pub struct StoredSnapshots {
+    workers: FastMap<WorkerName, bool>,
+    /// Shards whose last write succeeded.
+    written: FastSet<SnapshotShard>,
+}
+
+impl StoredSnapshots {
+    /// Whether a worker is in a stored snapshot.
+    pub fn contains(&self, worker: &WorkerName) -> bool {
+        self.workers.contains_key(worker)
+    }
+
+    /// Whether the last write of every shard succeeded.
+    pub fn is_complete(&self) -> bool {
+        self.written.len() == usize::from(SHARDS)
+    }
+
+    /// Returns the shards that differ from the schedule, or whose last write may have failed.
+    pub fn outdated_shards(&self, schedule: &FleetSchedule, now_ms: u64) -> Vec<SnapshotShard> {
+        let mut outdated: FastSet<_> = SnapshotShard::all()
+            .filter(|shard| !self.written.contains(shard))
+            .collect();
+        for status in schedule.workers() {
+            let name = &status.listed.name;
+            if self.workers.get(name) != Some(&status.is_silent_with_known_runs(now_ms)) {
+                outdated.insert(SnapshotShard::of_worker(name));
+            }
+        }
+        let gone = self.workers.keys();
+        let gone = gone.filter(|name| schedule.worker(name).is_none());
+        outdated.extend(gone.map(SnapshotShard::of_worker));
+        let mut outdated: Vec<_> = outdated.into_iter().collect();
+        outdated.sort_unstable();
+        outdated
+    }
+
+    /// Marks shards whose write begins: until it succeeds, they are outdated.
+    pub fn begin_write(&mut self, shards: &[SnapshotShard]) {
+        self.written.retain(|shard| !shards.contains(shard));
+    }
+
+    /// Records that shards were stored with these snapshots.
+    pub fn finish_write(&mut self, shards: &[SnapshotShard], snapshots: &[WorkerSnapshot]) {
+        self.workers
+            .retain(|name, _| !shards.contains(&SnapshotShard::of_worker(name)));
+        let stored = snapshots.iter();
+        let stored = stored.map(|snapshot| {
+            let is_unreachable = snapshot.unreachable.is_some();
+            (snapshot.listed.name.clone(), is_unreachable)
+        });
+        self.workers.extend(stored);
+        self.written.extend(shards);
+    }
+}
--- a/crates/domain/src/schedule/worker_listing.rs
+++ b/crates/domain/src/schedule/worker_listing.rs
@@ -46,12 +46,13 @@
             let job = self.jobs.get(&task.job);
             job.is_some_and(|job| job.may_run_at_next(task, &name, *run))
         };
+        let lease_until_ms = earlier.lease_until_ms;
         let carried: Vec<_> = earlier.runs.extract_if(may_go_on).collect();
         let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
-        if !carried.is_empty() {
-            status.lease_until_ms = status.lease_until_ms.max(earlier.lease_until_ms);
-            status.runs_known = true;
-        }
+        status.runs_known = !carried.is_empty();
+        status.lease_until_ms = status
+            .lease_until_ms
+            .max(lease_until_ms + self.unnoticed_restart_ms());
         self.drop_runs(&name, DropReason::Replaced);
         for (task, number) in carried {
             let Some(job) = self.jobs.get(&task.job) else {
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -2,6 +2,7 @@
 
 use super::{
     fleet_schedule::FleetSchedule,
+    snapshot_shard::SnapshotShard,
     task_run::TaskRun,
     worker_status::{ListedWorker, UnreachableRuns, WorkerSnapshot, WorkerStatus},
 };
@@ -9,16 +10,17 @@
 impl FleetSchedule {
     /// Returns the snapshots of all workers for the next owner.
     pub fn worker_snapshots(&self, now_ms: u64) -> Vec<WorkerSnapshot> {
-        let snapshots = self.workers.values().map(|status| WorkerSnapshot {
-            listed: status.listed.clone(),
-            unreachable: status
-                .is_silent_with_known_runs(now_ms)
-                .then(|| UnreachableRuns {
-                    runs: status.runs.iter().cloned().collect(),
-                    lease_left_ms: status.lease_until_ms.saturating_sub(now_ms),
-                }),
+        let statuses = self.workers.values();
+        statuses.map(|status| snapshot(status, now_ms)).collect()
+    }
+
+    /// Returns the snapshots of the workers in some shards.
+    pub fn snapshots_in(&self, shards: &[SnapshotShard], now_ms: u64) -> Vec<WorkerSnapshot> {
+        let statuses = self.workers.values().filter(|status| {
+            let shard = SnapshotShard::of_worker(&status.listed.name);
+            shards.contains(&shard)
         });
-        snapshots.collect()
+        statuses.map(|status| snapshot(status, now_ms)).collect()
     }
 
     /// Marks the workers that a snapshot about to be written lists as unreachable. Such a
@@ -89,5 +91,19 @@
             status
         });
         status.lease_until_ms = status.lease_until_ms.max(orphans_until_ms);
+        status.orphans_until_ms = orphans_until_ms;
+    }
+}
+
+fn snapshot(status: &WorkerStatus, now_ms: u64) -> WorkerSnapshot {
+    let unreachable = status
+        .is_silent_with_known_runs(now_ms)
+        .then(|| UnreachableRuns {
+            runs: status.runs.iter().cloned().collect(),
+            lease_left_ms: status.lease_until_ms.saturating_sub(now_ms),
+        });
+    WorkerSnapshot {
+        listed: status.listed.clone(),
+        unreachable,
     }
 }
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -166,6 +166,8 @@
     /// End of its lease, in scheduler milliseconds. Until then runs may go on there without a
     /// report.
     pub lease_until_ms: u64,
+    /// Until when runs of earlier owners may go on there, in scheduler milliseconds.
+    pub(super) orphans_until_ms: u64,
     /// Highest run end that was applied.
     pub applied_end: u64,
     /// Highest run end that is recorded.
@@ -186,8 +188,9 @@
 }
 
 impl WorkerStatus {
-    /// Creates the status of a worker that has not reported yet.
-    pub fn new(listed: ListedWorker, lease_until_ms: u64) -> Self {
+    /// Creates the status of a worker that has not reported yet. Runs of earlier owners may go on
+    /// there until `orphans_until_ms`.
+    pub fn new(listed: ListedWorker, orphans_until_ms: u64) -> Self {
         Self {
             listed,
             present: true,
@@ -197,7 +200,8 @@
             runs_known: false,
             recorded_unreachable: false,
             reachable: true,
-            lease_until_ms,
+            lease_until_ms: orphans_until_ms,
+            orphans_until_ms,
             applied_end: 0,
             recorded_end: 0,
             cordoned: false,
@@ -229,7 +233,7 @@
     /// Whether it may have orphaned runs, which an earlier owner started and this one does not
     /// know.
     pub(super) fn may_have_orphans(&self, now_ms: u64) -> bool {
-        !self.reported && !self.runs_known && now_ms <= self.lease_until_ms
+        !self.reported && !self.runs_known && now_ms <= self.orphans_until_ms
     }
 
     /// Whether it does not answer, has no other runs than those known, and has listed no end that
--- a/crates/domain/tests/restarted_worker_test.rs
+++ b/crates/domain/tests/restarted_worker_test.rs
@@ -17,6 +17,8 @@
 
 /// Worker lease, in milliseconds.
 const LEASE_MS: u64 = 4_000;
+/// Longest lease that a worker grants, in milliseconds.
+const LEASE_MAX_MS: u64 = 10_000;
 /// The clock of the worker's first incarnation, in milliseconds.
 const FIRST_CLOCK_MS: u64 = 90_000;
 /// The clock of its next incarnation, in milliseconds.
@@ -122,3 +124,40 @@
     task_started_at_an_unnoticed_incarnation_does_not_start_twice(Listing::Next, 0, 0);
     task_started_before_an_unnoticed_restart_starts_again(Listing::Neither, 0, 1);
 }
+
+/// A call that was timed by the clock of the incarnation before may have given the next one the
+/// longest lease. When that one turns silent, its task starts elsewhere only after that lease.
+fn silent_restarted_worker_is_waited_for(silent_ms: u64, starts_elsewhere: usize) {
+    let mut schedule =
+        FleetSchedule::new(OrderRule::default(), LEASE_MS, 0).with_longest_lease(LEASE_MAX_MS);
+    let name = WorkerName::try_from("w-1").expect("a name");
+    schedule.upsert_worker(worker("w-1", 1));
+    let first = report(1, FIRST_CLOCK_MS, &[]);
+    schedule.apply_report(&name, &first, NOW_MS, WALL_MS);
+    assert!(schedule.renew_lease(&name, NOW_MS), "by the first clock");
+    let next = report(2, NEXT_CLOCK_MS, &[]);
+    schedule.apply_report(&name, &next, NOW_MS + 10, WALL_MS);
+    let plan = StepPlan {
+        count: 1,
+        ..StepPlan::default()
+    };
+    schedule.add_job(sample_job("silent", plan), None, 0, NOW_MS, WALL_MS);
+    let order = starts(&mut schedule, NOW_MS + 20).remove(0);
+    let reply = StartReply::Started {
+        clock_ms: NEXT_CLOCK_MS + 20,
+    };
+    schedule.apply_start_reply(&name, &order.task, order.run, reply, NOW_MS + 30);
+    schedule.mark_unreachable(&name);
+    let other = WorkerName::try_from("w-2").expect("a name");
+    schedule.upsert_worker(worker("w-2", 1));
+    schedule.apply_report(&other, &report(1, FIRST_CLOCK_MS, &[]), NOW_MS, WALL_MS);
+    schedule.tick(NOW_MS + silent_ms, true);
+    let elsewhere = starts(&mut schedule, NOW_MS + silent_ms);
+    assert_eq!(elsewhere.len(), starts_elsewhere);
+}
+
+named_cases! { silent_restarted_worker_is_waited_for:
+    task_of_restarted_worker_waits_after_its_usual_lease(LEASE_MS + 1_000, 0);
+    task_of_restarted_worker_waits_for_the_longest_lease(LEASE_MAX_MS, 0);
+    task_of_restarted_worker_starts_after_the_longest_lease(LEASE_MAX_MS + 1_000, 1);
+}
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -14,13 +14,16 @@
     dotterelshore_domain::{
         collections::FastMap,
         names::WorkerName,
-        schedule::{FleetSchedule, QueueTable, StartOrder, StopOrder, WorkerOrder},
+        schedule::{
+            FleetSchedule, ListedWorker, QueueTable, SnapshotShard, StartOrder, StopOrder,
+            StoredSnapshots, WorkerOrder,
+        },
     },
     dotterelshore_platform::KvTransaction,
-    dotterelshore_wire::log_event,
+    dotterelshore_wire::{log_event, panic_guard::PanicGuard},
     serde::{Deserialize, Serialize},
     std::sync::{
-        Mutex,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     tokio::sync::{Notify, mpsc},
@@ -104,6 +107,7 @@
     authority_until_ms: AtomicU64,
     ended: AtomicBool,
     fenced: Notify,
+    task_failed: Notify,
     order_queues: Mutex<FastMap<WorkerName, OrderQueues>>,
 }
 
@@ -122,6 +126,7 @@
             authority_until_ms: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             fenced: Notify::new(),
+            task_failed: Notify::new(),
             order_queues: Mutex::new(FastMap::default()),
         };
         leadership.extend_authority(claim.sent_ms);
@@ -182,6 +187,24 @@
         self.fenced.notified().await;
     }
 
+    /// Guards a task of the owner: if it panics, ownership ends, since without the task the owner
+    /// would be half alive.
+    pub(super) fn guard_task(
+        self: &Arc<Self>,
+        task: &'static str,
+    ) -> PanicGuard<impl Fn() + use<>> {
+        let leadership = Arc::clone(self);
+        PanicGuard::new(move || {
+            log_event!(Error, "owner-task-failed", task = task);
+            leadership.task_failed.notify_one();
+        })
+    }
+
+    /// Waits until a guarded task panics.
+    pub(crate) async fn task_failed(&self) {
+        self.task_failed.notified().await;
+    }
+
     /// Applies a new table to the schedule.
     pub(crate) fn set_table(&self, table: &QueueTable) {
         lock(&self.schedule).set_table(table);
@@ -216,6 +239,16 @@
         Some(OrderReceivers { runs, stops })
     }
 
+    /// Returns the workers in stored snapshots whose tasks do not run yet.
+    pub(super) fn workers_to_start(&self, stored: &StoredSnapshots) -> Vec<ListedWorker> {
+        let schedule = lock(&self.schedule);
+        let queues = lock(&self.order_queues);
+        let listed = schedule.workers().map(|status| &status.listed);
+        let to_start = listed
+            .filter(|listed| !queues.contains_key(&listed.name) && stored.contains(&listed.name));
+        to_start.cloned().collect()
+    }
+
     /// Closes the order queues of a worker.
     pub(super) fn close_order_queues(&self, name: &WorkerName) {
         lock(&self.order_queues).remove(name);
@@ -245,8 +278,10 @@
             return;
         };
         progress_recorder::record_once(node, self).await;
-        let snapshots = lock(&self.schedule).worker_snapshots(uptime_ms());
-        if let Err(fault) = worker_snapshots::store_worker_snapshots(node, self, &snapshots).await {
+        let shards: Vec<_> = SnapshotShard::all().collect();
+        let mut stored = StoredSnapshots::default();
+        let storing = worker_snapshots::store_worker_snapshots(node, self, &mut stored, &shards);
+        if let Err(fault) = storing.await {
             log_event!(Warn, "worker-snapshots-not-stored", error = fault);
         }
         let handover = HandoverRecord {
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -14,7 +14,8 @@
         node::{SchedulerNode, lock, millis, uptime_ms},
         owner::{AUTHORITY_OVERLAP, OwnerClaim},
         store::{
-            HANDOVER_KEY, JOB_PREFIX, ORDERED_INSTANCES_KEY, PROGRESS_PREFIX, WORKER_SNAPSHOTS_KEY,
+            HANDOVER_KEY, JOB_PREFIX, ORDERED_INSTANCES_KEY, PROGRESS_PREFIX,
+            WORKER_SNAPSHOTS_PREFIX,
         },
     },
     dotterelshore_domain::{
@@ -53,6 +54,8 @@
 /// All records of the schedule in the store.
 struct StoredSchedule {
     snapshots: Vec<WorkerSnapshot>,
+    /// Whether an earlier version stored all snapshots in one record.
+    has_unsharded_snapshots: bool,
     handover: Option<HandoverRecord>,
     ordered: Vec<InstanceName>,
     workers: KvPage,
@@ -82,26 +85,30 @@
     node.leading.send_replace(Some(Arc::clone(&leadership)));
     let mut tasks = JoinSet::new();
     let clone_handles = || (Arc::clone(&node), Arc::clone(&leadership));
+    let guard = |task| leadership.guard_task(task);
     let (n, l) = clone_handles();
-    tasks.spawn(async move { follow_workers(n, l, stored.workers.revision).await });
+    let following = follow_workers(n, l, stored.workers.revision);
+    tasks.spawn(guard("follow-workers").watch(following));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { follow_jobs(n, l, stored.jobs.revision).await });
+    tasks.spawn(guard("follow-jobs").watch(follow_jobs(n, l, stored.jobs.revision)));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { follow_entries(n, l).await });
+    tasks.spawn(guard("follow-entries").watch(follow_entries(n, l)));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { run_delegates(n, l).await });
+    tasks.spawn(guard("delegates").watch(run_delegates(n, l)));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { maintain_worker_snapshots(n, l).await });
+    let storing = maintain_worker_snapshots(n, l, stored.has_unsharded_snapshots);
+    tasks.spawn(guard("worker-snapshots").watch(storing));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { record_progress(n, l).await });
+    tasks.spawn(guard("progress").watch(record_progress(n, l)));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { run_planner(n, l).await });
+    tasks.spawn(guard("planner").watch(run_planner(n, l)));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { remove_ended_jobs(n, l).await });
+    tasks.spawn(guard("ended-jobs").watch(remove_ended_jobs(n, l)));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { request_advice(n, l).await });
+    tasks.spawn(guard("advice").watch(request_advice(n, l)));
     let (n, l) = clone_handles();
-    tasks.spawn(async move { reconcile_instances(n, l, claim, stored.ordered).await });
+    let reconciling = reconcile_instances(n, l, claim, stored.ordered);
+    tasks.spawn(guard("instances").watch(reconciling));
     while let Some(ended) = tasks.join_next().await {
         if let Err(error) = ended {
             log_event!(Error, "leading-task-failed", error = error);
@@ -111,7 +118,7 @@
 
 async fn read_stored(node: &SchedulerNode) -> StoredSchedule {
     let (snapshots, handover, ordered, workers, progress, jobs) = tokio::join!(
-        read_with_retries(node, "held", || read_optional(node, WORKER_SNAPSHOTS_KEY)),
+        read_with_retries(node, "held", || node.kv.read_all(WORKER_SNAPSHOTS_PREFIX)),
         read_with_retries(node, "hand-over", || read_optional(node, HANDOVER_KEY)),
         read_with_retries(node, "ordered", || read_optional(
             node,
@@ -121,13 +128,19 @@
         read_with_retries(node, "progress", || node.kv.read_all(PROGRESS_PREFIX)),
         read_with_retries(node, "jobs", || node.kv.read_all(JOB_PREFIX)),
     );
-    let snapshots = snapshots.and_then(|row| parse_record::<Vec<WorkerSnapshot>>(&row));
+    let mut snapshot_rows = snapshots.rows.iter();
+    let has_unsharded_snapshots = snapshot_rows.any(|row| row.key == WORKER_SNAPSHOTS_PREFIX);
+    let snapshots = snapshots
+        .rows
+        .iter()
+        .filter_map(parse_record::<Vec<WorkerSnapshot>>);
     let progress = progress.rows.iter().filter_map(|row| {
         let name = JobName::try_from(row.key.strip_prefix(PROGRESS_PREFIX)?).ok()?;
         Some((name, parse_record(row)?))
     });
     StoredSchedule {
-        snapshots: snapshots.unwrap_or_default(),
+        snapshots: snapshots.flatten().collect(),
+        has_unsharded_snapshots,
         handover: handover.and_then(|row| parse_record(&row)),
         ordered: ordered
             .and_then(|row| parse_record(&row))
@@ -187,7 +200,8 @@
         Some(handed_over) => now_ms + lease_left_ms.max(handed_over.orphans_left_ms),
         None => now_ms + millis(AUTHORITY_OVERLAP) + lease_left_ms,
     };
-    let mut schedule = FleetSchedule::new(OrderRule::default(), lease_ms, orphans_until_ms);
+    let mut schedule = FleetSchedule::new(OrderRule::default(), lease_ms, orphans_until_ms)
+        .with_longest_lease(millis(node.settings.worker_lease_max));
     if let Some(table) = node.current_table() {
         schedule.set_table(&table);
     }
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -4,15 +4,16 @@
     super::{leadership::Leadership, owner_writes::WriteChain, worker_task::start_worker},
     crate::{
         node::{SchedulerNode, lock, uptime_ms},
-        store::{PrefixUpdate, ResumeMode, WORKER_SNAPSHOTS_KEY, follow_prefix},
+        store::{
+            PrefixUpdate, ResumeMode, WORKER_SNAPSHOTS_PREFIX, follow_prefix, worker_snapshots_key,
+        },
     },
     dotterelshore_domain::{
         collections::FastSet,
-        names::WorkerName,
-        schedule::{FleetSchedule, ListedWorker, WorkerSnapshot},
+        schedule::{FleetSchedule, ListedWorker, SnapshotShard, StoredSnapshots},
     },
     dotterelshore_platform::{
-        KvRow, KvTransaction, WORKER_PREFIX, WatchEvent, decode_worker, worker_of_key,
+        KvFault, KvRow, KvTransaction, WORKER_PREFIX, WatchEvent, decode_worker, worker_of_key,
     },
     dotterelshore_wire::log_event,
     std::{sync::Arc, time::Duration},
@@ -20,6 +21,9 @@
 
 /// Pause after the snapshots could not be stored.
 const SNAPSHOT_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Shards that one transaction writes; the store takes 32 entries, among them the owner's key
+/// and the revision of the chain.
+const SHARDS_PER_WRITE: usize = 24;
 /// Longest time between comparisons of the stored snapshots with the schedule.
 const SNAPSHOT_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -98,39 +102,31 @@
 }
 
 /// Stores the worker snapshots when they change, and starts the tasks of the workers in them.
+/// `has_unsharded` means that the store has a record of an earlier version, which is deleted.
 pub(super) async fn maintain_worker_snapshots(
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
+    mut has_unsharded: bool,
 ) {
-    let mut stored: Option<FastSet<(WorkerName, bool)>> = None;
+    let mut stored = StoredSnapshots::default();
     let mut interval = node.timer.interval(SNAPSHOT_CHECK_PERIOD);
     loop {
-        let snapshots = lock(&leadership.schedule).worker_snapshots(uptime_ms());
-        let names: FastSet<_> = snapshots
-            .iter()
-            .map(|snapshot| (snapshot.listed.name.clone(), snapshot.unreachable.is_some()))
-            .collect();
-        if stored.as_ref() != Some(&names) && leadership.has_authority() {
-            match store_worker_snapshots(&node, &leadership, &snapshots).await {
-                Ok(()) => stored = Some(names),
-                Err(error) => {
-                    // The workers that it lists as unreachable are held back until another one
-                    // is stored, whether or not the list changes.
-                    stored = None;
-                    node.metrics.count_retry("roster");
-                    log_event!(Warn, "worker-snapshots-not-stored", error = error);
-                    tokio::time::sleep(SNAPSHOT_RETRY_PAUSE).await;
-                }
+        let outdated = stored.outdated_shards(&lock(&leadership.schedule), uptime_ms());
+        if !outdated.is_empty() && leadership.has_authority() {
+            let outcome = store_worker_snapshots(&node, &leadership, &mut stored, &outdated);
+            if let Err(error) = outcome.await {
+                node.metrics.count_retry("roster");
+                log_event!(Warn, "worker-snapshots-not-stored", error = error);
+                tokio::time::sleep(SNAPSHOT_RETRY_PAUSE).await;
             }
         }
+        if has_unsharded && stored.is_complete() && leadership.has_authority() {
+            has_unsharded = delete_unsharded(&node, &leadership).await.is_err();
+        }
         leadership.assign_delegates();
-        for snapshot in snapshots {
-            let name = &snapshot.listed.name;
-            let is_stored = stored.as_ref().is_some_and(|stored| {
-                stored.contains(&(name.clone(), true)) || stored.contains(&(name.clone(), false))
-            });
-            if is_stored && leadership.has_authority() {
-                start_worker(&node, &leadership, snapshot.listed);
+        for listed in leadership.workers_to_start(&stored) {
+            if leadership.has_authority() {
+                start_worker(&node, &leadership, listed);
             }
         }
         tokio::select! {
@@ -140,23 +136,49 @@
     }
 }
 
-/// Stores the snapshots of workers on which runs may go on after this owner ends.
+/// Deletes the record in which an earlier version stored all snapshots.
+async fn delete_unsharded(node: &SchedulerNode, leadership: &Leadership) -> Result<(), KvFault> {
+    let transaction = KvTransaction::default().delete(WORKER_SNAPSHOTS_PREFIX);
+    let writes = &leadership.writes;
+    writes
+        .commit(node, leadership, WriteChain::Roster, transaction)
+        .await
+}
+
+/// Stores shards of the snapshots of workers on which runs may go on after this owner ends. A
+/// shard whose write fails stays outdated: the workers that it lists as unreachable are held back
+/// until another one is stored, whether or not the list changes.
 pub(super) async fn store_worker_snapshots(
     node: &SchedulerNode,
     leadership: &Leadership,
-    snapshots: &[WorkerSnapshot],
-) -> Result<(), dotterelshore_platform::KvFault> {
-    lock(&leadership.schedule).begin_snapshot_write(snapshots);
-    let value = serde_json::to_vec(snapshots).map_err(|error| {
-        dotterelshore_platform::KvFault::NotApplied {
-            detail: error.to_string(),
+    stored: &mut StoredSnapshots,
+    shards: &[SnapshotShard],
+) -> Result<(), KvFault> {
+    for shards in shards.chunks(SHARDS_PER_WRITE) {
+        stored.begin_write(shards);
+        let snapshots = {
+            let mut schedule = lock(&leadership.schedule);
+            let snapshots = schedule.snapshots_in(shards, uptime_ms());
+            schedule.begin_snapshot_write(&snapshots);
+            snapshots
+        };
+        let mut transaction = KvTransaction::default();
+        for shard in shards {
+            let in_shard = snapshots.iter();
+            let in_shard = in_shard
+                .filter(|snapshot| SnapshotShard::of_worker(&snapshot.listed.name) == *shard);
+            let in_shard: Vec<_> = in_shard.collect();
+            let value = serde_json::to_vec(&in_shard).map_err(|error| KvFault::NotApplied {
+                detail: error.to_string(),
+            })?;
+            transaction = transaction.write(worker_snapshots_key(*shard), &value, 0);
         }
-    })?;
-    let transaction = KvTransaction::default().write(WORKER_SNAPSHOTS_KEY, &value, 0);
-    leadership
-        .writes
-        .commit(node, leadership, WriteChain::Roster, transaction)
-        .await?;
-    lock(&leadership.schedule).finish_snapshot_write(snapshots);
+        leadership
+            .writes
+            .commit(node, leadership, WriteChain::Roster, transaction)
+            .await?;
+        lock(&leadership.schedule).finish_snapshot_write(&snapshots);
+        stored.finish_write(shards, &snapshots);
+    }
     Ok(())
 }
--- a/crates/scheduler/src/leading/worker_stops.rs
+++ b/crates/scheduler/src/leading/worker_stops.rs
@@ -37,10 +37,11 @@
             continue;
         }
         let (node, leadership) = (Arc::clone(&node), Arc::clone(&leadership));
-        tokio::spawn(async move {
+        let guard = leadership.guard_task("worker-stop");
+        tokio::spawn(guard.watch(async move {
             stop_run(&node, &leadership, &client, &stop).await;
             drop(slot);
-        });
+        }));
     }
 }
 
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -80,25 +80,17 @@
         reading: Mutex::new(None),
     });
     let client = ListedClient::new(listed);
-    tokio::spawn(deliver_orders(
-        Arc::clone(node),
-        Arc::clone(leadership),
-        Arc::clone(&clock),
-        client.clone(),
-        orders.runs,
-    ));
-    tokio::spawn(deliver_stops(
-        Arc::clone(node),
-        Arc::clone(leadership),
-        client.clone(),
-        orders.stops,
-    ));
-    tokio::spawn(poll_worker(
-        Arc::clone(node),
-        Arc::clone(leadership),
-        clock,
-        client,
-    ));
+    let clone_handles = || (Arc::clone(node), Arc::clone(leadership));
+    let (n, l) = clone_handles();
+    let orders_clock = Arc::clone(&clock);
+    let delivering = deliver_orders(n, l, orders_clock, client.clone(), orders.runs);
+    tokio::spawn(leadership.guard_task("worker-orders").watch(delivering));
+    let (n, l) = clone_handles();
+    let delivering = deliver_stops(n, l, client.clone(), orders.stops);
+    tokio::spawn(leadership.guard_task("worker-stops").watch(delivering));
+    let (n, l) = clone_handles();
+    let polling = poll_worker(n, l, clock, client);
+    tokio::spawn(leadership.guard_task("worker-polls").watch(polling));
 }
 
 /// A client of a worker that follows its incarnations and the address under which it is listed.
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -248,6 +248,8 @@
     );
     if reason == "leaving" {
         leadership.record_final_state(node, claim.term).await;
+    }
+    if matches!(reason, "leaving" | "task-failed") {
         if let Err(error) = node.kv.revoke_lease(claim.lease).await {
             log_event!(Warn, "lease-not-ended", error = error);
         }
@@ -274,6 +276,7 @@
                 return "another-owner";
             }
             () = leadership.fenced() => return "fenced",
+            () = leadership.task_failed() => return "task-failed",
             () = tokio::time::sleep(RENEW_PERIOD) => {}
         }
         let sent_ms = uptime_ms();
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::node::{SchedulerNode, uptime_ms},
-    dotterelshore_domain::names::JobName,
+    dotterelshore_domain::{names::JobName, schedule::SnapshotShard},
     dotterelshore_platform::{KvFault, KvRow, WatchEvent},
     dotterelshore_wire::{log_event, timer_hub::jittered_pause},
     std::time::Duration,
@@ -18,8 +18,9 @@
 pub(crate) const ORDERED_INSTANCES_KEY: &str = "dotterelshore/ordered";
 /// One key per chain of the owner's writes. Each write changes it, which keeps them in order.
 pub(crate) const OWNER_WRITES_PREFIX: &str = "dotterelshore/writes/";
-/// The snapshots of workers on which an earlier owner's runs may go on.
-pub(crate) const WORKER_SNAPSHOTS_KEY: &str = "dotterelshore/held";
+/// Prefix of the snapshots of workers on which an earlier owner's runs may go on. Earlier versions
+/// stored all of them under this key itself.
+pub(crate) const WORKER_SNAPSHOTS_PREFIX: &str = "dotterelshore/held";
 /// Rows of the entries with their peer addresses, each under a lease.
 pub(crate) const ENTRY_PREFIX: &str = "dotterelshore/entry/";
 /// Records of accepted jobs, and marks of cancelled ones.
@@ -58,6 +59,11 @@
     format!("{PROGRESS_PREFIX}{job}")
 }
 
+/// The key of a part of the worker snapshots.
+pub(crate) fn worker_snapshots_key(shard: SnapshotShard) -> String {
+    format!("{WORKER_SNAPSHOTS_PREFIX}/{shard}")
+}
+
 /// The key of a wave's progress.
 pub(crate) fn wave_key(number: u64) -> String {
     format!("{WAVE_RECORD_PREFIX}{number}")
--- a/crates/scheduler/tests/cancel_test.rs
+++ b/crates/scheduler/tests/cancel_test.rs
@@ -16,8 +16,8 @@
 
 /// The job that is cancelled.
 const JOB: &str = "00000000000000a1";
-/// The key of the worker snapshots.
-const SNAPSHOTS_KEY: &str = "dotterelshore/held";
+/// Prefix of the worker snapshots.
+const SNAPSHOTS_PREFIX: &str = "dotterelshore/held/";
 /// Delay of late orders that are executed between two owners.
 const SHORT_DELAY: Duration = Duration::from_millis(1_400);
 /// Delay of late orders that are executed under the next owner.
@@ -35,9 +35,12 @@
 impl FleetFixture {
     /// Whether the stored snapshots list a run of the job on a worker that is unreachable.
     fn is_recorded_unreachable(&self) -> bool {
-        let stored = self.fleet.stored_value(SNAPSHOTS_KEY).unwrap_or_default();
-        let snapshots: Value = serde_json::from_slice(&stored).unwrap_or_default();
-        let mut rows = snapshots.as_array().into_iter().flatten();
+        let stored = self.fleet.stored_values(SNAPSHOTS_PREFIX);
+        let shards = stored.iter();
+        let shards: Vec<Vec<Value>> = shards
+            .map(|shard| serde_json::from_slice(shard).expect("a list"))
+            .collect();
+        let mut rows = shards.iter().flatten();
         rows.any(|row| row["lost"]["runs"].to_string().contains(JOB))
     }
 
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -20,6 +20,35 @@
 /// By the users' rules a process ends within this time after SIGTERM.
 const GRACE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// An owner takes over from an earlier version, which stored all worker snapshots in one record.
+#[test]
+fn worker_snapshots_of_an_earlier_version_are_replaced() {
+    run_test(async {
+        let key = "dotterelshore/held";
+        let fixture = FleetFixture::start(2, 2).await;
+        fixture.fleet.put_malformed(key, b"[]");
+        let owner = fixture.nodes.iter();
+        let owner = owner.filter(|node| node.log().contains("event=ownership-won"));
+        owner.for_each(|node| node.signal(Signal::SIGKILL));
+        let is_replaced = fixture.wait_until(fixture::SETTLE_TIMEOUT, async || {
+            fixture.fleet.stored_value(key).is_none()
+        });
+        assert!(is_replaced.await, "the record is still there");
+        assert!(
+            !fixture
+                .fleet
+                .stored_values("dotterelshore/held/")
+                .is_empty()
+        );
+        let job = "00000000000000f1";
+        assert_eq!(
+            fixture.submit(job, &two_steps("works", 2)).await.status,
+            200
+        );
+        assert!(fixture.reaches_state(job, "completed").await);
+    });
+}
+
 /// A job is accepted at one entry, runs, and every entry reports its end.
 fn job_ends(text: &'static str, end: &'static str, tasks_done: usize) {
     run_test(async {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod mutex_lock;
 pub mod operator_client;
 pub mod operator_message;
+pub mod panic_guard;
 pub mod peer_codec;
 pub mod peer_message;
 pub mod platform_client;
