Tell the owner of a job when it is recorded

Cause: the owner learned of jobs by its watch of the store alone.

Change: the entry that recorded a job tells the owner. The watch shows every job as before; which of the two comes first is no matter, since a cancellation is seen only after its job's record.

Shown: jobs_complete_while_watches_are_silent failed before.

--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -117,7 +117,7 @@
     }
 }
 
-async fn answer_call(node: &SchedulerNode, request: Request<Incoming>) -> CallResponse {
+async fn answer_call(node: &Arc<SchedulerNode>, request: Request<Incoming>) -> CallResponse {
     let Some(table) = node.current_table() else {
         return CallResponse::refused(503, "no-configuration")
             .with_retry_after(RETRY_AFTER_START_S);
@@ -194,7 +194,7 @@
 /// refused if no write of it can take effect any more. A write whose outcome stays unknown is
 /// answered with 504, early enough for the caller to repeat the call.
 async fn submit_job(
-    node: &SchedulerNode,
+    node: &Arc<SchedulerNode>,
     record: JobRecord,
     until: tokio::time::Instant,
 ) -> CallResponse {
--- a/crates/scheduler/src/job_records.rs
+++ b/crates/scheduler/src/job_records.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         node::{SchedulerNode, uptime_ms},
-        peers::WriteOutcome,
+        peers::{WriteOutcome, announce_job},
         store::{cancel_key, job_key, progress_key},
     },
     dotterelshore_domain::{
@@ -12,7 +12,7 @@
     },
     dotterelshore_platform::{KvFault, KvTransaction},
     dotterelshore_wire::{log_event, timer_hub::jittered_pause},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Pause before a write whose outcome is unknown is repeated.
@@ -25,9 +25,10 @@
 /// its record may be on its way.
 const EARLY_CANCEL_LEASE: Duration = Duration::from_secs(30);
 
-/// Records a job. A name identifies one job, so that repeats at any entry have no effect. Returns
+/// Records a job and tells the owner. A name identifies one job, so that repeats at any entry have
+/// no effect. Returns
 /// `NoJob` if the job was cancelled before it was recorded.
-pub(crate) async fn record_job(node: &SchedulerNode, record: &JobRecord) -> WriteOutcome {
+pub(crate) async fn record_job(node: &Arc<SchedulerNode>, record: &JobRecord) -> WriteOutcome {
     let Ok(value) = serde_json::to_vec(record) else {
         return WriteOutcome::NotStored;
     };
@@ -49,6 +50,7 @@
                     revision = revision,
                     tasks = record.plan.steps.iter().map(|step| step.count).sum::<u32>()
                 );
+                announce_job(node, record.clone());
                 return WriteOutcome::Stored;
             }
             Err(KvFault::Conflict { rows }) if rows.iter().all(|row| row.key != key) => {
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -4,7 +4,7 @@
     crate::{
         delegation::carry_calls,
         job_records::{record_cancel, record_job, stored_state},
-        node::{SchedulerNode, lock},
+        node::{SchedulerNode, lock, uptime_ms},
         store_path::StorePath,
     },
     dotterelshore_domain::{
@@ -12,6 +12,7 @@
         schedule::{JobRecord, JobState},
     },
     dotterelshore_wire::{
+        event_log::unix_millis,
         log_event,
         peer_codec::{PeerFault, read_frame, write_frame},
     },
@@ -49,6 +50,8 @@
     Cancel(JobName),
     /// Reads a job's state from the store on behalf of such an entry.
     StoredState(JobName),
+    /// Tells the owner of a job that was just recorded, so that it need not wait for its watch.
+    Recorded(Box<JobRecord>),
     /// Turns the connection into the link of a delegate, which carries calls to workers.
     CarryCalls,
 }
@@ -70,6 +73,8 @@
     Recorded(WriteOutcome),
     /// This entry does not own the schedule.
     NotOwner,
+    /// The owner knows the job.
+    Known,
 }
 
 /// Outcome of a write to the store on behalf of a caller.
@@ -236,13 +241,32 @@
     }
 }
 
+/// Tells the owner of a job that was just recorded. The owner's watch of the store shows the job
+/// too, so that a message that does not arrive is not repeated.
+pub(crate) fn announce_job(node: &Arc<SchedulerNode>, record: JobRecord) {
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let call = PeerCall::Recorded(Box::new(record));
+        if query_owner(&node, call).await.is_none() {
+            node.metrics.count_retry("announcement");
+        }
+    });
+}
+
 /// The owner's reply; `None` if this process does not own the schedule.
 fn answer_as_owner(node: &SchedulerNode, call: &PeerCall) -> Option<PeerReply> {
     let leadership = node.leadership()?;
-    let schedule = lock(&leadership.schedule);
+    let mut schedule = lock(&leadership.schedule);
     Some(match call {
         PeerCall::State(job) => PeerReply::State(schedule.state(job)),
         PeerCall::Pending(queue) => PeerReply::Pending(schedule.pending(queue) as u64),
+        PeerCall::Recorded(record) => {
+            // A record that an earlier owner may have known was read at the takeover.
+            let record = JobRecord::clone(record);
+            schedule.add_job(record, None, 0, uptime_ms(), unix_millis());
+            leadership.plan_notify.notify_one();
+            PeerReply::Known
+        }
         PeerCall::StoreHeard
         | PeerCall::Submit(_)
         | PeerCall::Cancel(_)
--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -20,6 +20,26 @@
 /// By the users' rules a process ends within this time after SIGTERM.
 const GRACE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Jobs start and are shown to end while no watch of the store shows anything.
+#[test]
+fn jobs_complete_while_watches_are_silent() {
+    run_test(async {
+        let fixture = FleetFixture::start(3, 2).await;
+        fixture
+            .fleet
+            .set_store_fault_mode(StoreFaultMode::SilentWatches);
+        for (number, node) in fixture.nodes.iter().enumerate() {
+            let job = format!("00000000000000{number}f");
+            let body = two_steps("works", 3);
+            let accepted = fixture.fleet.submit(node, &job, &body).await;
+            assert_eq!(accepted.status, 200, "{accepted:?}");
+            assert!(fixture.reaches_state(&job, "completed").await, "{job}");
+        }
+        assert_eq!(fixture.fleet.starts(), 18, "each task once");
+        fixture.assert_no_violations();
+    });
+}
+
 /// An owner takes over from an earlier version, which stored all worker snapshots in one record.
 #[test]
 fn worker_snapshots_of_an_earlier_version_are_replaced() {
