Relocate tasks before their instances are disrupted while a wave may be late

Cause: a task that an order for its instance ended starts elsewhere only when its worker is unlisted, one that is stopped at once.

Change: while relocating the tasks may take all the time that a wave has left, an instance whose tasks are ready or being stopped is drained first, also if their steps allow a disruption.

Shown: late_wave_disrupts_idle_instances failed before.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -397,9 +397,17 @@
         let timed_out = since.is_some_and(|since| now_ms > since + DRAIN_TIMEOUT_MS);
         reachable
             && schedule.allows_disruption(worker)
+            && !self.relocates_first(worker, schedule)
             && (timed_out || schedule.runs_only_long_running(worker))
     }
 
+    /// Whether a worker's tasks are stopped and start elsewhere before its instance is disrupted,
+    /// although their steps allow a disruption. A stopped task starts elsewhere at once, one that
+    /// an order for its instance ended only when the worker is unlisted.
+    fn relocates_first(&self, worker: &WorkerName, schedule: &FleetSchedule) -> bool {
+        self.deadline_at_risk && schedule.has_limited_task(worker)
+    }
+
     /// Cordons an instance's worker, if not too many are being drained, and stops long-running
     /// tasks there within the limits of their steps.
     ///
@@ -414,7 +422,8 @@
         schedule: &mut FleetSchedule,
         now_ms: u64,
     ) -> Vec<WorkerOrder> {
-        let allows_disruption = schedule.allows_disruption(worker);
+        let allows_disruption =
+            schedule.allows_disruption(worker) && !self.relocates_first(worker, schedule);
         if !self.cordoned.contains_key(name) {
             let second_phase = now_ms >= self.second_phase_ms;
             let limit = if second_phase {
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -114,6 +114,23 @@
         rounds.max().unwrap_or_default()
     }
 
+    /// Whether a worker has a run of a step that limits its unavailable tasks, which is ready or
+    /// being stopped.
+    pub(super) fn has_limited_task(&self, name: &WorkerName) -> bool {
+        let Some(status) = self.workers.get(name) else {
+            return false;
+        };
+        status.runs.iter().any(|(task, number)| {
+            let is_limited = |job: &&LiveJob| {
+                let step = &job.record.plan.steps[usize::from(task.step)];
+                step.long_running && step.max_unavailable.is_some()
+            };
+            let job = self.jobs.get(&task.job).filter(is_limited);
+            let run = job.and_then(|job| job.task(task)?.run_on(name, *number));
+            run.is_some_and(|run| run.is_serving() || run.is_stopping())
+        })
+    }
+
     /// Whether a long-running task on a worker, best-effort ones aside, has started and is not
     /// ready yet. Once it is, the next task of its step may be relocated.
     pub fn has_unready_task(&self, name: &WorkerName) -> bool {
--- a/crates/domain/tests/arrival_rate_test.rs
+++ b/crates/domain/tests/arrival_rate_test.rs
@@ -8,7 +8,7 @@
         schedule::{FleetSchedule, OrderRule, Resources, StepPlan},
     },
     dotterelshore_testkit::named_cases,
-    samples::{NOW_MS, WALL_MS, sample_job},
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
 };
 
 /// Work of one job: a task of two cores for half a second, in thousandths of a core and
@@ -39,6 +39,7 @@
 /// Jobs per second by which a pool with these arrivals is sized.
 fn sized_for(arrivals: &[(u64, u64)]) -> u64 {
     let mut schedule = FleetSchedule::new(OrderRule::default(), 4_000, 0);
+    schedule.upsert_worker(sample_worker("w-1", 64_000));
     let mut now_ms = NOW_MS;
     for (lasting_ms, per_s) in arrivals {
         now_ms = arrive(&mut schedule, now_ms, *lasting_ms, *per_s);
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -965,3 +965,48 @@
     unreported_worker_with_an_earlier_order_is_not_disrupted(true);
     unreported_worker_with_pending_maintenance_is_not_disrupted(false);
 }
+
+/// While its tasks may not leave in a wave's time, an instance is disrupted only once they have
+/// left: they start elsewhere sooner than those that the disruption would end.
+fn late_wave_disrupts_idle_instances(tasks: u32, max_unavailable: u32) {
+    let mut fleet = SimulatedFleet::new(6, 4);
+    fleet.startup_ms = 1_200;
+    fleet.send_reports(&[]);
+    let long_running_step = StepPlan {
+        long_running: true,
+        max_unavailable: Some(max_unavailable),
+        ..step(tasks, 6_000)
+    };
+    fleet
+        .schedule
+        .add_job(job("lasts", long_running_step), None, 0, NOW_MS, WALL_MS);
+    for _ in 0..20 {
+        fleet.step();
+    }
+    let late_wave = WaveSpec {
+        duration_ms: 4_000,
+        ..wave(6, 6)
+    };
+    fleet.plan.add_wave(late_wave, None, fleet.now_ms, WALL_MS);
+    let mut disrupted = 0;
+    for _ in 0..4_000 / STEP_MS {
+        let busy: Vec<_> = fleet
+            .schedule
+            .workers()
+            .filter(|status| !status.runs.is_empty())
+            .filter_map(|status| status.listed.instance.clone())
+            .collect();
+        for order in fleet.step() {
+            if let InstanceOrder::Maintain { instance, .. } = order {
+                assert!(!busy.contains(&instance), "{instance} is busy");
+                disrupted += 1;
+            }
+        }
+    }
+    assert!(disrupted > 0, "no instance was maintained");
+}
+
+named_cases! { late_wave_disrupts_idle_instances:
+    late_wave_relocates_single_tasks_first(6, 1);
+    late_wave_relocates_pairs_of_tasks_first(12, 2);
+}
