--- a/crates/scheduler/tests/delegate_test.rs
+++ b/crates/scheduler/tests/delegate_test.rs
@@ -7,6 +7,10 @@
     fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
     nix::sys::signal::Signal,
     std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 /// Cores of each process: so few that each entry but the owner carries the calls to one worker,
@@ -172,3 +176,45 @@
         fixture.assert_no_violations();
     });
 }
+
+/// The call that makes an entry a delegate, as a frame.
+const CARRY_CALLS: [u8; 5] = [0, 0, 0, 1, 7];
+
+/// Bytes of a peer that are no sound message end its connection and nothing else.
+fn odd_peer_ends_its_connection_only(bytes: &[u8]) {
+    run_test(async {
+        let mut fixture = FleetFixture::start(2, 2).await;
+        for node in &fixture.nodes {
+            let mut stream = TcpStream::connect(node.peers()).await.expect("a peer");
+            stream.write_all(bytes).await.expect("written");
+            let mut rest = Vec::new();
+            let ended = tokio::time::timeout(SETTLE_TIMEOUT, stream.read_to_end(&mut rest));
+            assert!(ended.await.is_ok(), "the connection is still open");
+        }
+        let job = "00000000000000d6";
+        assert_eq!(
+            fixture.submit(job, &two_steps("works", 4)).await.status,
+            200
+        );
+        assert!(fixture.reaches_state(job, "completed").await);
+        assert_eq!(fixture.fleet.starts(), 8, "each task once");
+        for node in &mut fixture.nodes {
+            assert!(node.ended().is_none(), "a process ended:\n{}", node.log());
+        }
+    });
+}
+
+named_cases! { odd_peer_ends_its_connection_only:
+    unknown_call_ends_the_connection(&[0, 0, 0, 1, 99]);
+    too_large_frame_ends_the_connection(&[255, 255, 255, 255, 1]);
+    trailing_bytes_end_the_connection(&[0, 0, 0, 2, 7, 7]);
+    text_ends_the_connection(b"GET / HTTP/1.1\r\n\r\n");
+    silent_owner_ends_its_link(&CARRY_CALLS);
+    malformed_calls_end_the_link(&[&CARRY_CALLS[..], &[0, 0, 0, 4, 255, 255, 255, 255]].concat());
+    absurd_number_of_calls_ends_the_link(
+        &[&CARRY_CALLS[..], &[0, 0, 0, 6, 1, 255, 255, 255, 255, 15]].concat()
+    );
+    call_of_unknown_kind_ends_the_link(
+        &[&CARRY_CALLS[..], &[0, 0, 0, 9, 1, 1, 1, 1, b'w', 1, b'a', 1, 77]].concat()
+    );
+}
