Guard the task of a delegate's link like the owner's other tasks

A panic there left a link in the list of delegates to which nothing could be sent. Read in the code, not provoked; no measured change expected.

--- a/crates/scheduler/src/leading/delegates.rs
+++ b/crates/scheduler/src/leading/delegates.rs
@@ -196,7 +196,8 @@
         }
         leadership.assign_delegates();
         for link in leadership.delegates.take_new_links() {
-            links.spawn(run_link(Arc::clone(&leadership), link));
+            let guard = leadership.guard_task("delegate-link");
+            links.spawn(guard.watch(run_link(Arc::clone(&leadership), link)));
         }
     }
 }
