--- a/crates/scheduler/src/leading/delegates.rs
+++ b/crates/scheduler/src/leading/delegates.rs
@@ -111,8 +111,8 @@
             listed.push(name);
         }
         if complete {
-            let gone: Vec<_> = state.addresses.keys().cloned().collect();
-            for name in gone.iter().filter(|name| !listed.contains(name)) {
+            let known: Vec<_> = state.addresses.keys().cloned().collect();
+            for name in known.iter().filter(|name| !listed.contains(name)) {
                 state.remove(name);
             }
         }
