--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -16,6 +16,7 @@
         "unseen-ends" => unseen_ends(start(2), trouble),
         "capped-tenant" => capped_tenant(start(6), trouble),
         "quota-takeover" => quota_takeover(start(3), trouble),
+        "pending-count" => pending_count(start(3), trouble),
         "gang-restart" => gang_restart(start(3), trouble),
         "long-tasks" => long_tasks(start(6), trouble),
         _ => None,
@@ -331,3 +332,37 @@
     record.say(&format!("nothing of it ran for up to {longest_s:.1} s on end"));
     Some(alone > 0)
 }
+
+/// Workers leave half of the orders unanswered and carry them out late, while many jobs come.
+fn pending_count(mut deployment: Deployment, trouble: bool) -> Option<bool> {
+    let record = Arc::clone(&deployment.record);
+    deployment.configure(&[Tenant { name: "alpha", cap_cpu: 0 }]);
+    deployment.start_entries(3);
+    seconds(6.0);
+    if trouble {
+        record.say("workers leave half of the orders unanswered");
+        deployment.fleet.delay_orders(Some(Duration::from_secs(6)));
+    }
+    let jobs: Vec<String> = (1..61).map(job_id).collect();
+    for (number, job) in jobs.iter().enumerate() {
+        if !deployment.submit(number % 3, job, "alpha", &[step(1, kind("alpha", 2_000, 800))]) {
+            return None;
+        }
+    }
+    let accepted_ms = record.now_ms();
+    record.say("the jobs are accepted");
+    // `visible_ms` and 2 s after the last was accepted.
+    while record.now_ms() < accepted_ms + 5_050 {
+        seconds(0.01);
+    }
+    let mut broken = false;
+    for entry in 0..3 {
+        let before = deployment.waiting(&jobs);
+        let pending = deployment.pending(entry, "alpha");
+        let after = deployment.waiting(&jobs);
+        record.say(&format!("entry {entry} says {pending:?}; {before} to {after} have not begun"));
+        broken |= pending.is_some_and(|pending| pending * 2 < after as u64);
+    }
+    deployment.fleet.delay_orders(None);
+    Some(broken)
+}
--- a/review/harness/entries.rs
+++ b/review/harness/entries.rs
@@ -316,7 +316,7 @@
     /// Stops an entry as the platform does, and starts it again when it has ended.
     pub fn restart_entry(&mut self, number: usize) {
         let id = self.entries[number].child.id();
-        let signalled = Command::new("kill").args(["-TERM", &id.to_string()]).status();
+        let signalled = Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status();
         assert!(signalled.is_ok_and(|status| status.success()), "a signal to process {id}");
         let _status = self.entries[number].child.wait();
         let cloud = self.cloud.expect("entries were started");
@@ -383,7 +383,7 @@
             object(fields)
         };
         for (number, step) in steps.iter().enumerate() {
-            self.fleet.add_kind(&format!("{job}.0.{number}"), step.kind.clone());
+            self.fleet.add_kind(&format!("{job}.{number}"), step.kind.clone());
         }
         let rows = Json::List(steps.iter().map(row).collect());
         let body = object(vec![("task_spec", text(&spec)), ("steps", rows)]).encode();
@@ -397,6 +397,24 @@
         false
     }
 
+    /// How many of these jobs have not begun a task.
+    pub fn waiting(&self, jobs: &[String]) -> usize {
+        self.fleet.observe(|observed| {
+            let begun = |job: &String| {
+                let mut after = observed.starts.range(format!("{job}.")..);
+                after.next().is_some_and(|(task, _)| task.starts_with(job.as_str()))
+            };
+            jobs.iter().filter(|job| !begun(job)).count()
+        })
+    }
+
+    /// The number of waiting jobs of the queue as an entry gives it.
+    pub fn pending(&self, entry: usize, tenant: &str) -> Option<u64> {
+        let (status, body) = self.call(entry, "GET", "", tenant, "");
+        let body = Json::parse(&body).filter(|_| status == 200)?;
+        body.get("pending").number()
+    }
+
     /// A job's state as an entry gives it.
     pub fn state(&self, entry: usize, job: &str, tenant: &str) -> String {
         let (status, body) = self.call(entry, "GET", job, tenant, "");
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -19,9 +19,16 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = PathBuf::from(folder);
-    let record = Arc::new(record::Record::create(&folder.join("record.txt")));
     let scratch = std::env::temp_dir().join(format!("review-{}", std::process::id()));
-    std::fs::create_dir_all(&scratch).expect("a temporary folder");
+    let created = std::fs::create_dir_all(&scratch);
+    let record = created.and_then(|()| record::Record::create(&folder.join("record.txt")));
+    let record = match record {
+        Ok(record) => Arc::new(record),
+        Err(error) => {
+            eprintln!("no record or temporary folder: {error}");
+            exit(2);
+        }
+    };
     record.say(&format!("case {case}, trouble {trouble}"));
     let run = || cases::run(case, trouble, &record, &scratch);
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
--- a/review/harness/record.rs
+++ b/review/harness/record.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    io::{BufWriter, Write},
+    io::{self, BufWriter, Write},
     path::Path,
     sync::Mutex,
     time::Instant,
@@ -14,9 +14,9 @@
 }
 
 impl Record {
-    pub fn create(path: &Path) -> Self {
-        let file = File::create(path).expect("record.txt can be written");
-        Self { began: Instant::now(), file: Mutex::new(BufWriter::new(file)) }
+    pub fn create(path: &Path) -> io::Result<Self> {
+        let file = File::create(path)?;
+        Ok(Self { began: Instant::now(), file: Mutex::new(BufWriter::new(file)) })
     }
 
     pub fn now_ms(&self) -> u64 {
--- a/review/harness/workers.rs
+++ b/review/harness/workers.rs
@@ -66,6 +66,10 @@
     cut_above_token: Option<u64>,
     /// Whether it has crashed: it answers nothing and runs nothing.
     crashed: bool,
+    /// Half of the orders to start or stop get no answer and are carried out this much later.
+    late: Option<Duration>,
+    /// State of the generator that picks them.
+    luck: u64,
 }
 
 /// A run that ended as done, with the time of its end.
@@ -266,8 +270,7 @@
         {
             return refuse("old");
         }
-        let step = task.rsplit_once('.').map_or("", |(step, _)| step);
-        let Some(kind) = self.kinds.get(step).cloned() else {
+        let Some(kind) = self.kinds.get(&kind_key(task)).cloned() else {
             record.write(&format!("{} told to start {task}, which nobody sent", worker.id));
             return (400, "{}".to_owned());
         };
@@ -316,6 +319,20 @@
     }
 }
 
+/// The next state of a linear congruential generator.
+fn next_number(state: u64) -> u64 {
+    state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407)
+}
+
+/// The job and the step of a task, whatever its occurrence.
+fn kind_key(task: &str) -> String {
+    let parts: Vec<&str> = task.split('.').collect();
+    match parts.as_slice() {
+        [job, _, step, _] => format!("{job}.{step}"),
+        _ => String::new(),
+    }
+}
+
 type Reply = (u16, String);
 
 impl Fleet {
@@ -364,6 +381,8 @@
                 highest: HashMap::new(),
                 cut_above_token: None,
                 crashed: false,
+                late: None,
+                luck: born_ms ^ 0x9e37_79b9_7f4a_7c15,
             });
             state.workers.len() - 1
         };
@@ -386,6 +405,12 @@
         }
     }
 
+    /// Leaves half of the orders to any worker unanswered, to be carried out later.
+    pub fn delay_orders(&self, late: Option<Duration>) {
+        let mut state = self.state.lock().unwrap();
+        state.workers.iter_mut().for_each(|worker| worker.late = late);
+    }
+
     /// Crashes a worker: what runs there is lost, and it answers nothing more.
     pub fn crash(&self, id: &str) {
         let mut state = self.state.lock().unwrap();
@@ -430,6 +455,30 @@
     }
 
     fn answer(
+        self: &Arc<Self>,
+        index: usize,
+        request: &Request,
+        born_ms: u64,
+        hold_max_ms: u64,
+    ) -> Option<Reply> {
+        if request.path != "/hold" {
+            let mut state = self.state.lock().unwrap();
+            let worker = &mut state.workers[index];
+            worker.luck = next_number(worker.luck);
+            if let Some(late) = worker.late.filter(|_| worker.luck >> 63 == 0) {
+                let (fleet, request) = (Arc::clone(self), request.clone());
+                self.record.write(&format!("{} leaves an order unanswered", worker.id));
+                thread::spawn(move || {
+                    thread::sleep(late);
+                    let _unheard = fleet.execute(index, &request, born_ms, hold_max_ms);
+                });
+                return None;
+            }
+        }
+        self.execute(index, request, born_ms, hold_max_ms)
+    }
+
+    fn execute(
         &self,
         index: usize,
         request: &Request,
