Let no held-back job end a planning pass

Cause: plan_pool took 12 jobs in a row that were not placed whole for a full pool, whatever held them back. A ceiling, a label, a gang wider than the pool or a task larger than a worker says nothing of the room for the jobs behind.

Evidence: placement_test, 40 held-back jobs ahead of two that fit. A lowered ceiling counted for the wrong team, or jobs missing from the plan, are ruled out: the two jobs start when they come first.

Change: a pass goes through all waiting jobs. What bounds its work is UnplacedNeeds: room only shrinks during a pass, so that a task that needs at least as much as one for which no worker had room is skipped without a look at the workers. A ceiling holds back its own team only.

--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -26,6 +26,7 @@
 mod step_advice;
 mod task_name;
 mod task_run;
+mod unplaced_needs;
 mod worker_disruption;
 mod worker_listing;
 mod worker_order;
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -8,20 +8,17 @@
         pool_candidates::{Candidate, PoolCandidates},
         task_name::TaskName,
         task_run::TaskRun,
+        unplaced_needs::UnplacedNeeds,
         worker_order::{StartOrder, WorkerOrder},
         worker_status::WorkerStatus,
     },
     crate::{
         collections::{FastMap, FastSet},
-        names::{JobName, PoolName, WorkerName},
+        names::{JobName, PoolName, TeamName, WorkerName},
     },
     std::sync::Arc,
 };
 
-/// Consecutive jobs without room after which a pool counts as full. Bounds the work of one
-/// pass when a queue asks for many times the capacity of its pool.
-const MISSES_MAX: usize = 12;
-
 impl FleetSchedule {
     /// Places ready tasks in the order of the rule, reserves their resources and returns the
     /// start orders.
@@ -107,6 +104,8 @@
         waiting_by_pool
     }
 
+    /// Places the tasks of a pool's waiting jobs. A job that finds no room, or that its team's
+    /// ceiling or the adviser holds back, does not hold back those behind it.
     fn plan_pool(
         &mut self,
         waiting: &[(JobSortKey, JobName)],
@@ -114,34 +113,17 @@
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) {
-        let mut misses = 0;
+        if candidates.is_empty() {
+            return;
+        }
+        let mut unplaced = UnplacedNeeds::default();
         for (_, name) in waiting {
-            if self.start_job(name, candidates, now_ms, orders) {
-                misses = 0;
-            } else {
-                misses += 1;
-            }
-            if misses >= MISSES_MAX {
-                break;
+            for step in self.ready_steps(name) {
+                self.start_step(name, step, candidates, &mut unplaced, now_ms, orders);
             }
         }
     }
 
-    /// Places the ready tasks of one job. Returns whether all of them found room.
-    fn start_job(
-        &mut self,
-        name: &JobName,
-        candidates: &mut [Candidate],
-        now_ms: u64,
-        orders: &mut Vec<WorkerOrder>,
-    ) -> bool {
-        let mut all = true;
-        for (occurrence, step) in self.ready_steps(name) {
-            all &= self.start_step(name, (occurrence, step), candidates, now_ms, orders);
-        }
-        all
-    }
-
     fn ready_steps(&self, name: &JobName) -> Vec<(u32, usize)> {
         let Some(job) = self.jobs.get(name) else {
             return Vec::new();
@@ -151,20 +133,27 @@
             .collect()
     }
 
+    /// Places the idle tasks of a step as far as the ceiling of its team and the room allow.
     fn start_step(
         &mut self,
         name: &JobName,
         (occurrence, step): (u32, usize),
         candidates: &mut [Candidate],
+        unplaced: &mut UnplacedNeeds,
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
-    ) -> bool {
+    ) {
         let Some(job) = self.jobs.get(name) else {
-            return true;
+            return;
         };
         let record = Arc::clone(&job.record);
         let plan = &record.plan.steps[step];
         let team = record.team.as_ref();
+        if unplaced.rule_out(plan.requires.as_ref(), plan.reserved())
+            || !self.ceiling_allows(team, plan.need)
+        {
+            return;
+        }
         let tasks = &job.occurrences[&occurrence][step].tasks;
         let idle: Vec<u32> = (0u32..)
             .zip(tasks)
@@ -172,7 +161,7 @@
             .map(|(index, _)| index)
             .collect();
         if plan.gang && idle.len() < tasks.len() {
-            return true;
+            return;
         }
         let gang_run = if plan.gang {
             tasks.iter().map(|task| task.last_run).max()
@@ -183,8 +172,7 @@
         let mut placed: Vec<(TaskName, WorkerName, u32)> = Vec::new();
         let mut all_placed = true;
         if !self.has_advice(name, (occurrence, step), candidates, now_ms) {
-            // The step waits for the adviser, not for room.
-            return true;
+            return;
         }
         for index in idle {
             let task = TaskName {
@@ -193,12 +181,15 @@
                 step: u16::try_from(step).unwrap_or(u16::MAX),
                 index,
             };
-            let team = team.and_then(|team| self.teams.get(team));
-            let is_allowed = team.is_none_or(|team| team.allows(plan.need));
-            let Some(chosen) = is_allowed
-                .then(|| self.choose_worker(candidates, plan, &task, now_ms))
-                .flatten()
-            else {
+            if !self.ceiling_allows(team, plan.need) {
+                all_placed = false;
+                break;
+            }
+            let Some(chosen) = self.choose_worker(candidates, plan, &task, now_ms) else {
+                // The members of a gang that are placed already may have to be released again.
+                if !plan.gang || placed.is_empty() {
+                    self.record_unplaced(unplaced, plan, candidates);
+                }
                 all_placed = false;
                 break;
             };
@@ -215,10 +206,10 @@
             for candidate in candidates {
                 candidate.update_used(self);
             }
-            return false;
+            return;
         }
         let Some(job) = self.jobs.get_mut(name) else {
-            return true;
+            return;
         };
         job.started |= !placed.is_empty();
         for (task, worker, run) in placed {
@@ -240,7 +231,37 @@
                 ticket,
             }));
         }
-        all_placed
+    }
+
+    /// Whether the ceiling of a job's team allows `need` more.
+    fn ceiling_allows(&self, team: Option<&TeamName>, need: Resources) -> bool {
+        let team = team.and_then(|team| self.teams.get(team));
+        team.is_none_or(|team| team.allows(need))
+    }
+
+    /// Records the need of a step's task that was not placed, if no worker with its label has room.
+    /// Otherwise the step's own limits keep it off the workers that have.
+    fn record_unplaced(
+        &self,
+        unplaced: &mut UnplacedNeeds,
+        plan: &StepPlan,
+        candidates: &[Candidate],
+    ) {
+        let need = plan.reserved();
+        let mut fitting = candidates
+            .iter()
+            .filter(|candidate| need.fits(candidate.used, candidate.capacity))
+            .peekable();
+        if fitting.peek().is_none() {
+            unplaced.record(None, need);
+        } else if let Some(label) = &plan.requires
+            && !fitting.any(|candidate| {
+                let status = self.workers.get(&candidate.name);
+                status.is_some_and(|status| status.has_label(label))
+            })
+        {
+            unplaced.record(Some(label), need);
+        }
     }
 
     /// Whether a step needs no advice, or has a ticket for some available worker.
--- /dev/null
+++ b/crates/domain/tests/placement_test.rs
@@ -0,0 +1,164 @@
+//! Tests of placement: jobs that can't start hold back no job behind them.
+
+mod samples;
+
+use {
+    dotterelshore_domain::{
+        names::{TeamName, WorkerName},
+        schedule::{
+            FleetSchedule, JobRecord, OrderRule, QueueTable, Resources, StepPlan, TeamRow,
+            WorkerOrder, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    std::sync::Arc,
+};
+
+/// Worker lease, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+/// Processor capacity of a worker, in thousandths of a core.
+const WORKER_MILLI: u64 = 64_000;
+/// Workers of the pool.
+const WORKERS: usize = 3;
+/// Jobs that can't start, ahead of one that can.
+const HELD_BACK_JOBS: usize = 40;
+
+fn cores(cpu_milli: u64) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mb: 100,
+        gpus: 0,
+    }
+}
+
+fn step(count: u32, cpu_milli: u64) -> StepPlan {
+    StepPlan {
+        count,
+        need: cores(cpu_milli),
+        estimate_ms: 800,
+        ..StepPlan::default()
+    }
+}
+
+fn job_of(team: &str, text: &str, step: StepPlan) -> JobRecord {
+    JobRecord {
+        team: Some(TeamName::try_from(team).expect("a name")),
+        ..sample_job(text, step)
+    }
+}
+
+/// A schedule with reported workers. Team `alpha` has a ceiling of one core.
+fn schedule() -> FleetSchedule {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    for number in 0..WORKERS {
+        let listed = sample_worker(&format!("w-{number}"), WORKER_MILLI);
+        let name = listed.name.clone();
+        schedule.upsert_worker(listed);
+        schedule.apply_report(&name, &WorkerReport::default(), NOW_MS, WALL_MS);
+    }
+    let mut table = QueueTable::default();
+    for (team, cpu_milli) in [("alpha", 1_000), ("beta", 0)] {
+        let name = TeamName::try_from(team).expect("a name");
+        let row = TeamRow {
+            name: name.clone(),
+            keys: Vec::new(),
+            weight: 1_000.0,
+            ceiling: Resources {
+                cpu_milli,
+                ..Resources::default()
+            },
+        };
+        table.teams.insert(name, Arc::new(row));
+    }
+    schedule.set_table(&table);
+    schedule
+}
+
+/// The names of the jobs that a planning pass starts, one for each task.
+fn started_jobs(schedule: &mut FleetSchedule) -> Vec<String> {
+    let orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX).into_iter();
+    let starts = orders.filter_map(|order| match order {
+        WorkerOrder::Start(start) => Some(start.task.job.to_string()),
+        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
+    });
+    starts.collect()
+}
+
+/// A tenant over its cap, or with jobs that find no room, kept all jobs behind its own from
+/// starting (review case 2).
+fn job_behind_starts(held_back: fn(String) -> JobRecord) {
+    let mut schedule = schedule();
+    for number in 0..HELD_BACK_JOBS {
+        let record = held_back(format!("a-{number}"));
+        schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
+    }
+    let behind = [
+        job_of("beta", "b-small", step(4, 4_000)),
+        job_of("beta", "b-wide", step(2, WORKER_MILLI / 2)),
+    ];
+    for record in behind {
+        let record = JobRecord {
+            priority: 1,
+            ..record
+        };
+        schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
+    }
+    let started = started_jobs(&mut schedule);
+    let count = |job: &str| started.iter().filter(|started| *started == job).count();
+    assert_eq!((count("b-small"), count("b-wide")), (4, 2), "{started:?}");
+    assert_eq!(started.len(), 6, "{started:?}");
+}
+
+named_cases! { job_behind_starts:
+    job_starts_behind_jobs_over_their_ceiling(|text| job_of("alpha", &text, step(2, 4_000)));
+    job_starts_behind_lasting_jobs_over_their_ceiling(|text| {
+        let long_running = StepPlan { long_running: true, ..step(2, 4_000) };
+        job_of("alpha", &text, long_running)
+    });
+    job_starts_behind_jobs_larger_than_a_worker(|text| {
+        job_of("beta", &text, step(1, WORKER_MILLI + 1))
+    });
+    job_starts_behind_gangs_over_their_ceiling(|text| {
+        let gang = StepPlan { gang: true, ..step(2, 600) };
+        job_of("alpha", &text, gang)
+    });
+    job_starts_behind_gangs_wider_than_the_pool(|text| {
+        let gang = StepPlan { gang: true, ..step(7, WORKER_MILLI / 2) };
+        job_of("beta", &text, gang)
+    });
+    job_starts_behind_jobs_without_a_labelled_worker(|text| {
+        let labelled = StepPlan { requires: Some(Arc::from("gpu-kind")), ..step(1, 1_000) };
+        job_of("beta", &text, labelled)
+    });
+    job_starts_behind_jobs_without_advice(|text| JobRecord {
+        advised: true,
+        ..job_of("beta", &text, step(1, 1_000))
+    });
+}
+
+/// A pool whose free room is taken by a job still places no task beyond the capacity of a worker.
+#[test]
+fn later_job_gets_only_the_room_that_is_left() {
+    let mut schedule = schedule();
+    let lasting = job_of("beta", "first", step(3, WORKER_MILLI - 4_000));
+    schedule.add_job(lasting, None, 0, NOW_MS, WALL_MS);
+    let wide = job_of("beta", "wide", step(1, 8_000));
+    let small = job_of("beta", "small", step(10, 2_000));
+    for record in [wide, small] {
+        let record = JobRecord {
+            priority: 1,
+            ..record
+        };
+        schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
+    }
+    let started = started_jobs(&mut schedule);
+    let small = started.iter().filter(|job| *job == "small").count();
+    assert_eq!(started.len(), WORKERS + small, "{started:?}");
+    assert_eq!(small, 2 * WORKERS);
+    for number in 0..WORKERS {
+        let name = WorkerName::try_from(format!("w-{number}")).expect("a name");
+        let status = schedule.worker(&name).expect("a worker");
+        assert!(status.used.cpu_milli <= WORKER_MILLI);
+    }
+}
