Check that a gang fits before any of its members is placed

Cause: each planning pass in which a part of a gang found room gave its members run numbers, found no room for the rest and released them again, up to a hundred times a second. Run numbers are not recorded, so that the next owner's base, 1,000 times its term, was below numbers that workers had seen, and they refused its starts as outdated.

Evidence: waiting_gang_uses_up_no_run_numbers, run 51 after 50 passes instead of run 1.

Change: gang_fits counts the slots that the workers have for the step by room, label, anti-affinity and tickets, and the ceiling is checked for the whole gang. The members of a gang are alike, so that the count is exact. The release of a partly placed gang goes.

--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -42,6 +42,27 @@
             && within(used.gpus, self.gpus, limit.gpus)
     }
 
+    /// Returns this amount multiplied.
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
+    /// Returns how many times this amount fits beside `used` under `limit`.
+    pub fn count_in(self, used: Self, limit: Self) -> u64 {
+        let count = |used: u64, need: u64, limit: u64| match limit.checked_sub(used) {
+            Some(free) => free.checked_div(need).unwrap_or(u64::MAX),
+            None => 0,
+        };
+        count(used.cpu_milli, self.cpu_milli, limit.cpu_milli)
+            .min(count(used.memory_mb, self.memory_mb, limit.memory_mb))
+            .min(count(used.gpus, self.gpus, limit.gpus))
+    }
+
     fn largest(self) -> u64 {
         self.cpu_milli.max(self.memory_mb).max(self.gpus)
     }
@@ -118,6 +139,12 @@
         need
     }
 
+    /// Returns what its tasks need at least to start: a gang starts as a whole.
+    pub(super) fn least_start(&self) -> Resources {
+        let count = if self.gang { self.count } else { 1 };
+        self.need.times(u64::from(count))
+    }
+
     /// Returns how many tasks of the step should share a worker at most: the anti-affinity
     /// limit and, for long-running tasks, the number that may be unavailable together.
     pub fn max_per_worker(&self) -> u32 {
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -30,6 +30,7 @@
 mod worker_disruption;
 mod worker_listing;
 mod worker_order;
+mod worker_slots;
 mod worker_snapshots;
 mod worker_status;
 
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -150,7 +150,7 @@
         let plan = &record.plan.steps[step];
         let team = record.team.as_ref();
         if unplaced.rule_out(plan.requires.as_ref(), plan.reserved())
-            || !self.ceiling_allows(team, plan.need)
+            || !self.ceiling_allows(team, plan.least_start())
         {
             return;
         }
@@ -169,28 +169,25 @@
             None
         };
         let gang_checkpoint = tasks.iter().find_map(|task| task.checkpoint.clone());
-        let mut placed: Vec<(TaskName, WorkerName, u32)> = Vec::new();
-        let mut all_placed = true;
-        if !self.has_advice(name, (occurrence, step), candidates, now_ms) {
+        let task_of = |index| TaskName {
+            job: name.clone(),
+            occurrence,
+            step: u16::try_from(step).unwrap_or(u16::MAX),
+            index,
+        };
+        if !self.has_advice(name, (occurrence, step), candidates, now_ms)
+            || plan.gang && !self.gang_fits(candidates, plan, &task_of(0), now_ms)
+        {
             return;
         }
+        let mut placed: Vec<(TaskName, WorkerName, u32)> = Vec::new();
         for index in idle {
-            let task = TaskName {
-                job: name.clone(),
-                occurrence,
-                step: u16::try_from(step).unwrap_or(u16::MAX),
-                index,
-            };
             if !self.ceiling_allows(team, plan.need) {
-                all_placed = false;
                 break;
             }
+            let task = task_of(index);
             let Some(chosen) = self.choose_worker(candidates, plan, &task, now_ms) else {
-                // The members of a gang that are placed already may have to be released again.
-                if !plan.gang || placed.is_empty() {
-                    self.record_unplaced(unplaced, plan, candidates);
-                }
-                all_placed = false;
+                self.record_unplaced(unplaced, plan, candidates);
                 break;
             };
             let chosen = &mut candidates[chosen];
@@ -199,15 +196,6 @@
             let run = self.assign_run(&task, &worker, gang_run, now_ms);
             placed.push((task, worker, run));
         }
-        if plan.gang && !all_placed {
-            for (task, worker, run) in &placed {
-                self.release(task, worker, *run);
-            }
-            for candidate in candidates {
-                candidate.update_used(self);
-            }
-            return;
-        }
         let Some(job) = self.jobs.get_mut(name) else {
             return;
         };
@@ -233,6 +221,27 @@
         }
     }
 
+    /// Whether all members of a gang that has no runs find room, beside what runs already. Found
+    /// out before any of them gets a run number: a partial placement would use numbers up.
+    fn gang_fits(
+        &self,
+        candidates: &[Candidate],
+        plan: &StepPlan,
+        member: &TaskName,
+        now_ms: u64,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&member.job) else {
+            return false;
+        };
+        let advice = job.step(member).filter(|_| job.record.advised);
+        let statuses = candidates
+            .iter()
+            .filter_map(|candidate| self.workers.get(&candidate.name))
+            .filter(|status| advice.is_none_or(|step| step.advice.allows(status, now_ms)));
+        let slots = statuses.map(|status| status.free_slots(plan, member));
+        slots.fold(0, u64::saturating_add) >= u64::from(plan.count)
+    }
+
     /// Whether the ceiling of a job's team allows `need` more.
     fn ceiling_allows(&self, team: Option<&TeamName>, need: Resources) -> bool {
         let team = team.and_then(|team| self.teams.get(team));
@@ -279,7 +288,7 @@
         let mut statuses = candidates
             .iter()
             .filter_map(|candidate| self.workers.get(&candidate.name));
-        statuses.any(|status| step.advice.ticket(status, now_ms).is_some())
+        statuses.any(|status| step.advice.allows(status, now_ms))
     }
 
     fn assign_run(
@@ -323,14 +332,8 @@
         let job = self.jobs.get(&task.job)?;
         let advice = job.step(task).filter(|_| job.record.advised);
         let is_eligible = |status: &WorkerStatus| {
-            advice.is_none_or(|step| step.advice.ticket(status, now_ms).is_some())
-                && plan
-                    .requires
-                    .as_ref()
-                    .is_none_or(|label| status.has_label(label))
-                && plan
-                    .anti_affinity
-                    .is_none_or(|limit| count_same_step(status, task) < limit)
+            advice.is_none_or(|step| step.advice.allows(status, now_ms))
+                && status.is_eligible(plan, task)
         };
         let takes_any = advice.is_none() && plan.requires.is_none() && plan.anti_affinity.is_none();
         let has_preference = plan.affinity.is_some() || plan.long_running;
@@ -342,7 +345,7 @@
                     .as_ref()
                     .is_none_or(|rack| status.has_label(rack.as_str()));
                 let crowded =
-                    plan.long_running && count_same_step(status, task) >= plan.max_per_worker();
+                    plan.long_running && status.count_same_step(task) >= plan.max_per_worker();
                 (!near, crowded)
             });
             let free = free_cpu_share(candidate.used, candidate.capacity);
@@ -362,11 +365,3 @@
     let free = capacity.cpu_milli.saturating_sub(used.cpu_milli);
     free.saturating_mul(1000) / capacity.cpu_milli.max(1)
 }
-
-/// Counts the runs of the task's step, in its occurrence, on a worker.
-fn count_same_step(status: &WorkerStatus, task: &TaskName) -> u32 {
-    let same = |other: &&TaskName| {
-        other.step == task.step && other.occurrence == task.occurrence && other.job == task.job
-    };
-    u32::try_from(status.tasks().filter(same).count()).unwrap_or(u32::MAX)
-}
--- a/crates/domain/src/schedule/pool_candidates.rs
+++ b/crates/domain/src/schedule/pool_candidates.rs
@@ -18,15 +18,6 @@
     pub(super) pending_maintenance: bool,
 }
 
-impl Candidate {
-    /// Reads what its runs reserve from the schedule.
-    pub(super) fn update_used(&mut self, schedule: &FleetSchedule) {
-        if let Some(status) = schedule.workers.get(&self.name) {
-            self.used = status.used;
-        }
-    }
-}
-
 /// The candidates of some pools.
 #[derive(Debug)]
 pub(super) struct PoolCandidates(FastMap<PoolName, Vec<Candidate>>);
--- a/crates/domain/src/schedule/step_advice.rs
+++ b/crates/domain/src/schedule/step_advice.rs
@@ -42,6 +42,11 @@
         (valid && advice.started_ms == status.listed.started_ms).then_some(ticket)
     }
 
+    /// Whether there is a valid ticket for a worker's current incarnation.
+    pub(super) fn allows(&self, status: &WorkerStatus, now_ms: u64) -> bool {
+        self.ticket(status, now_ms).is_some()
+    }
+
     /// Whether there is no advice on a worker's current incarnation, or its ticket expires.
     fn needs_advice(&self, status: &WorkerStatus, now_ms: u64) -> bool {
         self.workers.get(&status.listed.name).is_none_or(|advice| {
--- a/crates/domain/tests/placement_test.rs
+++ b/crates/domain/tests/placement_test.rs
@@ -4,7 +4,7 @@
 
 use {
     dotterelshore_domain::{
-        names::{TeamName, WorkerName},
+        names::{JobName, TeamName, WorkerName},
         schedule::{
             FleetSchedule, JobRecord, OrderRule, QueueTable, Resources, StepPlan, TeamRow,
             WorkerOrder, WorkerReport,
@@ -162,3 +162,40 @@
         assert!(status.used.cpu_milli <= WORKER_MILLI);
     }
 }
+
+/// A gang that waited long for room had run numbers above those of the next owner's term, and
+/// workers refused its next start (review case 3).
+#[test]
+fn waiting_gang_uses_up_no_run_numbers() {
+    let mut schedule = schedule();
+    let wide = StepPlan {
+        gang: true,
+        anti_affinity: Some(1),
+        ..step(3, WORKER_MILLI)
+    };
+    let blocker = job_of("beta", "blocker", step(1, WORKER_MILLI / 2));
+    schedule.add_job(blocker, None, 0, NOW_MS, WALL_MS);
+    assert_eq!(started_jobs(&mut schedule), ["blocker"]);
+    schedule.add_job(job_of("beta", "gang", wide), None, 0, NOW_MS, WALL_MS);
+    for _ in 0..50 {
+        assert!(started_jobs(&mut schedule).is_empty());
+    }
+    let blocker = JobName::try_from("blocker").expect("a name");
+    for order in schedule.cancel(&blocker, NOW_MS, WALL_MS) {
+        let WorkerOrder::Stop(stop) = order else {
+            continue;
+        };
+        schedule.confirm_stop(&stop, 1);
+        let report = WorkerReport {
+            clock_ms: 2,
+            ..WorkerReport::default()
+        };
+        schedule.apply_report(&stop.worker, &report, NOW_MS, WALL_MS);
+    }
+    let orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX).into_iter();
+    let runs = orders.filter_map(|order| match order {
+        WorkerOrder::Start(start) => Some(start.run),
+        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
+    });
+    assert_eq!(runs.collect::<Vec<_>>(), vec![1; 3]);
+}
