Ask for advice by what a step can start

Callers saw, on a queue with an adviser: jobs behind those of a team over its ceiling could wait for advice without end, as could a gang that needs more than one worker, or a step with a label where the adviser names a worker without it.

Cause: next_advice_request took the most urgent step with idle tasks and no ticket for a worker with room. A step that its team's ceiling holds back used no ticket, so that it asked again as each expired, ahead of all others; and one ticket was enough for a step to ask for no more, even where it can't start with it.

Evidence: step_advice_test, three new cases that fail without the change: the first request is for a job over its ceiling; a gang of four and a step with a label start none of their tasks.

Change: a request is for the most urgent step that its ceiling allows and for which the workers with tickets have fewer slots than its tasks that start together; not if all workers that may get a ticket would not be enough either.

Result: the tests pass.

--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -139,10 +139,14 @@
         need
     }
 
-    /// Returns what its tasks need at least to start: a gang starts as a whole.
+    /// Returns how many of its tasks start together at least: a gang starts as a whole.
+    pub(super) fn least_tasks(&self) -> u32 {
+        if self.gang { self.count } else { 1 }
+    }
+
+    /// Returns what the tasks that start together at least need.
     pub(super) fn least_start(&self) -> Resources {
-        let count = if self.gang { self.count } else { 1 };
-        self.need.times(u64::from(count))
+        self.need.times(u64::from(self.least_tasks()))
     }
 
     /// Returns how many tasks of the step should share a worker at most: the anti-affinity
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -243,7 +243,7 @@
     }
 
     /// Whether the ceiling of a job's team allows `need` more.
-    fn ceiling_allows(&self, team: Option<&TeamName>, need: Resources) -> bool {
+    pub(super) fn ceiling_allows(&self, team: Option<&TeamName>, need: Resources) -> bool {
         let team = team.and_then(|team| self.teams.get(team));
         team.is_none_or(|team| team.allows(need))
     }
--- a/crates/domain/src/schedule/step_advice.rs
+++ b/crates/domain/src/schedule/step_advice.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule, live_job::LiveJob, task_name::TaskName,
+        fleet_schedule::FleetSchedule,
+        live_job::{LiveJob, TaskState},
+        task_name::TaskName,
         worker_status::WorkerStatus,
     },
     crate::{
@@ -73,9 +75,9 @@
 }
 
 impl FleetSchedule {
-    /// Returns the next request to the adviser. It is for the most urgent step with idle tasks
-    /// and no worker with both a ticket and room, and names workers that need advice, those
-    /// with the most room first.
+    /// Returns the next request to the adviser. It is for the most urgent step that may start
+    /// under the ceiling of its team and for which workers with tickets have too little room. It
+    /// names workers that need advice, those with the most room first.
     pub fn next_advice_request(&self, now_ms: u64) -> Option<AdviceRequest> {
         let advised = self.active.values().flatten().filter_map(|name| {
             let job = self.jobs.get(name)?;
@@ -92,23 +94,34 @@
     fn advice_request_for(&self, job: &LiveJob, now_ms: u64) -> Option<AdviceRequest> {
         for (occurrence, number, step) in job.ready_steps() {
             let plan = &job.record.plan.steps[number];
-            if !step.tasks.iter().any(super::live_job::TaskState::is_idle) {
+            if !step.tasks.iter().any(TaskState::is_idle)
+                || !self.ceiling_allows(job.record.team.as_ref(), plan.least_start())
+            {
                 continue;
             }
-            let fits = |status: &&WorkerStatus| {
-                status.listed.pool == job.record.pool
-                    && status.accepts_tasks(now_ms)
-                    && plan.reserved().fits(status.used, status.listed.capacity)
+            let task = TaskName {
+                job: job.record.name.clone(),
+                occurrence,
+                step: u16::try_from(number).unwrap_or(u16::MAX),
+                index: 0,
             };
-            let mut statuses: Vec<_> = self.workers.values().filter(fits).collect();
-            if statuses
-                .iter()
-                .any(|status| step.advice.ticket(status, now_ms).is_some())
-            {
-                continue;
+            let accepting = self.workers.values().filter(|status| {
+                status.listed.pool == job.record.pool && status.accepts_tasks(now_ms)
+            });
+            let mut allowed_slots = 0_u64;
+            let mut possible_slots = 0_u64;
+            let mut statuses = Vec::new();
+            for status in accepting {
+                let slots = status.free_slots(plan, &task);
+                if step.advice.allows(status, now_ms) {
+                    allowed_slots = allowed_slots.saturating_add(slots);
+                } else if slots > 0 && step.advice.needs_advice(status, now_ms) {
+                    possible_slots = possible_slots.saturating_add(slots);
+                    statuses.push(status);
+                }
             }
-            statuses.retain(|status| step.advice.needs_advice(status, now_ms));
-            if statuses.is_empty() {
+            let needed = u64::from(plan.least_tasks());
+            if allowed_slots >= needed || allowed_slots.saturating_add(possible_slots) < needed {
                 continue;
             }
             let room = |status: &WorkerStatus| {
@@ -123,7 +136,7 @@
                 job: job.record.name.clone(),
                 queue: job.record.queue.clone(),
                 occurrence,
-                step: u16::try_from(number).unwrap_or(u16::MAX),
+                step: task.step,
                 workers: chosen
                     .map(|status| (status.listed.name.clone(), status.listed.started_ms))
                     .collect(),
--- a/crates/domain/tests/step_advice_test.rs
+++ b/crates/domain/tests/step_advice_test.rs
@@ -4,10 +4,11 @@
 
 use {
     dotterelshore_domain::{
-        names::{QueueName, WorkerName},
+        names::{QueueName, TeamName, WorkerName},
         schedule::{
-            AdviceRequest, FleetSchedule, JobRecord, ListedWorker, OrderRule, Resources,
-            StartOrder, StartRefusal, StartReply, StepPlan, WorkerOrder, WorkerReport,
+            AdviceRequest, FleetSchedule, JobRecord, ListedWorker, OrderRule, QueueTable,
+            Resources, StartOrder, StartRefusal, StartReply, StepPlan, TeamRow, WorkerOrder,
+            WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
@@ -217,3 +218,65 @@
     }, true);
     ticket_of_a_restarted_worker_is_requested_again(|fixture, _| restarted(fixture), true);
 }
+
+fn label_some_workers(schedule: &mut FleetSchedule, numbers: std::ops::Range<usize>) {
+    for number in numbers {
+        let labelled = ListedWorker {
+            labels: vec![Arc::from("kind-b")],
+            ..worker(number, 1)
+        };
+        schedule.upsert_worker(labelled);
+    }
+}
+
+/// Tickets for too few workers, or for workers that a step can't use, kept it from ever asking
+/// for others. The step has four tasks, of which two fit on a worker.
+fn step_asks_until_it_can_start(change: fn(&mut StepPlan), allowed: &[usize], started: usize) {
+    let mut fixture = AdviceFixture::new(40, allowed);
+    label_some_workers(&mut fixture.schedule, 36..40);
+    let mut record = record("a", 4, true);
+    change(&mut record.plan.steps[0]);
+    fixture.schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
+    fixture.request_all();
+    assert_eq!(fixture.starts().len(), started);
+}
+
+named_cases! { step_asks_until_it_can_start:
+    gang_asks_until_all_members_find_room(|step| step.gang = true, &[0, 39], 4);
+    gang_without_enough_allowed_workers_waits(|step| step.gang = true, &[39], 0);
+    step_asks_for_workers_with_its_label(
+        |step| step.requires = Some(Arc::from("kind-b")), &[0, 39], 2);
+}
+
+/// Jobs over their team's ceiling asked for advice again and again, so that a job behind them
+/// never got any.
+#[test]
+fn job_over_its_ceiling_asks_for_no_advice() {
+    let mut fixture = AdviceFixture::new(2, &[0, 1]);
+    let team = TeamName::try_from("capped").expect("a name");
+    let row = TeamRow {
+        name: team.clone(),
+        keys: Vec::new(),
+        weight: 1_000.0,
+        ceiling: Resources {
+            cpu_milli: 1_000,
+            ..Resources::default()
+        },
+    };
+    let mut table = QueueTable::default();
+    table.teams.insert(team.clone(), Arc::new(row));
+    fixture.schedule.set_table(&table);
+    for number in 0..3 {
+        let capped = JobRecord {
+            team: Some(team.clone()),
+            ..record(&format!("a-{number}"), 2, true)
+        };
+        fixture.schedule.add_job(capped, None, 0, NOW_MS, WALL_MS);
+    }
+    fixture.add("b", 2, true);
+    let request = fixture.schedule.next_advice_request(NOW_MS);
+    assert_eq!(request.expect("a request").job.as_str(), "b");
+    fixture.request_all();
+    assert_eq!(fixture.requests, 1);
+    assert_eq!(fixture.starts().len(), 2);
+}
