Release no run that a list of ends may leave out

Cause: a worker lists its first 500 unacknowledged ends. release_missing took a run that a report lists neither as running nor as ended for one that ended without a result or never began, and its task started again. Without the store no end is acknowledged, and a worker soon has more than 500.

Change: the decoder says whether a worker may have more ends than it lists, also through a delegate (a new reply behind the existing ones; a report that lists all ends is encoded as before). Such a report releases no run that it leaves out.

--- a/crates/domain/benches/schedule_load.rs
+++ b/crates/domain/benches/schedule_load.rs
@@ -196,6 +196,7 @@
                 })
                 .collect(),
             finished: worker.ends.clone(),
+            ..WorkerReport::default()
         };
         worker.runs = running;
         self.schedule.renew_lease(name, now_ms);
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -53,6 +53,7 @@
         }
         self.end_replaced_workers(worker);
         let mut orders = Vec::new();
+        let lists_all = !report.may_have_more_ends;
         for end in &report.finished {
             let applied = self
                 .workers
@@ -71,10 +72,13 @@
         for reported in &report.running {
             self.apply_reported_run(worker, reported, report.clock_ms, now_ms, &mut orders);
         }
-        self.release_missing(worker, report);
+        if lists_all {
+            self.release_missing(worker, report);
+        }
         orders.extend(self.pace_best_effort(worker, report, now_ms));
         if let Some(status) = self.workers.get_mut(worker) {
             status.reported = true;
+            status.has_listed_all |= lists_all;
             status.reachable = true;
             if now_ms < status.disrupted_until_ms
                 && now_ms + SURVIVAL_WINDOW_MS > status.disrupted_until_ms
@@ -267,7 +271,8 @@
         let recorded_only = |run: &&TaskRun| {
             let status = self.workers.get(&run.worker);
             run.run < reported.run
-                && status.is_some_and(|status| status.runs_known && !status.reported)
+                && (run.phase == RunPhase::Restored
+                    || status.is_some_and(|status| status.runs_known && !status.reported))
         };
         let superseded: Vec<_> = task.runs.iter().filter(recorded_only).cloned().collect();
         for run in superseded {
@@ -275,7 +280,8 @@
         }
     }
 
-    /// Releases runs that a worker's newer report no longer lists.
+    /// Releases runs that a worker's newer report no longer lists. The report has to list all ends:
+    /// a run whose end is not known yet may be done.
     fn release_missing(&mut self, worker: &WorkerName, report: &WorkerReport) {
         let Some(status) = self.workers.get(worker) else {
             return;
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -113,8 +113,12 @@
     pub clock_ms: u64,
     /// Runs in progress.
     pub running: Vec<ReportedRun>,
-    /// Run ends that were not acknowledged yet.
+    /// The first run ends that were not acknowledged yet.
     pub finished: Vec<EndedRun>,
+    /// Whether the worker may have more run ends than `finished` lists. A run that is in neither
+    /// list may then have ended in any way. Not encoded: the reply of a delegate states it.
+    #[serde(skip)]
+    pub may_have_more_ends: bool,
 }
 
 /// Stored state of a worker on which an owner may have left runs.
@@ -159,6 +163,8 @@
     pub reported: bool,
     /// Whether its runs of earlier owners are known from a snapshot, without a report.
     pub runs_known: bool,
+    /// Whether it has listed all its runs and ends to this owner at some time.
+    pub(super) has_listed_all: bool,
     /// Whether the newest stored snapshot may list it as unreachable.
     pub recorded_unreachable: bool,
     /// Whether it answered its last call.
@@ -198,6 +204,7 @@
             runs: FastSet::default(),
             reported: false,
             runs_known: false,
+            has_listed_all: false,
             recorded_unreachable: false,
             reachable: true,
             lease_until_ms: orphans_until_ms,
@@ -231,9 +238,14 @@
     }
 
     /// Whether it may have orphaned runs, which an earlier owner started and this one does not
-    /// know.
+    /// know, or ends of such runs that it has not listed yet.
     pub(super) fn may_have_orphans(&self, now_ms: u64) -> bool {
-        !self.reported && !self.runs_known && now_ms <= self.orphans_until_ms
+        let until_ms = if self.reported {
+            self.lease_until_ms
+        } else {
+            self.orphans_until_ms
+        };
+        !self.has_listed_all && !self.runs_known && now_ms <= until_ms
     }
 
     /// Whether it does not answer, has no other runs than those known, and has listed no end that
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -201,6 +201,7 @@
                 clock_ms: self.now_ms,
                 running: running.collect(),
                 finished: Vec::new(),
+                ..WorkerReport::default()
             };
             for order in stopped {
                 if let WorkerOrder::Stop(stop) = order {
--- a/crates/domain/tests/lasting_run/mod.rs
+++ b/crates/domain/tests/lasting_run/mod.rs
@@ -63,5 +63,6 @@
         clock_ms,
         running: running.collect(),
         finished: Vec::new(),
+        ..WorkerReport::default()
     }
 }
--- a/crates/domain/tests/odd_worker_test.rs
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -82,6 +82,7 @@
         clock_ms: 10,
         running: running.collect(),
         finished: Vec::new(),
+        ..WorkerReport::default()
     }
 }
 
--- a/crates/domain/tests/pace_controller_test.rs
+++ b/crates/domain/tests/pace_controller_test.rs
@@ -140,6 +140,7 @@
             clock_ms: NOW_MS + step * REPORT_MS,
             running: running.to_vec(),
             finished: Vec::new(),
+            ..WorkerReport::default()
         };
         schedule.apply_report(&name, &report, NOW_MS + step * REPORT_MS, WALL_MS)
     };
--- a/crates/domain/tests/schedule_model/worker_process.rs
+++ b/crates/domain/tests/schedule_model/worker_process.rs
@@ -10,8 +10,8 @@
 
 /// Longest lease that a worker grants, in milliseconds.
 const LEASE_MAX_MS: u64 = 10_000;
-/// Ends in one report.
-const ENDS_MAX: usize = 500;
+/// Ends in one report. Far fewer than the platform's workers list, so that lists are often cut off.
+const ENDS_MAX: usize = 3;
 
 /// How a run goes on if nobody stops it.
 #[derive(Debug, Clone, Copy)]
@@ -201,6 +201,7 @@
             clock_ms: self.clock.read(now_ms),
             running: running.collect(),
             finished: self.ends.iter().take(ENDS_MAX).cloned().collect(),
+            may_have_more_ends: self.ends.len() >= ENDS_MAX,
         }
     }
 }
--- a/crates/scheduler/src/delegation/call_carrier.rs
+++ b/crates/scheduler/src/delegation/call_carrier.rs
@@ -124,7 +124,7 @@
     }
     let client = clients.client(&call.target, now_ms);
     match call.call {
-        WorkerCall::Poll(request) => WorkerReply::Polled(client.poll(&request).await),
+        WorkerCall::Poll(request) => WorkerReply::of_poll(client.poll(&request).await),
         WorkerCall::Start {
             order,
             lease_until_ms,
--- a/crates/scheduler/src/delegation/link_frame.rs
+++ b/crates/scheduler/src/delegation/link_frame.rs
@@ -85,6 +85,30 @@
     Confirmed(Result<u64, WorkerFault>),
     /// The call was too old and was not sent.
     NotSent,
+    /// The outcome of a poll: a report of a worker that may have more run ends.
+    PolledInPart(WorkerReport),
+}
+
+impl WorkerReply {
+    /// Makes the reply to a poll.
+    pub(super) fn of_poll(outcome: Result<WorkerReport, WorkerFault>) -> Self {
+        match outcome {
+            Ok(report) if report.may_have_more_ends => Self::PolledInPart(report),
+            outcome => Self::Polled(outcome),
+        }
+    }
+
+    /// Returns the outcome of a poll; `None` if it is the reply to another call.
+    pub(crate) fn into_poll(self) -> Option<Result<WorkerReport, WorkerFault>> {
+        match self {
+            Self::Polled(outcome) => Some(outcome),
+            Self::PolledInPart(report) => Some(Ok(WorkerReport {
+                may_have_more_ends: true,
+                ..report
+            })),
+            Self::Started(_) | Self::Confirmed(_) | Self::NotSent => None,
+        }
+    }
 }
 
 /// A call with the number by which its reply refers to it.
--- a/crates/scheduler/src/leading/worker_route.rs
+++ b/crates/scheduler/src/leading/worker_route.rs
@@ -41,16 +41,13 @@
         match self {
             Self::Direct(client) => Ok(client.poll(request).await?),
             Self::Delegated(link, target) => {
-                match link
-                    .call(target.clone(), WorkerCall::Poll(*request))
-                    .await?
-                {
-                    WorkerReply::Polled(outcome) => Ok(outcome?),
-                    WorkerReply::NotSent => Err(LinkFault::NotSent.into()),
-                    WorkerReply::Started(_) | WorkerReply::Confirmed(_) => {
-                        Err(LinkFault::Lost.into())
-                    }
+                let call = WorkerCall::Poll(*request);
+                let reply = link.call(target.clone(), call).await?;
+                if reply == WorkerReply::NotSent {
+                    return Err(LinkFault::NotSent.into());
                 }
+                let outcome = reply.into_poll().ok_or(LinkFault::Lost)?;
+                Ok(outcome?)
             }
         }
     }
@@ -76,9 +73,8 @@
             Ok(WorkerReply::NotSent) | Err(LinkFault::NotSent) => {
                 StartReply::Refused(StartRefusal::Late)
             }
-            Ok(WorkerReply::Polled(_) | WorkerReply::Confirmed(_)) | Err(LinkFault::Lost) => {
-                StartReply::Unknown
-            }
+            // A reply to another kind of call says nothing about the start.
+            Ok(_) | Err(LinkFault::Lost) => StartReply::Unknown,
         }
     }
 
@@ -122,6 +118,6 @@
     match link.call(target.clone(), call).await? {
         WorkerReply::Confirmed(outcome) => Ok(outcome?),
         WorkerReply::NotSent => Err(LinkFault::NotSent.into()),
-        WorkerReply::Polled(_) | WorkerReply::Started(_) => Err(LinkFault::Lost.into()),
+        _ => Err(LinkFault::Lost.into()),
     }
 }
--- a/crates/scheduler/tests/delegate_test.rs
+++ b/crates/scheduler/tests/delegate_test.rs
@@ -6,6 +6,7 @@
     dotterelshore_testkit::named_cases,
     fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
     nix::sys::signal::Signal,
+    serde_json::json,
     std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -20,6 +21,10 @@
 const WORKERS: usize = 6;
 /// Longer than the owner waits for a silent delegate, shorter than a worker's lease.
 const FREEZE: Duration = Duration::from_secs(2);
+/// Tasks on each worker that end at once; a response lists at most 500 ends.
+const ENDING_TASKS: usize = 600;
+/// Longer than a task of the emulated workers takes.
+const TASK_TIME: Duration = Duration::from_millis(400);
 /// Time after which every call that a delegate still sends has arrived.
 const CALLS_SETTLE: Duration = Duration::from_millis(1_500);
 
@@ -218,3 +223,33 @@
         &[&CARRY_CALLS[..], &[0, 0, 0, 9, 1, 1, 1, 1, b'w', 1, b'a', 1, 77]].concat()
     );
 }
+
+/// Tasks whose ends their worker did not list yet started again (review case 1).
+fn each_task_starts_once(start: impl AsyncFnOnce() -> FleetFixture, workers: usize) {
+    run_test(async {
+        let fixture = start().await;
+        fixture.fleet.hold_tasks(true);
+        let job = "00000000000000d6";
+        let step = json!({
+            "count": ENDING_TASKS, "anti_affinity": ENDING_TASKS / workers,
+            "cpu": 50, "mem_mb": 10, "estimate_ms": 250,
+        });
+        let body = json!({"task_spec": "works", "steps": vec![step; workers]});
+        assert_eq!(fixture.submit(job, &body).await.status, 200);
+        let tasks = ENDING_TASKS * workers;
+        let all_run = fixture.wait_until(SETTLE_TIMEOUT, async || fixture.fleet.running() == tasks);
+        assert!(all_run.await, "{} run", fixture.fleet.running());
+        tokio::time::sleep(TASK_TIME).await;
+        fixture.fleet.hold_tasks(false);
+        assert!(fixture.reaches_state(job, "completed").await);
+        assert_eq!(fixture.fleet.unacknowledged_max(), ENDING_TASKS);
+        assert_eq!(fixture.fleet.starts(), tasks, "each task once");
+        fixture.assert_no_violations();
+    });
+}
+
+named_cases! { each_task_starts_once:
+    each_task_starts_once_beyond_the_listed_ends(
+        async || FleetFixture::start(2, 1).await, 1);
+    each_task_starts_once_beyond_the_listed_ends_through_delegates(start_delegating, WORKERS);
+}
