Keep a run whose end stands behind one of an unknown job

Cause: the ends of a report are applied up to the first of a job that the owner does not know yet, since its record may still arrive. The runs whose ends are listed behind it are neither running nor applied, and release_missing released them: tasks that are done could start again, in the first seconds after a takeover.

Evidence: run_whose_end_is_behind_one_of_an_unknown_job_stays fails without the change: run 2 of a task whose end as done is in the list.

Change: a report counts as listing all only if all its ends were applied.

Result: the test passes; the model test holds.

--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -53,7 +53,7 @@
         }
         self.end_replaced_workers(worker);
         let mut orders = Vec::new();
-        let lists_all = !report.may_have_more_ends;
+        let mut lists_all = !report.may_have_more_ends;
         for end in &report.finished {
             let applied = self
                 .workers
@@ -63,6 +63,7 @@
                 continue;
             }
             if !self.apply_end(worker, end, now_ms, wall_ms, &mut orders) {
+                lists_all = false;
                 break;
             }
             if let Some(status) = self.workers.get_mut(worker) {
@@ -280,8 +281,8 @@
         }
     }
 
-    /// Releases runs that a worker's newer report no longer lists. The report has to list all ends:
-    /// a run whose end is not known yet may be done.
+    /// Releases runs that a worker's newer report no longer lists. The report has to list all ends,
+    /// and all of them have to be applied: a run whose end is not known yet may be done.
     fn release_missing(&mut self, worker: &WorkerName, report: &WorkerReport) {
         let Some(status) = self.workers.get(worker) else {
             return;
--- a/crates/domain/tests/unlisted_ends_test.rs
+++ b/crates/domain/tests/unlisted_ends_test.rs
@@ -184,6 +184,27 @@
     assert_eq!(again[0].task, second.task);
 }
 
+/// The ends behind one of a job that is not known yet are not applied, so that their runs must
+/// stay.
+#[test]
+fn run_whose_end_is_behind_one_of_an_unknown_job_stays() {
+    let mut fixture = ReportFixture::new(NOW_MS + ORPHANS_MS);
+    fixture.report(&WorkerReport::default());
+    fixture.add(record("j", 1), 0);
+    let [order] = &*fixture.start_all() else {
+        panic!("one start");
+    };
+    let unknown = EndedRun {
+        task: "late.0.0.0".parse().expect("a task"),
+        ..ended(1, order)
+    };
+    let ends = vec![unknown, ended(2, order)];
+    fixture.report(&listing(500, ends.clone()));
+    assert_eq!(fixture.starts(), Vec::new(), "its end is listed as done");
+    fixture.add(record("late", 1), NEXT_RUN_BASE);
+    fixture.check_done("j", 600, ends);
+}
+
 /// A takeover from an owner that left `done` and `running` on a worker whose first report is cut
 /// off after the end of `listed`.
 struct Takeover {
