--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -258,6 +258,17 @@
         Ok(self)
     }
 
+    /// Returns the least of each resource that a task of any step reserves.
+    pub(super) fn least_reserved(&self) -> Resources {
+        let needs = self.steps.iter().map(StepPlan::reserved);
+        let least = needs.reduce(|least, need| Resources {
+            cpu_milli: least.cpu_milli.min(need.cpu_milli),
+            memory_mb: least.memory_mb.min(need.memory_mb),
+            gpus: least.gpus.min(need.gpus),
+        });
+        least.unwrap_or_default()
+    }
+
     /// Returns the number of occurrences, at least one.
     pub fn occurrences(&self) -> u32 {
         self.timed_occurrences.max(1)
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -63,6 +63,8 @@
 )]
 pub(super) struct LiveJob {
     pub(super) record: Arc<JobRecord>,
+    /// The least of each resource that one of its tasks reserves.
+    pub(super) least_need: Resources,
     pub(super) occurrences: BTreeMap<u32, Vec<StepState>>,
     pub(super) next_occurrence: u32,
     /// Occurrences that are due by this owner's clock. Later ones may exist too, if another
@@ -93,6 +95,7 @@
         run_base: u32,
     ) -> Self {
         Self {
+            least_need: record.plan.least_reserved(),
             record,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -118,14 +118,16 @@
         }
         let mut unplaced = UnplacedNeeds::default();
         for (_, name) in waiting {
-            for step in self.ready_steps(name) {
+            for step in self.placeable_steps(name, &unplaced) {
                 self.start_step(name, step, candidates, &mut unplaced, now_ms, orders);
             }
         }
     }
 
-    fn ready_steps(&self, name: &JobName) -> Vec<(u32, usize)> {
-        let Some(job) = self.jobs.get(name) else {
+    /// Returns the startable steps of a job; none if its tasks surely find no room.
+    fn placeable_steps(&self, name: &JobName, unplaced: &UnplacedNeeds) -> Vec<(u32, usize)> {
+        let job = self.jobs.get(name);
+        let Some(job) = job.filter(|job| !unplaced.rule_out(None, job.least_need)) else {
             return Vec::new();
         };
         job.startable_steps()
