--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -65,6 +65,10 @@
     pub(super) record: Arc<JobRecord>,
     /// The least of each resource that one of its tasks reserves.
     pub(super) least_need: Resources,
+    /// Duration of the critical path of an occurrence, in milliseconds.
+    full_path_ms: u64,
+    /// Duration of what is left of it in the last occurrence, in milliseconds.
+    critical_path_ms: u64,
     pub(super) occurrences: BTreeMap<u32, Vec<StepState>>,
     pub(super) next_occurrence: u32,
     /// Occurrences that are due by this owner's clock. Later ones may exist too, if another
@@ -94,8 +98,11 @@
         added_ms: u64,
         run_base: u32,
     ) -> Self {
+        let full_path_ms = record.plan.critical_path_ms(|_| false);
         Self {
             least_need: record.plan.least_reserved(),
+            full_path_ms,
+            critical_path_ms: full_path_ms,
             record,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
@@ -137,6 +144,7 @@
             self.started = true;
             step.restore(recorded);
         }
+        self.update_critical_path();
     }
 
     /// Creates the occurrences that are due.
@@ -170,6 +178,16 @@
         self.occurrences
             .insert(self.next_occurrence, steps.collect());
         self.next_occurrence += 1;
+        self.update_critical_path();
+    }
+
+    /// Updates the critical path, which each planning pass reads, after a change of the steps.
+    fn update_critical_path(&mut self) {
+        let plan = &self.record.plan;
+        let last = self.occurrences.values().next_back();
+        self.critical_path_ms = last.map_or(self.full_path_ms, |steps| {
+            plan.critical_path_ms(|step| steps[step].remaining == 0)
+        });
     }
 
     pub(super) fn task_mut(&mut self, name: &TaskName) -> Option<&mut TaskState> {
@@ -220,7 +238,11 @@
             step.remaining -= 1;
         }
         let is_changed = before != step.remaining;
+        let is_step_done = is_changed && step.remaining == 0;
         self.may_start |= is_changed;
+        if is_step_done {
+            self.update_critical_path();
+        }
         is_changed
     }
 
@@ -335,32 +357,23 @@
     }
 
     pub(super) fn urgency(&self) -> JobUrgency {
-        let plan = &self.record.plan;
-        let full_path_ms = plan.critical_path_ms(|_| false);
-        let critical_path_ms = self
-            .occurrences
-            .values()
-            .next_back()
-            .map_or(full_path_ms, |steps| {
-                plan.critical_path_ms(|step| steps[step].remaining == 0)
-            });
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             clippy::cast_precision_loss,
             reason = "a small multiple of a few seconds fits"
         )]
-        let scaled_ms = (self.record.objective_factor * full_path_ms as f64) as u64;
+        let scaled_ms = (self.record.objective_factor * self.full_path_ms as f64) as u64;
         let objective_ms = scaled_ms.saturating_add(self.record.target_latency_ms);
         let late_ms = objective_ms.saturating_mul(LATE_VALUE_FACTOR);
         JobUrgency {
             priority: self.record.priority,
-            long_running: plan.long_running(),
+            long_running: self.record.plan.long_running(),
             started: self.started,
             over_share: self.over_share,
             arrived_ms: self.arrived_ms,
             objective_ms: self.arrived_ms.saturating_add(objective_ms),
-            critical_path_ms,
+            critical_path_ms: self.critical_path_ms,
             late_deadline_ms: self.arrived_ms.saturating_add(late_ms),
         }
     }
