--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -42,7 +42,7 @@
             && within(used.gpus, self.gpus, limit.gpus)
     }
 
-    /// Returns this amount multiplied.
+    /// Returns `count` times this amount.
     #[must_use]
     pub fn times(self, count: u64) -> Self {
         Self {
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -127,7 +127,7 @@
     /// Returns the startable steps of a job; none if its tasks surely find no room.
     fn placeable_steps(&self, name: &JobName, unplaced: &UnplacedNeeds) -> Vec<(u32, usize)> {
         let job = self.jobs.get(name);
-        let Some(job) = job.filter(|job| !unplaced.rule_out(None, job.least_need)) else {
+        let Some(job) = job.filter(|job| !unplaced.covers(None, job.least_need)) else {
             return Vec::new();
         };
         job.startable_steps()
@@ -151,7 +151,7 @@
         let record = Arc::clone(&job.record);
         let plan = &record.plan.steps[step];
         let team = record.team.as_ref();
-        if unplaced.rule_out(plan.requires.as_ref(), plan.reserved())
+        if unplaced.covers(plan.requires.as_ref(), plan.reserved())
             || !self.ceiling_allows(team, plan.least_start())
         {
             return;
@@ -223,8 +223,8 @@
         }
     }
 
-    /// Whether all members of a gang that has no runs find room, beside what runs already. Found
-    /// out before any of them gets a run number: a partial placement would use numbers up.
+    /// Whether all members of a gang that has no runs find room. Checked before any of them gets a
+    /// run number, since a partial placement would use numbers up.
     fn gang_fits(
         &self,
         candidates: &[Candidate],
--- a/crates/domain/src/schedule/unplaced_needs.rs
+++ b/crates/domain/src/schedule/unplaced_needs.rs
@@ -11,10 +11,10 @@
 }
 
 impl UnplacedNeed {
-    /// Whether a task with this label and need finds no room either.
-    fn rules_out(&self, label: Option<&Arc<str>>, need: Resources) -> bool {
-        let covers_label = self.label.is_none() || self.label.as_ref() == label;
-        covers_label && self.need.fits(Resources::default(), need)
+    /// Whether a task with this label and need finds no room either, since it needs no less.
+    fn covers(&self, label: Option<&Arc<str>>, need: Resources) -> bool {
+        let is_label_covered = self.label.is_none() || self.label.as_ref() == label;
+        is_label_covered && self.need.fits(Resources::default(), need)
     }
 }
 
@@ -25,9 +25,9 @@
 
 impl UnplacedNeeds {
     /// Whether a task surely finds no room.
-    pub(super) fn rule_out(&self, label: Option<&Arc<str>>, need: Resources) -> bool {
+    pub(super) fn covers(&self, label: Option<&Arc<str>>, need: Resources) -> bool {
         let mut known = self.0.iter();
-        known.any(|known| known.rules_out(label, need))
+        known.any(|known| known.covers(label, need))
     }
 
     /// Records that no worker with this label has room for a need.
@@ -37,7 +37,7 @@
             need,
         };
         self.0
-            .retain(|known| !added.rules_out(known.label.as_ref(), known.need));
+            .retain(|known| !added.covers(known.label.as_ref(), known.need));
         self.0.push(added);
     }
 }
