Tests: begin a worker's fault only once a poll waits long enough

Cause, in the test: it needs the worker's poll to wait while a start order goes unanswered. The printed logs show start-unanswered, no worker-silent, and polls that go on. A worker that answers polls is rightly not listed as lost.

No bound is changed.

--- a/crates/scheduler/tests/cancel_test.rs
+++ b/crates/scheduler/tests/cancel_test.rs
@@ -18,6 +18,9 @@
 const JOB: &str = "00000000000000a1";
 /// Prefix of the worker snapshots.
 const SNAPSHOTS_PREFIX: &str = "dotterelshore/held/";
+/// Longest time until an unanswered start order shows in the stored snapshots: the order's
+/// deadline and the period of the snapshots, with a margin.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Delay of late orders that are executed between two owners.
 const SHORT_DELAY: Duration = Duration::from_millis(1_400);
 /// Delay of late orders that are executed under the next owner.
@@ -44,6 +47,15 @@
         rows.any(|row| row["lost"]["runs"].to_string().contains(JOB))
     }
 
+    async fn wait_until_recorded_unreachable(&self) {
+        let recorded = async || self.is_recorded_unreachable();
+        let is_recorded = self.wait_until(SETTLE_TIMEOUT, recorded).await;
+        if !is_recorded {
+            self.print_logs();
+        }
+        assert!(is_recorded, "no snapshot lists the job's run as lost");
+    }
+
     /// Number of the job's tasks that run.
     fn running_tasks(&self) -> usize {
         let running = self.fleet.running_tasks();
@@ -58,11 +70,14 @@
         assert!(self.wait_until(SETTLE_TIMEOUT, all_run).await, "all run");
     }
 
-    /// Runs a job to its end, at which the only worker is polled again.
+    /// Runs a job to its end, and waits until the only worker is polled again. An answer to a poll
+    /// that ends earlier would make the worker reachable before it is recorded as unreachable.
     async fn run_short_job(&self, job: &str) {
         let accepted = self.submit(job, &two_steps("works", 1)).await;
         assert_eq!(accepted.status, 200, "{accepted:?}");
         assert!(self.reaches_state(job, "completed").await, "{job}");
+        let is_polled = async || self.fleet.poll_wait_left(0) >= RECORD_TIMEOUT;
+        assert!(self.wait_until(SETTLE_TIMEOUT, is_polled).await, "no poll");
     }
 
     async fn cancel_job(&self, node: usize) {
@@ -130,11 +145,7 @@
         let unanswered = "00000000000000b2";
         let accepted = fixture.submit(unanswered, &two_steps("works", 1)).await;
         assert_eq!(accepted.status, 200, "{accepted:?}");
-        let recorded = async || fixture.is_recorded_unreachable();
-        assert!(
-            fixture.wait_until(SETTLE_TIMEOUT, recorded).await,
-            "recorded"
-        );
+        fixture.wait_until_recorded_unreachable().await;
         fixture.replace_owner(signal, moment).await;
         fixture.assert_cancelled().await;
         assert!(fixture.reaches_state(unanswered, "completed").await);
@@ -164,11 +175,7 @@
         fixture.fleet.set_worker_fault_mode(0, late);
         let accepted = fixture.submit(JOB, &long_running(1)).await;
         assert_eq!(accepted.status, 200, "{accepted:?}");
-        let recorded = async || fixture.is_recorded_unreachable();
-        assert!(
-            fixture.wait_until(SETTLE_TIMEOUT, recorded).await,
-            "recorded"
-        );
+        fixture.wait_until_recorded_unreachable().await;
         fixture
             .replace_owner(signal, CancelMoment::BeforeSignal)
             .await;
