Keep freed room in a nearly full pool for the jobs in front

Cause: in a backlog of up to 1,200 jobs a pool, each part of a worker that became free was too small for the jobs in front and went to one far behind. Hundreds of jobs had a few tasks started, and most were late.

Change: BackfillLimit ends a pass, but for tasks that last, once 12 jobs in a row found no room and three quarters of the pool are in use. Jobs over a ceiling, or without advice, do not count. freed_room_is_kept_for_jobs_in_front fails before.

--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -1,6 +1,7 @@
 //! Scheduling of multi-step jobs on the workers of a fleet, and maintenance of its instances.
 
 mod arrival_rate;
+mod backfill_limit;
 mod delegate_roster;
 mod fleet_schedule;
 mod instance_moves;
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
+        backfill_limit::BackfillLimit,
         fleet_schedule::FleetSchedule,
         job_order::JobSortKey,
         job_plan::{Resources, StepPlan},
-        pool_candidates::{Candidate, PoolCandidates},
+        pool_candidates::{Candidate, PoolCandidates, use_of},
         task_name::TaskName,
         task_run::TaskRun,
         unplaced_needs::UnplacedNeeds,
@@ -105,7 +106,8 @@
     }
 
     /// Places the tasks of a pool's waiting jobs. A job that finds no room, or that its team's
-    /// ceiling or the adviser holds back, does not hold back those behind it.
+    /// ceiling or the adviser holds back, does not hold back those behind it; many that find no
+    /// room may, see [`BackfillLimit`].
     fn plan_pool(
         &mut self,
         waiting: &[(JobSortKey, JobName)],
@@ -117,25 +119,51 @@
             return;
         }
         let mut unplaced = UnplacedNeeds::default();
+        let mut backfill = BackfillLimit::default();
         for (_, name) in waiting {
-            for step in self.placeable_steps(name, &unplaced) {
-                self.start_step(name, step, candidates, &mut unplaced, now_ms, orders);
+            let orders_before = orders.len();
+            let mut lacks_room = false;
+            match self.placeable_steps(name, &unplaced, &backfill) {
+                None => lacks_room = true,
+                Some(steps) => {
+                    for step in steps {
+                        lacks_room |=
+                            !self.start_step(name, step, candidates, &mut unplaced, now_ms, orders);
+                    }
+                }
+            }
+            if orders.len() > orders_before {
+                backfill.record_start();
+            } else if lacks_room {
+                backfill.record_without_room(|| use_of(candidates));
             }
         }
     }
 
-    /// Returns the startable steps of a job; none if its tasks surely find no room.
-    fn placeable_steps(&self, name: &JobName, unplaced: &UnplacedNeeds) -> Vec<(u32, usize)> {
-        let job = self.jobs.get(name);
-        let Some(job) = job.filter(|job| !unplaced.covers(None, job.least_need)) else {
-            return Vec::new();
-        };
-        job.startable_steps()
-            .map(|(occurrence, number, _)| (occurrence, number))
-            .collect()
+    /// Returns the startable steps of a job; `None` if its tasks surely find no room.
+    fn placeable_steps(
+        &self,
+        name: &JobName,
+        unplaced: &UnplacedNeeds,
+        backfill: &BackfillLimit,
+    ) -> Option<Vec<(u32, usize)>> {
+        let job = self.jobs.get(name)?;
+        if unplaced.covers(None, job.least_need) {
+            return None;
+        }
+        let steps = job.startable_steps();
+        let steps = steps.filter(|(_, number, _)| {
+            !backfill.is_reached() || job.record.plan.steps[*number].long_running
+        });
+        Some(
+            steps
+                .map(|(occurrence, number, _)| (occurrence, number))
+                .collect(),
+        )
     }
 
     /// Places the idle tasks of a step as far as the ceiling of its team and the room allow.
+    /// Returns whether there was room for all that its other limits allow.
     fn start_step(
         &mut self,
         name: &JobName,
@@ -144,17 +172,18 @@
         unplaced: &mut UnplacedNeeds,
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
-    ) {
+    ) -> bool {
         let Some(job) = self.jobs.get(name) else {
-            return;
+            return true;
         };
         let record = Arc::clone(&job.record);
         let plan = &record.plan.steps[step];
         let team = record.team.as_ref();
-        if unplaced.covers(plan.requires.as_ref(), plan.reserved())
-            || !self.ceiling_allows(team, plan.least_start())
-        {
-            return;
+        if !self.ceiling_allows(team, plan.least_start()) {
+            return true;
+        }
+        if unplaced.covers(plan.requires.as_ref(), plan.reserved()) {
+            return false;
         }
         let tasks = &job.occurrences[&occurrence][step].tasks;
         let idle: Vec<u32> = (0u32..)
@@ -163,7 +192,7 @@
             .map(|(index, _)| index)
             .collect();
         if plan.gang && idle.len() < tasks.len() {
-            return;
+            return true;
         }
         let gang_run = if plan.gang {
             tasks.iter().map(|task| task.last_run).max()
@@ -177,11 +206,13 @@
             step: u16::try_from(step).unwrap_or(u16::MAX),
             index,
         };
-        if !self.has_advice(name, (occurrence, step), candidates, now_ms)
-            || plan.gang && !self.gang_fits(candidates, plan, &task_of(0), now_ms)
-        {
-            return;
+        if !self.has_advice(name, (occurrence, step), candidates, now_ms) {
+            return true;
         }
+        if plan.gang && !self.gang_fits(candidates, plan, &task_of(0), now_ms) {
+            return false;
+        }
+        let mut has_room = true;
         let mut placed: Vec<(TaskName, WorkerName, u32)> = Vec::new();
         for index in idle {
             if !self.ceiling_allows(team, plan.need) {
@@ -190,6 +221,7 @@
             let task = task_of(index);
             let Some(chosen) = self.choose_worker(candidates, plan, &task, now_ms) else {
                 self.record_unplaced(unplaced, plan, candidates);
+                has_room = false;
                 break;
             };
             let chosen = &mut candidates[chosen];
@@ -199,7 +231,7 @@
             placed.push((task, worker, run));
         }
         let Some(job) = self.jobs.get_mut(name) else {
-            return;
+            return has_room;
         };
         job.started |= !placed.is_empty();
         for (task, worker, run) in placed {
@@ -221,6 +253,7 @@
                 ticket,
             }));
         }
+        has_room
     }
 
     /// Whether all members of a gang that has no runs find room. Checked before any of them gets a
--- a/crates/domain/src/schedule/pool_candidates.rs
+++ b/crates/domain/src/schedule/pool_candidates.rs
@@ -56,3 +56,14 @@
         self.0.get_mut(pool).map_or(&mut [], Vec::as_mut_slice)
     }
 }
+
+/// Returns the resources in use and the capacity of some candidates.
+pub(super) fn use_of(candidates: &[Candidate]) -> (Resources, Resources) {
+    let mut in_use = Resources::default();
+    let mut capacity = Resources::default();
+    for candidate in candidates {
+        in_use += candidate.used;
+        capacity += candidate.capacity;
+    }
+    (in_use, capacity)
+}
--- a/crates/domain/tests/placement_test.rs
+++ b/crates/domain/tests/placement_test.rs
@@ -163,6 +163,65 @@
     }
 }
 
+/// A backlog shared a full pool: each room too small for the tasks in front went to a job far
+/// behind, and most jobs became late.
+fn job_far_behind(case: FarBehind) {
+    let mut schedule = schedule();
+    let workers_used = u32::try_from(WORKERS).expect("a count");
+    let running = job_of("beta", "running", step(workers_used, case.used_milli));
+    schedule.add_job(running, None, 0, NOW_MS, WALL_MS);
+    assert_eq!(started_jobs(&mut schedule).len(), WORKERS);
+    for number in 0..HELD_BACK_JOBS {
+        let record = (case.in_front)(format!("a-{number}"));
+        schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
+    }
+    let behind = JobRecord {
+        priority: 1,
+        ..job_of("beta", "behind", case.behind)
+    };
+    schedule.add_job(behind, None, 0, NOW_MS, WALL_MS);
+    let expected: &[&str] = if case.starts { &["behind"] } else { &[] };
+    assert_eq!(started_jobs(&mut schedule), expected);
+}
+
+/// A job behind many others in a pool that is partly in use.
+struct FarBehind {
+    /// Processor in use on each worker, in thousandths of a core.
+    used_milli: u64,
+    in_front: fn(String) -> JobRecord,
+    behind: StepPlan,
+    starts: bool,
+}
+
+impl Default for FarBehind {
+    /// A small job behind jobs that find no room, in a pool that is nearly full.
+    fn default() -> Self {
+        Self {
+            used_milli: WORKER_MILLI - 4_000,
+            in_front: |text| job_of("beta", &text, step(1, 8_000)),
+            behind: step(1, 1_000),
+            starts: true,
+        }
+    }
+}
+
+named_cases! { job_far_behind:
+    freed_room_is_kept_for_jobs_in_front(FarBehind { starts: false, ..FarBehind::default() });
+    lasting_job_starts_far_behind(FarBehind {
+        behind: StepPlan { long_running: true, ..step(1, 1_000) },
+        ..FarBehind::default()
+    });
+    job_starts_far_behind_in_half_full_pool(FarBehind {
+        used_milli: WORKER_MILLI * 3 / 5,
+        in_front: |text| job_of("beta", &text, step(1, WORKER_MILLI / 2)),
+        ..FarBehind::default()
+    });
+    job_starts_far_behind_jobs_over_their_ceiling(FarBehind {
+        in_front: |text| job_of("alpha", &text, step(1, 2_000)),
+        ..FarBehind::default()
+    });
+}
+
 /// A gang that waited long for room had run numbers above those of the next owner's term, and
 /// workers refused its next start (review case 3).
 #[test]
