Announce cancellations to the owner

Cause: the entry that records a job tells the owner, so that the owner starts it without its watch of the store. The cancellation reached the owner by the watch alone. While the watch is silent, or all jobs are read again, the owner goes on to start tasks of the cancelled job and stops none.

Evidence: with watches that show nothing, three tasks of a cancelled job ran on past 3.4 s, whether the owner or another entry took the cancellation (cancel_under_silent_watches, both cases fail before).

Change: PeerCall::Cancelled, sent by the entry that recorded the cancellation, with its revision. A message that is lost is made up for by the watch, as before.

--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -222,7 +222,7 @@
 
 /// Records a cancellation, with retries until the caller's time is up.
 async fn cancel_job(
-    node: &SchedulerNode,
+    node: &Arc<SchedulerNode>,
     job: &JobName,
     until: tokio::time::Instant,
 ) -> CallResponse {
--- a/crates/scheduler/src/job_records.rs
+++ b/crates/scheduler/src/job_records.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         node::{SchedulerNode, uptime_ms},
-        peers::{WriteOutcome, announce_job},
+        peers::{PeerCall, WriteOutcome, announce},
         store::{cancel_key, job_key, progress_key},
     },
     dotterelshore_domain::{
@@ -50,7 +50,7 @@
                     revision = revision,
                     tasks = record.plan.steps.iter().map(|step| step.count).sum::<u32>()
                 );
-                announce_job(node, record.clone());
+                announce(node, PeerCall::Recorded(Box::new(record.clone())));
                 return WriteOutcome::Stored;
             }
             Err(KvFault::Conflict { rows }) if rows.iter().all(|row| row.key != key) => {
@@ -85,8 +85,9 @@
     WriteOutcome::Unsure
 }
 
-/// Records the cancellation of a job. A job without a record can't be recorded later.
-pub(crate) async fn record_cancel(node: &SchedulerNode, job: &JobName) -> WriteOutcome {
+/// Records the cancellation of a job and tells the owner. A job without a record can't be recorded
+/// later.
+pub(crate) async fn record_cancel(node: &Arc<SchedulerNode>, job: &JobName) -> WriteOutcome {
     let written = match node.kv.read(&job_key(job)).await {
         Ok(_) => write_cancel(node, job).await,
         Err(KvFault::KeyNotFound) => write_early_cancel(node, job).await,
@@ -110,15 +111,20 @@
     }
 }
 
-async fn write_cancel(node: &SchedulerNode, job: &JobName) -> Result<WriteOutcome, KvFault> {
+async fn write_cancel(node: &Arc<SchedulerNode>, job: &JobName) -> Result<WriteOutcome, KvFault> {
     let transaction = KvTransaction::default().write(cancel_key(job), b"{}", 0);
-    node.kv.commit(&transaction).await?;
+    let revision = node.kv.commit(&transaction).await?;
+    let job = job.clone();
+    announce(node, PeerCall::Cancelled { job, revision });
     Ok(WriteOutcome::Stored)
 }
 
 /// Cancels a job that has no record, so that a write of one that is still on its way has no
 /// effect.
-async fn write_early_cancel(node: &SchedulerNode, job: &JobName) -> Result<WriteOutcome, KvFault> {
+async fn write_early_cancel(
+    node: &Arc<SchedulerNode>,
+    job: &JobName,
+) -> Result<WriteOutcome, KvFault> {
     let (lease, _) = node.kv.create_lease(EARLY_CANCEL_LEASE).await?;
     let transaction =
         KvTransaction::default()
--- a/crates/scheduler/src/leading/job_follow.rs
+++ b/crates/scheduler/src/leading/job_follow.rs
@@ -66,6 +66,17 @@
     stops
 }
 
+/// Applies a cancellation that another entry has just recorded.
+pub(crate) fn apply_announced_cancel(leadership: &Leadership, job: &JobName, revision: u64) {
+    let (now_ms, wall_ms) = (uptime_ms(), unix_millis());
+    let mut schedule = lock(&leadership.schedule);
+    let stops = apply_cancel(&mut schedule, job, revision, now_ms, wall_ms);
+    drop(schedule);
+    leadership.dispatch(stops);
+    leadership.plan_notify.notify_one();
+    leadership.record_notify.notify_one();
+}
+
 /// Applies changes to jobs from a store revision on, until aborted.
 pub(super) async fn follow_jobs(
     node: Arc<SchedulerNode>,
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -16,4 +16,4 @@
 mod worker_stops;
 mod worker_task;
 
-pub(crate) use {leadership::Leadership, takeover::lead};
+pub(crate) use {job_follow::apply_announced_cancel, leadership::Leadership, takeover::lead};
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -4,6 +4,7 @@
     crate::{
         delegation::carry_calls,
         job_records::{record_cancel, record_job, stored_state},
+        leading::apply_announced_cancel,
         node::{SchedulerNode, lock, uptime_ms},
         store_path::StorePath,
     },
@@ -52,6 +53,13 @@
     StoredState(JobName),
     /// Tells the owner of a job that was just recorded, so that it need not wait for its watch.
     Recorded(Box<JobRecord>),
+    /// Tells the owner of a cancellation that was just recorded, for the same reason.
+    Cancelled {
+        /// The cancelled job.
+        job: JobName,
+        /// Store revision of the cancellation.
+        revision: u64,
+    },
     /// Turns the connection into the link of a delegate, which carries calls to workers.
     CarryCalls,
 }
@@ -241,12 +249,11 @@
     }
 }
 
-/// Tells the owner of a job that was just recorded. The owner's watch of the store shows the job
-/// too, so that a message that does not arrive is not repeated.
-pub(crate) fn announce_job(node: &Arc<SchedulerNode>, record: JobRecord) {
+/// Tells the owner of a job or a cancellation that was just recorded. The owner's watch of the
+/// store shows it too, so that a message that does not arrive is not repeated.
+pub(crate) fn announce(node: &Arc<SchedulerNode>, call: PeerCall) {
     let node = Arc::clone(node);
     tokio::spawn(async move {
-        let call = PeerCall::Recorded(Box::new(record));
         if query_owner(&node, call).await.is_none() {
             node.metrics.count_retry("announcement");
         }
@@ -256,6 +263,10 @@
 /// The owner's reply; `None` if this process does not own the schedule.
 fn answer_as_owner(node: &SchedulerNode, call: &PeerCall) -> Option<PeerReply> {
     let leadership = node.leadership()?;
+    if let PeerCall::Cancelled { job, revision } = call {
+        apply_announced_cancel(&leadership, job, *revision);
+        return Some(PeerReply::Known);
+    }
     let mut schedule = lock(&leadership.schedule);
     Some(match call {
         PeerCall::State(job) => PeerReply::State(schedule.state(job)),
@@ -271,6 +282,7 @@
         | PeerCall::Submit(_)
         | PeerCall::Cancel(_)
         | PeerCall::StoredState(_)
+        | PeerCall::Cancelled { .. }
         | PeerCall::CarryCalls => return None,
     })
 }
--- a/crates/scheduler/tests/cancel_test.rs
+++ b/crates/scheduler/tests/cancel_test.rs
@@ -6,7 +6,7 @@
 
 use {
     cancel_rule::CANCEL_TIMEOUT,
-    dotterelshore_emulator::WorkerFaultMode,
+    dotterelshore_emulator::{StoreFaultMode, WorkerFaultMode},
     dotterelshore_testkit::named_cases,
     fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, run_test, two_steps},
     nix::sys::signal::Signal,
@@ -207,3 +207,25 @@
     stops_do_not_wait_for_the_lost_answers_of_others(LOST, 16);
     stop_that_is_executed_late_stops_the_run(WorkerFaultMode::LateOrders(SHORT_DELAY), 1);
 }
+
+/// Tasks of a cancelled job went on, and others of it started, while the owner's watch of the
+/// store showed nothing: it was told of the job, but not of the cancellation.
+fn cancel_under_silent_watches(is_owner: bool) {
+    run_test(async {
+        let fixture = FleetFixture::start(2, 1).await;
+        let silent = StoreFaultMode::SilentWatches;
+        fixture.fleet.set_store_fault_mode(silent);
+        // The record of this job ends the watches that wait since before the fault.
+        fixture.run_short_job("00000000000000b1").await;
+        fixture.run_long_job(3).await;
+        let owner = fixture.owner().expect("an owner");
+        let node = if is_owner { owner } else { 1 - owner };
+        fixture.cancel_job(node).await;
+        fixture.assert_cancelled().await;
+    });
+}
+
+named_cases! { cancel_under_silent_watches:
+    cancel_at_owner_is_applied_under_silent_watches(true);
+    cancel_at_other_entry_is_applied_under_silent_watches(false);
+}
