Count a job as begun once a worker has started a task of it

Cause: the flag that puts a job with placed tasks first in the order also decided the pending count and the state. It is set when a task is placed, before the order is sent, and stays when the start is refused, withdrawn or ruled out.

Change: LiveJob::begun, set by a confirmed start, a reported run or an end. The order of placement is unchanged.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -221,12 +221,12 @@
         self.jobs.get(name).map(LiveJob::state)
     }
 
-    /// Counts the jobs of a queue that have not started.
+    /// Counts the jobs of a queue of which no worker has started a task yet.
     pub fn pending(&self, queue: &QueueName) -> usize {
         let active = self.active.values().flatten();
         let jobs = active.filter_map(|name| self.jobs.get(name));
         let is_pending =
-            |job: &&LiveJob| job.record.queue == *queue && job.ended.is_none() && !job.started;
+            |job: &&LiveJob| job.record.queue == *queue && job.ended.is_none() && !job.begun;
         jobs.filter(is_pending).count()
     }
 
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -86,6 +86,8 @@
     may_start: bool,
     pub(super) run_base: u32,
     pub(super) started: bool,
+    /// Whether a worker has confirmed the start or the end of one of its tasks.
+    pub(super) begun: bool,
     pub(super) over_share: bool,
     pub(super) run_count: usize,
 }
@@ -117,18 +119,25 @@
             may_start: true,
             run_base,
             started: false,
+            begun: false,
             over_share: false,
             run_count: 0,
         }
     }
 
+    /// Records that a worker has started a task of it, now or earlier.
+    pub(super) fn mark_begun(&mut self) {
+        self.started = true;
+        self.begun = true;
+    }
+
     /// Restores the recorded progress.
     pub(super) fn restore(&mut self, progress: &ProgressRecord, wall_ms: u64) {
         if let Some(ended) = progress.ended {
             self.ended = Some(ended);
             self.ended_ms = progress.ended_ms;
             self.end_recorded = true;
-            self.started = true;
+            self.mark_begun();
             return;
         }
         self.create_due_occurrences(wall_ms);
@@ -141,8 +150,8 @@
             else {
                 continue;
             };
-            self.started = true;
             step.restore(recorded);
+            self.mark_begun();
         }
         self.update_critical_path();
     }
@@ -412,7 +421,7 @@
             Some(JobState::Cancelled) => JobState::Cancelled,
             Some(state) if self.end_recorded => state,
             Some(_) => JobState::Running,
-            None if self.started => JobState::Running,
+            None if self.begun => JobState::Running,
             None => JobState::Queued,
         }
     }
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -118,7 +118,7 @@
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return true;
         };
-        job.started = true;
+        job.mark_begun();
         if let Some(task) = job.task_mut(&end.task) {
             task.last_run = task.last_run.max(end.run);
             if !end.checkpoint.is_empty() {
@@ -218,7 +218,7 @@
         let plan = job.record.plan.steps.get(usize::from(reported.task.step));
         let speculative = plan.is_some_and(|step| step.speculative);
         let best_effort = plan.is_some_and(|step| step.best_effort);
-        job.started = true;
+        job.mark_begun();
         job.create_occurrences_to(reported.task.occurrence);
         let Some(task) = job.task_mut(&reported.task) else {
             orders.push(unwanted());
--- a/crates/domain/src/schedule/start_replies.rs
+++ b/crates/domain/src/schedule/start_replies.rs
@@ -68,6 +68,9 @@
     ) {
         match reply {
             StartReply::Started { clock_ms } => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.mark_begun();
+                }
                 if let Some(known) = self.find_run(worker, task, run)
                     && matches!(known.phase, RunPhase::Ordered | RunPhase::Unconfirmed)
                 {
