Judge whether a run stalls by its estimated duration

Cause: one timeout of 1.8 s without progress for all tasks. Progress comes in whole percents, of which a sound task of 400 s shows one each 4 s.

Evidence: run_of_long_task_goes_on fails before. Not the leases: the runs end as stopped, not as lapsed.

Change: the timeout is six times the estimated duration of a percent, but at least 1.8 s; unchanged for estimates up to 30 s and for tasks that last.

--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -218,6 +218,9 @@
         let plan = job.record.plan.steps.get(usize::from(reported.task.step));
         let speculative = plan.is_some_and(|step| step.speculative);
         let best_effort = plan.is_some_and(|step| step.best_effort);
+        // The progress of a task that lasts is that of its start.
+        let ends = plan.filter(|step| !step.long_running);
+        let estimate_ms = ends.map_or(0, |step| step.estimate_ms);
         job.mark_begun();
         job.create_occurrences_to(reported.task.occurrence);
         let Some(task) = job.task_mut(&reported.task) else {
@@ -227,7 +230,7 @@
         let needed = active && !task.done;
         if let Some(run) = task.run_on_mut(worker, reported.run) {
             run.update(reported, clock_ms, now_ms);
-            let stalled = needed && !best_effort && run.is_stalled(now_ms);
+            let stalled = needed && !best_effort && run.is_stalled(estimate_ms, now_ms);
             if stalled || !needed && !run.is_stopping() {
                 orders.push(run.stop(&reported.task, now_ms));
             }
--- a/crates/domain/src/schedule/task_run.rs
+++ b/crates/domain/src/schedule/task_run.rs
@@ -12,10 +12,11 @@
 /// Progress, in percent, at which a long-running task is ready.
 pub(super) const READY_PERCENT: f64 = 100.0;
 
-/// Time without progress after which a run counts as stalled, in milliseconds. Longer than a
-/// poll waits. Progress is reported in percent and the users' tasks take a second or a few, so
-/// that a run that works advances within this time even at a sixth of its usual speed.
+/// Shortest time without progress after which a run counts as stalled, in milliseconds. Longer
+/// than a poll waits.
 const STALL_TIMEOUT_MS: u64 = 1_800;
+/// How much slower than estimated a run may advance by a percent before it counts as stalled.
+const STALL_SLOWDOWN: u64 = 6;
 
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,11 +101,17 @@
         }
     }
 
-    /// Whether it runs, is not ready, and has made no progress for too long.
-    pub(super) fn is_stalled(&self, now_ms: u64) -> bool {
+    /// Whether it runs, is not ready, and has made no progress for too long. Progress is reported
+    /// in percent of a duration that is estimated at `estimate_ms`; 0 if there is no estimate.
+    pub(super) fn is_stalled(&self, estimate_ms: u64, now_ms: u64) -> bool {
+        let timeout_ms = STALL_TIMEOUT_MS.max(estimate_ms.saturating_mul(STALL_SLOWDOWN) / 100);
         matches!(self.phase, RunPhase::Running { .. })
             && self.progress_percent < READY_PERCENT
-            && now_ms > self.progressed_ms.max(self.phase_since_ms) + STALL_TIMEOUT_MS
+            && now_ms
+                > self
+                    .progressed_ms
+                    .max(self.phase_since_ms)
+                    .saturating_add(timeout_ms)
     }
 
     /// Marks the run as stopping and returns the stop order.
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -641,6 +641,14 @@
     confirmed_disruption_counts_as_unavailable(true);
 }
 
+/// A step whose tasks take 400 s, so that a sound one shows the same percent for 4 s.
+fn long_step() -> StepPlan {
+    StepPlan {
+        estimate_ms: 400_000,
+        ..step(1)
+    }
+}
+
 /// A run without progress is stopped and its worker ejected. One that progresses and a ready
 /// long-running one go on.
 fn stalled_run(step: StepPlan, percents: &[f64], stopped: bool) {
@@ -673,6 +681,8 @@
 named_cases! { stalled_run:
     stalled_run_is_stopped(step(1), &[20.0, 20.0, 20.0, 20.0], true);
     slow_run_goes_on(step(1), &[20.0, 21.0, 22.0, 23.0], false);
+    run_of_long_task_goes_on(long_step(), &[1.0, 1.0, 1.0, 1.0, 2.0], false);
+    stalled_run_of_long_task_is_stopped(long_step(), &[1.0; 30], true);
     ready_long_running_task_goes_on(long_running_step(1, 1), &[100.0, 100.0, 100.0, 100.0], false);
     long_running_task_that_never_gets_ready_is_stopped(long_running_step(1, 1), &[0.0, 0.0, 0.0, 0.0], true);
 }
