Name what a job's flags mean, and shorten the planning pass

No change in behaviour: plan_pool asks whether there was room instead of whether it lacked, and the two flags of a begun job say what sets them.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -85,6 +85,7 @@
     /// change that can make one startable.
     may_start: bool,
     pub(super) run_base: u32,
+    /// Whether one of its tasks was placed, so that it goes first in the order.
     pub(super) started: bool,
     /// Whether a worker has confirmed the start or the end of one of its tasks.
     pub(super) begun: bool,
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -122,19 +122,14 @@
         let mut backfill = BackfillLimit::default();
         for (_, name) in waiting {
             let orders_before = orders.len();
-            let mut lacks_room = false;
-            match self.placeable_steps(name, &unplaced, &backfill) {
-                None => lacks_room = true,
-                Some(steps) => {
-                    for step in steps {
-                        lacks_room |=
-                            !self.start_step(name, step, candidates, &mut unplaced, now_ms, orders);
-                    }
-                }
+            let steps = self.placeable_steps(name, &unplaced, &backfill);
+            let mut has_room = steps.is_some();
+            for step in steps.into_iter().flatten() {
+                has_room &= self.start_step(name, step, candidates, &mut unplaced, now_ms, orders);
             }
             if orders.len() > orders_before {
                 backfill.record_start();
-            } else if lacks_room {
+            } else if !has_room {
                 backfill.record_without_room(|| use_of(candidates));
             }
         }
@@ -152,14 +147,11 @@
             return None;
         }
         let steps = job.startable_steps();
-        let steps = steps.filter(|(_, number, _)| {
+        let steps = steps.map(|(occurrence, number, _)| (occurrence, number));
+        let may_start = |(_, number): &(u32, usize)| {
             !backfill.is_reached() || job.record.plan.steps[*number].long_running
-        });
-        Some(
-            steps
-                .map(|(occurrence, number, _)| (occurrence, number))
-                .collect(),
-        )
+        };
+        Some(steps.filter(may_start).collect())
     }
 
     /// Places the idle tasks of a step as far as the ceiling of its team and the room allow.
