Compute slots and the critical path once

Reread of the change, no change in behaviour. Cause: WorkerStatus::free_slots asked is_eligible and then counted the step's runs again, and each occurrence that was created recomputed the critical path, though only the last one counts.

Change: allowed_tasks answers both questions about a worker; the path is computed after the last occurrence.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -171,11 +171,15 @@
     /// Creates the occurrences up to one that a worker or a record names, due or not, so that
     /// its runs and ends are tracked. Occurrences that are not due start no more tasks.
     pub(super) fn create_occurrences_to(&mut self, occurrence: u32) {
+        let first = self.next_occurrence;
         while self.next_occurrence <= occurrence
             && self.next_occurrence < self.record.plan.occurrences()
         {
             self.create_next_occurrence();
         }
+        if self.next_occurrence > first {
+            self.update_critical_path();
+        }
     }
 
     fn create_next_occurrence(&mut self) {
@@ -188,7 +192,6 @@
         self.occurrences
             .insert(self.next_occurrence, steps.collect());
         self.next_occurrence += 1;
-        self.update_critical_path();
     }
 
     /// Updates the critical path, which each planning pass reads, after a change of the steps.
--- a/crates/domain/src/schedule/worker_slots.rs
+++ b/crates/domain/src/schedule/worker_slots.rs
@@ -5,23 +5,24 @@
 impl WorkerStatus {
     /// Whether a step's label and anti-affinity allow one more of its tasks here.
     pub(super) fn is_eligible(&self, plan: &StepPlan, task: &TaskName) -> bool {
-        let has_label = |label| self.has_label(label);
-        plan.requires.as_deref().is_none_or(has_label)
-            && plan
-                .anti_affinity
-                .is_none_or(|limit| self.count_same_step(task) < limit)
+        self.allowed_tasks(plan, task) > 0
     }
 
     /// Returns how many more tasks of a step it may get, by its free room and the step's limits.
     pub(super) fn free_slots(&self, plan: &StepPlan, task: &TaskName) -> u64 {
-        if !self.is_eligible(plan, task) {
+        let room = plan.reserved().count_in(self.used, self.listed.capacity);
+        room.min(self.allowed_tasks(plan, task))
+    }
+
+    /// Returns how many more tasks of a step its label and anti-affinity allow here.
+    fn allowed_tasks(&self, plan: &StepPlan, task: &TaskName) -> u64 {
+        let has_label = |label| self.has_label(label);
+        if !plan.requires.as_deref().is_none_or(has_label) {
             return 0;
         }
-        let room = plan.reserved().count_in(self.used, self.listed.capacity);
-        let limit = plan.anti_affinity.map_or(u64::MAX, |limit| {
+        plan.anti_affinity.map_or(u64::MAX, |limit| {
             u64::from(limit.saturating_sub(self.count_same_step(task)))
-        });
-        room.min(limit)
+        })
     }
 
     /// Counts the runs of the task's step, in its occurrence.
