Answer announcements in one place

Reread of the change, no change in behaviour. Cause: the announced cancellation was a special case in front of answer_as_owner's match and an unreachable arm in it, and repeated what follow_jobs does after a change.

Change: the match takes the lock in the arms that need it; follow_up sends the orders and wakes planning and recording for both.

--- a/crates/scheduler/src/leading/job_follow.rs
+++ b/crates/scheduler/src/leading/job_follow.rs
@@ -72,7 +72,12 @@
     let mut schedule = lock(&leadership.schedule);
     let stops = apply_cancel(&mut schedule, job, revision, now_ms, wall_ms);
     drop(schedule);
-    leadership.dispatch(stops);
+    follow_up(leadership, stops);
+}
+
+/// Sends the orders that follow from changes to jobs, and has the rest planned and recorded.
+fn follow_up(leadership: &Leadership, orders: Vec<WorkerOrder>) {
+    leadership.dispatch(orders);
     leadership.plan_notify.notify_one();
     leadership.record_notify.notify_one();
 }
@@ -102,9 +107,7 @@
                 uptime_ms(),
                 unix_millis(),
             );
-            leadership.dispatch(orders);
-            leadership.plan_notify.notify_one();
-            leadership.record_notify.notify_one();
+            follow_up(&leadership, orders);
         },
     )
     .await;
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -263,26 +263,25 @@
 /// The owner's reply; `None` if this process does not own the schedule.
 fn answer_as_owner(node: &SchedulerNode, call: &PeerCall) -> Option<PeerReply> {
     let leadership = node.leadership()?;
-    if let PeerCall::Cancelled { job, revision } = call {
-        apply_announced_cancel(&leadership, job, *revision);
-        return Some(PeerReply::Known);
-    }
-    let mut schedule = lock(&leadership.schedule);
+    let schedule = || lock(&leadership.schedule);
     Some(match call {
-        PeerCall::State(job) => PeerReply::State(schedule.state(job)),
-        PeerCall::Pending(queue) => PeerReply::Pending(schedule.pending(queue) as u64),
+        PeerCall::State(job) => PeerReply::State(schedule().state(job)),
+        PeerCall::Pending(queue) => PeerReply::Pending(schedule().pending(queue) as u64),
         PeerCall::Recorded(record) => {
             // A record that an earlier owner may have known was read at the takeover.
             let record = JobRecord::clone(record);
-            schedule.add_job(record, None, 0, uptime_ms(), unix_millis());
+            schedule().add_job(record, None, 0, uptime_ms(), unix_millis());
             leadership.plan_notify.notify_one();
             PeerReply::Known
         }
+        PeerCall::Cancelled { job, revision } => {
+            apply_announced_cancel(&leadership, job, *revision);
+            PeerReply::Known
+        }
         PeerCall::StoreHeard
         | PeerCall::Submit(_)
         | PeerCall::Cancel(_)
         | PeerCall::StoredState(_)
-        | PeerCall::Cancelled { .. }
         | PeerCall::CarryCalls => return None,
     })
 }
