Tests: share the sample step and the filter of start orders

Cause: placement_test, pending_test and unlisted_ends_test built the step and picked the starts of a planning pass as snapshot_handover_test did.

Change: start_samples has both. All assertions stay; two files' estimate of 500 ms, which nothing asserts, is 800 ms now.

--- a/crates/domain/tests/pending_test.rs
+++ b/crates/domain/tests/pending_test.rs
@@ -1,14 +1,16 @@
 //! Tests of the number of a queue's jobs that have not begun.
 
 mod samples;
+mod start_samples;
 
 use {
     dotterelshore_domain::schedule::{
-        EndReason, EndedRun, FleetSchedule, JobRecord, JobState, OrderRule, ReportedRun, Resources,
-        StartOrder, StartRefusal, StartReply, StepPlan, WorkerOrder, WorkerReport,
+        EndReason, EndedRun, FleetSchedule, JobRecord, JobState, OrderRule, ReportedRun,
+        StartOrder, StartRefusal, StartReply, WorkerReport,
     },
     dotterelshore_testkit::named_cases,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    start_samples::{ordered_starts, sample_step},
     std::sync::Arc,
 };
 
@@ -23,11 +25,8 @@
     schedule.upsert_worker(listed);
     schedule.apply_report(&worker, &WorkerReport::default(), NOW_MS, WALL_MS);
     schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
-    let mut orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX);
-    match orders.pop() {
-        Some(WorkerOrder::Start(start)) => (schedule, start),
-        other => panic!("no start: {other:?}"),
-    }
+    let start = ordered_starts(&mut schedule, NOW_MS, WALL_MS).pop();
+    (schedule, start.expect("a start"))
 }
 
 fn reply(schedule: &mut FleetSchedule, start: &StartOrder, reply: StartReply) {
@@ -41,18 +40,7 @@
 /// The pending count was 0 while most jobs waited for workers that left their starts unanswered
 /// (review case 5).
 fn job_is_pending(apply: fn(&mut FleetSchedule, &StartOrder), expected: usize) {
-    let need = Resources {
-        cpu_milli: 2_000,
-        memory_mb: 100,
-        gpus: 0,
-    };
-    let step = StepPlan {
-        count: 1,
-        need,
-        estimate_ms: 800,
-        ..StepPlan::default()
-    };
-    let record = sample_job("job", step);
+    let record = sample_job("job", sample_step(1, 2_000));
     let (name, queue) = (record.name.clone(), record.queue.clone());
     let (mut schedule, start) = with_start_ordered(record);
     apply(&mut schedule, &start);
--- a/crates/domain/tests/placement_test.rs
+++ b/crates/domain/tests/placement_test.rs
@@ -1,6 +1,7 @@
 //! Tests of placement: jobs that can't start hold back no job behind them.
 
 mod samples;
+mod start_samples;
 
 use {
     dotterelshore_domain::{
@@ -12,6 +13,7 @@
     },
     dotterelshore_testkit::named_cases,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    start_samples::{ordered_starts, sample_step},
     std::sync::Arc,
 };
 
@@ -24,23 +26,6 @@
 /// Jobs that can't start, ahead of one that can.
 const HELD_BACK_JOBS: usize = 40;
 
-fn cores(cpu_milli: u64) -> Resources {
-    Resources {
-        cpu_milli,
-        memory_mb: 100,
-        gpus: 0,
-    }
-}
-
-fn step(count: u32, cpu_milli: u64) -> StepPlan {
-    StepPlan {
-        count,
-        need: cores(cpu_milli),
-        estimate_ms: 800,
-        ..StepPlan::default()
-    }
-}
-
 fn job_of(team: &str, text: &str, step: StepPlan) -> JobRecord {
     JobRecord {
         team: Some(TeamName::try_from(team).expect("a name")),
@@ -77,12 +62,8 @@
 
 /// The names of the jobs that a planning pass starts, one for each task.
 fn started_jobs(schedule: &mut FleetSchedule) -> Vec<String> {
-    let orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX).into_iter();
-    let starts = orders.filter_map(|order| match order {
-        WorkerOrder::Start(start) => Some(start.task.job.to_string()),
-        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
-    });
-    starts.collect()
+    let starts = ordered_starts(schedule, NOW_MS, WALL_MS).into_iter();
+    starts.map(|start| start.task.job.to_string()).collect()
 }
 
 /// A tenant over its cap, or with jobs that find no room, kept all jobs behind its own from
@@ -94,8 +75,8 @@
         schedule.add_job(record, None, 0, NOW_MS, WALL_MS);
     }
     let behind = [
-        job_of("beta", "b-small", step(4, 4_000)),
-        job_of("beta", "b-wide", step(2, WORKER_MILLI / 2)),
+        job_of("beta", "b-small", sample_step(4, 4_000)),
+        job_of("beta", "b-wide", sample_step(2, WORKER_MILLI / 2)),
     ];
     for record in behind {
         let record = JobRecord {
@@ -111,29 +92,29 @@
 }
 
 named_cases! { job_behind_starts:
-    job_starts_behind_jobs_over_their_ceiling(|text| job_of("alpha", &text, step(2, 4_000)));
+    job_starts_behind_jobs_over_their_ceiling(|text| job_of("alpha", &text, sample_step(2, 4_000)));
     job_starts_behind_lasting_jobs_over_their_ceiling(|text| {
-        let long_running = StepPlan { long_running: true, ..step(2, 4_000) };
+        let long_running = StepPlan { long_running: true, ..sample_step(2, 4_000) };
         job_of("alpha", &text, long_running)
     });
     job_starts_behind_jobs_larger_than_a_worker(|text| {
-        job_of("beta", &text, step(1, WORKER_MILLI + 1))
+        job_of("beta", &text, sample_step(1, WORKER_MILLI + 1))
     });
     job_starts_behind_gangs_over_their_ceiling(|text| {
-        let gang = StepPlan { gang: true, ..step(2, 600) };
+        let gang = StepPlan { gang: true, ..sample_step(2, 600) };
         job_of("alpha", &text, gang)
     });
     job_starts_behind_gangs_wider_than_the_pool(|text| {
-        let gang = StepPlan { gang: true, ..step(7, WORKER_MILLI / 2) };
+        let gang = StepPlan { gang: true, ..sample_step(7, WORKER_MILLI / 2) };
         job_of("beta", &text, gang)
     });
     job_starts_behind_jobs_without_a_labelled_worker(|text| {
-        let labelled = StepPlan { requires: Some(Arc::from("gpu-kind")), ..step(1, 1_000) };
+        let labelled = StepPlan { requires: Some(Arc::from("gpu-kind")), ..sample_step(1, 1_000) };
         job_of("beta", &text, labelled)
     });
     job_starts_behind_jobs_without_advice(|text| JobRecord {
         advised: true,
-        ..job_of("beta", &text, step(1, 1_000))
+        ..job_of("beta", &text, sample_step(1, 1_000))
     });
 }
 
@@ -141,10 +122,10 @@
 #[test]
 fn later_job_gets_only_the_room_that_is_left() {
     let mut schedule = schedule();
-    let lasting = job_of("beta", "first", step(3, WORKER_MILLI - 4_000));
+    let lasting = job_of("beta", "first", sample_step(3, WORKER_MILLI - 4_000));
     schedule.add_job(lasting, None, 0, NOW_MS, WALL_MS);
-    let wide = job_of("beta", "wide", step(1, 8_000));
-    let small = job_of("beta", "small", step(10, 2_000));
+    let wide = job_of("beta", "wide", sample_step(1, 8_000));
+    let small = job_of("beta", "small", sample_step(10, 2_000));
     for record in [wide, small] {
         let record = JobRecord {
             priority: 1,
@@ -168,7 +149,11 @@
 fn job_far_behind(case: FarBehind) {
     let mut schedule = schedule();
     let workers_used = u32::try_from(WORKERS).expect("a count");
-    let running = job_of("beta", "running", step(workers_used, case.used_milli));
+    let running = job_of(
+        "beta",
+        "running",
+        sample_step(workers_used, case.used_milli),
+    );
     schedule.add_job(running, None, 0, NOW_MS, WALL_MS);
     assert_eq!(started_jobs(&mut schedule).len(), WORKERS);
     for number in 0..HELD_BACK_JOBS {
@@ -198,8 +183,8 @@
     fn default() -> Self {
         Self {
             used_milli: WORKER_MILLI - 4_000,
-            in_front: |text| job_of("beta", &text, step(1, 8_000)),
-            behind: step(1, 1_000),
+            in_front: |text| job_of("beta", &text, sample_step(1, 8_000)),
+            behind: sample_step(1, 1_000),
             starts: true,
         }
     }
@@ -208,16 +193,16 @@
 named_cases! { job_far_behind:
     freed_room_is_kept_for_jobs_in_front(FarBehind { starts: false, ..FarBehind::default() });
     lasting_job_starts_far_behind(FarBehind {
-        behind: StepPlan { long_running: true, ..step(1, 1_000) },
+        behind: StepPlan { long_running: true, ..sample_step(1, 1_000) },
         ..FarBehind::default()
     });
     job_starts_far_behind_in_half_full_pool(FarBehind {
         used_milli: WORKER_MILLI * 3 / 5,
-        in_front: |text| job_of("beta", &text, step(1, WORKER_MILLI / 2)),
+        in_front: |text| job_of("beta", &text, sample_step(1, WORKER_MILLI / 2)),
         ..FarBehind::default()
     });
     job_starts_far_behind_jobs_over_their_ceiling(FarBehind {
-        in_front: |text| job_of("alpha", &text, step(1, 2_000)),
+        in_front: |text| job_of("alpha", &text, sample_step(1, 2_000)),
         ..FarBehind::default()
     });
 }
@@ -230,9 +215,9 @@
     let wide = StepPlan {
         gang: true,
         anti_affinity: Some(1),
-        ..step(3, WORKER_MILLI)
+        ..sample_step(3, WORKER_MILLI)
     };
-    let blocker = job_of("beta", "blocker", step(1, WORKER_MILLI / 2));
+    let blocker = job_of("beta", "blocker", sample_step(1, WORKER_MILLI / 2));
     schedule.add_job(blocker, None, 0, NOW_MS, WALL_MS);
     assert_eq!(started_jobs(&mut schedule), ["blocker"]);
     schedule.add_job(job_of("beta", "gang", wide), None, 0, NOW_MS, WALL_MS);
@@ -251,10 +236,7 @@
         };
         schedule.apply_report(&stop.worker, &report, NOW_MS, WALL_MS);
     }
-    let orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX).into_iter();
-    let runs = orders.filter_map(|order| match order {
-        WorkerOrder::Start(start) => Some(start.run),
-        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
-    });
+    let starts = ordered_starts(&mut schedule, NOW_MS, WALL_MS).into_iter();
+    let runs = starts.map(|start| start.run);
     assert_eq!(runs.collect::<Vec<_>>(), vec![1; 3]);
 }
--- a/crates/domain/tests/snapshot_handover_test.rs
+++ b/crates/domain/tests/snapshot_handover_test.rs
@@ -1,45 +1,28 @@
 //! Tests of worker snapshots that an owner leaves while its progress is not recorded.
 
 mod samples;
+mod start_samples;
 
 use {
     dotterelshore_domain::{
         names::WorkerName,
         schedule::{
-            EndReason, EndedRun, FleetSchedule, OrderRule, Resources, StartOrder, StartReply,
-            StepPlan, WorkerOrder, WorkerReport,
+            EndReason, EndedRun, FleetSchedule, OrderRule, StartReply, StepPlan, WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    start_samples::{ordered_starts, sample_step},
     std::sync::Arc,
 };
 
 const LEASE_MS: u64 = 3_600;
 const ORPHANS_MS: u64 = 6_000;
 
-fn starts(schedule: &mut FleetSchedule) -> Vec<StartOrder> {
-    let orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX).into_iter();
-    let starts = orders.filter_map(|order| match order {
-        WorkerOrder::Start(start) => Some(start),
-        WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
-    });
-    starts.collect()
-}
-
 /// A task is done on a worker that then falls silent, and the owner leaves. The next owner must
 /// not start it again while the worker may still list that end.
 fn done_task_is_not_restarted(recorded: bool) {
-    let step = StepPlan {
-        count: 1,
-        need: Resources {
-            cpu_milli: 1_000,
-            memory_mb: 100,
-            gpus: 0,
-        },
-        estimate_ms: 500,
-        ..StepPlan::default()
-    };
+    let step = sample_step(1, 1_000);
     let later = StepPlan {
         after: vec![0],
         ..step.clone()
@@ -51,7 +34,7 @@
     earlier.upsert_worker(sample_worker("w-1", 8_000));
     earlier.apply_report(&worker, &WorkerReport::default(), NOW_MS, WALL_MS);
     earlier.add_job(record.clone(), None, 0, NOW_MS, WALL_MS);
-    let started = starts(&mut earlier);
+    let started = ordered_starts(&mut earlier, NOW_MS, WALL_MS);
     let [order] = &*started else {
         panic!("one start, not {started:?}");
     };
@@ -92,7 +75,7 @@
     }
     let other = WorkerName::try_from("w-2").expect("a name");
     next.apply_report(&other, &WorkerReport::default(), NOW_MS, WALL_MS);
-    let again = starts(&mut next);
+    let again = ordered_starts(&mut next, NOW_MS, WALL_MS);
     assert!(
         again.iter().all(|start| start.task != order.task),
         "{} starts again though the silent worker lists its end",
--- a/crates/domain/tests/unlisted_ends_test.rs
+++ b/crates/domain/tests/unlisted_ends_test.rs
@@ -2,17 +2,19 @@
 //! task must not start again before its end is known (review case 1).
 
 mod samples;
+mod start_samples;
 
 use {
     dotterelshore_domain::{
         names::{JobName, WorkerName},
         schedule::{
             EndReason, EndedRun, FleetSchedule, JobRecord, JobState, OrderRule, ReportedRun,
-            Resources, StartOrder, StartReply, StepPlan, WorkerOrder, WorkerReport,
+            StartOrder, StartReply, WorkerOrder, WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    start_samples::{ordered_starts, sample_step},
     std::sync::Arc,
 };
 
@@ -26,17 +28,7 @@
 }
 
 fn record(text: &str, count: u32) -> JobRecord {
-    let step = StepPlan {
-        count,
-        need: Resources {
-            cpu_milli: 1_000,
-            memory_mb: 100,
-            gpus: 0,
-        },
-        estimate_ms: 500,
-        ..StepPlan::default()
-    };
-    sample_job(text, step)
+    sample_job(text, sample_step(count, 1_000))
 }
 
 fn ended(number: u64, order: &StartOrder) -> EndedRun {
@@ -99,12 +91,7 @@
     }
 
     fn starts(&mut self) -> Vec<StartOrder> {
-        let orders = self.schedule.plan_starts(self.now_ms, WALL_MS, u64::MAX);
-        let starts = orders.into_iter().filter_map(|order| match order {
-            WorkerOrder::Start(start) => Some(start),
-            WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
-        });
-        starts.collect()
+        ordered_starts(&mut self.schedule, self.now_ms, WALL_MS)
     }
 
     /// Starts all tasks; the worker confirms them at 10 ms of its clock.
