Repeat a call to the store whose answer is late

Cause: each call waited 0.7 s for an answer that usually takes 4 ms, renewals of ownership 0.6 s of a lease of 1.2 s, and a batch of progress counted as failed if one of its four chains did. Ruled out: the store's rate, and the processor (the owner was idle for half of the time).

Change: a call that takes effect once is sent again on another connection when its answer is later than answers usually are (AnswerDelay, the estimate of TCP's retransmission timer). A conflict is read as success if the row shows that an earlier attempt took effect. Each chain of progress counts by itself.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -6,7 +6,7 @@
 //! Two server processes use this crate. `dotterelshore-scheduler` uses [`schedule`], which has
 //! rows, jobs and waves of its own, decoded from the formats of the users' platform.
 //! `dotterelshore-entry` and the operators' command line use the other aggregates. Both share
-//! [`names`] and [`collections`].
+//! [`names`], [`collections`] and [`retry`].
 
 pub mod codes;
 pub mod collections;
@@ -15,6 +15,7 @@
 pub mod names;
 pub mod queue;
 pub mod request;
+pub mod retry;
 pub mod schedule;
 pub mod table;
 pub mod team;
--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -61,14 +61,6 @@
     pub ends: Vec<(WorkerName, u64, u64)>,
 }
 
-impl ProgressBatch {
-    /// Whether it records crashes, for which the starts of tasks wait.
-    pub fn has_crashes(&self) -> bool {
-        let mut steps = self.records.iter().flat_map(|(_, job)| &job.step_progress);
-        steps.any(|step| !step.crashes.is_empty())
-    }
-}
-
 /// Schedules the jobs of the pools under one ownership on their workers.
 #[derive(Debug, Default)]
 pub struct FleetSchedule {
@@ -290,7 +282,7 @@
     }
 
     /// Takes the progress that is not recorded yet. Run ends are acknowledged after
-    /// [`mark_progress_recorded`](Self::mark_progress_recorded).
+    /// [`mark_ends_recorded`](Self::mark_ends_recorded).
     pub fn take_progress_batch(&mut self) -> ProgressBatch {
         let dirty = std::mem::take(&mut self.dirty);
         let records = dirty
@@ -314,13 +306,23 @@
 
     /// Marks a batch as recorded, so that its run ends can be acknowledged.
     pub fn mark_progress_recorded(&mut self, batch: &ProgressBatch) {
-        for (name, progress) in &batch.records {
+        self.mark_jobs_recorded(&batch.records);
+        self.mark_ends_recorded(&batch.ends);
+    }
+
+    /// Marks the progress of some jobs of a batch as recorded.
+    pub fn mark_jobs_recorded(&mut self, records: &[(JobName, ProgressRecord)]) {
+        for (name, progress) in records {
             if let Some(job) = self.jobs.get_mut(name) {
                 job.end_recorded |= progress.ended.is_some();
                 job.mark_crashes_recorded(progress);
             }
         }
-        for (name, started_ms, end) in &batch.ends {
+    }
+
+    /// Marks the run ends of a batch as recorded once all of its jobs are.
+    pub fn mark_ends_recorded(&mut self, ends: &[(WorkerName, u64, u64)]) {
+        for (name, started_ms, end) in ends {
             if let Some(status) = self.workers.get_mut(name)
                 && status.listed.started_ms == *started_ms
             {
@@ -329,10 +331,10 @@
         }
     }
 
-    /// Queues the jobs of a batch again, because its write may have failed.
-    pub fn requeue_progress(&mut self, batch: ProgressBatch) {
-        self.dirty
-            .extend(batch.records.into_iter().map(|(name, _)| name));
+    /// Queues jobs of a batch again, because their write may have failed.
+    pub fn requeue_progress(&mut self, records: &[(JobName, ProgressRecord)]) {
+        let names = records.iter().map(|(name, _)| name.clone());
+        self.dirty.extend(names);
     }
 
     /// Ends a job and returns the orders that stop its runs.
--- a/crates/domain/src/schedule/job_progress.rs
+++ b/crates/domain/src/schedule/job_progress.rs
@@ -105,3 +105,11 @@
     #[serde(rename = "tallies")]
     pub step_progress: Vec<StepProgress>,
 }
+
+impl ProgressRecord {
+    /// Whether it records crashes, for which the starts of tasks wait.
+    pub fn has_crashes(&self) -> bool {
+        let mut steps = self.step_progress.iter();
+        steps.any(|step| !step.crashes.is_empty())
+    }
+}
--- a/crates/domain/tests/crash_fleet/mod.rs
+++ b/crates/domain/tests/crash_fleet/mod.rs
@@ -274,7 +274,7 @@
     fn record(&mut self) {
         let batch = self.schedule.take_progress_batch();
         if self.now_ms < self.store_out_until_ms {
-            self.schedule.requeue_progress(batch);
+            self.schedule.requeue_progress(&batch.records);
             return;
         }
         self.schedule.mark_progress_recorded(&batch);
--- a/crates/domain/tests/schedule_model/owner_storage.rs
+++ b/crates/domain/tests/schedule_model/owner_storage.rs
@@ -128,7 +128,7 @@
             if recorded {
                 schedule.mark_progress_recorded(&batch);
             } else {
-                schedule.requeue_progress(batch);
+                schedule.requeue_progress(&batch.records);
             }
             then(model, recorded);
         });
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -236,7 +236,7 @@
     assert_eq!(recorded_end(&schedule), Some(0));
     if write_fails {
         let batch = schedule.take_progress_batch();
-        schedule.requeue_progress(batch);
+        schedule.requeue_progress(&batch.records);
         assert_eq!(recorded_end(&schedule), Some(0));
         assert_eq!(schedule.state(&name("done")), Some(JobState::Running));
     }
--- a/crates/scheduler/src/job_records.rs
+++ b/crates/scheduler/src/job_records.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        hedged_call,
         node::{SchedulerNode, uptime_ms},
         peers::{PeerCall, WriteOutcome, announce},
         store::{cancel_key, job_key, progress_key},
@@ -39,7 +40,7 @@
         .write(&key, &value, 0);
     for attempt in 0..RECORD_ATTEMPTS {
         let sent_ms = uptime_ms();
-        match node.kv.commit(&transaction).await {
+        match hedged_call::commit(node, &transaction).await {
             Ok(revision) => {
                 node.mark_store_reachable(sent_ms);
                 log_event!(
@@ -58,8 +59,11 @@
                 log_event!(Info, "job-cancelled-before", job = record.name);
                 return WriteOutcome::NoJob;
             }
-            Err(KvFault::Conflict { .. }) => {
+            Err(KvFault::Conflict { rows }) => {
                 node.mark_store_reachable(sent_ms);
+                if rows.iter().any(|row| row.key == key && row.value == value) {
+                    announce(node, PeerCall::Recorded(Box::new(record.clone())));
+                }
                 log_event!(
                     Info,
                     "job-accepted-before",
@@ -113,7 +117,7 @@
 
 async fn write_cancel(node: &Arc<SchedulerNode>, job: &JobName) -> Result<WriteOutcome, KvFault> {
     let transaction = KvTransaction::default().write(cancel_key(job), b"{}", 0);
-    let revision = node.kv.commit(&transaction).await?;
+    let revision = hedged_call::commit(node, &transaction).await?;
     let job = job.clone();
     announce(node, PeerCall::Cancelled { job, revision });
     Ok(WriteOutcome::Stored)
@@ -130,7 +134,7 @@
         KvTransaction::default()
             .expect(job_key(job), 0)
             .write(cancel_key(job), b"{}", lease);
-    match node.kv.commit(&transaction).await {
+    match hedged_call::commit(node, &transaction).await {
         Ok(_) => Ok(WriteOutcome::NoJob),
         Err(KvFault::Conflict { .. }) => write_cancel(node, job).await,
         Err(fault) => Err(fault),
--- a/crates/scheduler/src/leading/owner_writes.rs
+++ b/crates/scheduler/src/leading/owner_writes.rs
@@ -4,6 +4,7 @@
 use {
     super::leadership::Leadership,
     crate::{
+        hedged_call,
         node::{SchedulerNode, uptime_ms},
         store::{OWNER_KEY, OWNER_WRITES_PREFIX},
     },
@@ -22,7 +23,7 @@
 const PROGRESS_CHAINS: usize = 4;
 
 /// A sequence of the owner's writes, in which each expects the revision of the one before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum WriteChain {
     /// The worker snapshots and the handover.
     Roster,
@@ -112,7 +113,7 @@
         .expect(OWNER_KEY, leadership.token())
         .expect(key, revision)
         .write(key, write_id.as_bytes(), 0);
-    match node.kv.commit(&transaction).await {
+    match hedged_call::commit(node, &transaction).await {
         Ok(revision) => {
             *last_revision = Some(revision);
             Ok(())
@@ -127,6 +128,14 @@
             Err(KvFault::OutcomeUnknown { detail })
         }
         Err(KvFault::Conflict { rows }) => {
+            let written = rows
+                .iter()
+                .find(|row| row.key == key && row.value == write_id.as_bytes());
+            if let Some(row) = written {
+                // An earlier attempt took effect and its answer was lost.
+                *last_revision = Some(row.revision);
+                return Ok(());
+            }
             let owned = rows
                 .iter()
                 .any(|row| row.key == OWNER_KEY && row.revision == leadership.token());
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -7,6 +7,7 @@
         store::{cancel_key, job_key, progress_key},
     },
     dotterelshore_domain::{
+        collections::FastMap,
         names::JobName,
         schedule::{ProgressBatch, ProgressRecord},
     },
@@ -65,70 +66,72 @@
 
 /// Records all progress so far. Returns whether the write succeeded.
 pub(super) async fn record_once(node: &SchedulerNode, leadership: &Leadership) -> bool {
-    let batch = lock(&leadership.schedule).take_progress_batch();
-    match write_batch(node, leadership, &batch).await {
-        Ok(()) => {
-            lock(&leadership.schedule).mark_progress_recorded(&batch);
-            if batch.has_crashes() {
-                leadership.plan_notify.notify_one();
-            }
-            true
-        }
-        Err(fault) => {
+    let ProgressBatch { records, ends } = lock(&leadership.schedule).take_progress_batch();
+    let mut chains: FastMap<WriteChain, Vec<JobProgress>> = FastMap::default();
+    for record in records {
+        let chain = WriteChain::of_job(&record.0);
+        chains.entry(chain).or_default().push(record);
+    }
+    let writes = chains
+        .iter()
+        .map(|(chain, records)| record_chain(node, leadership, *chain, records));
+    let all_recorded = join_all(writes).await.into_iter().all(|recorded| recorded);
+    if all_recorded {
+        lock(&leadership.schedule).mark_ends_recorded(&ends);
+    }
+    all_recorded
+}
+
+/// Records the progress of the jobs of one chain. Each write that took effect counts at once,
+/// whatever becomes of the others.
+async fn record_chain(
+    node: &SchedulerNode,
+    leadership: &Leadership,
+    chain: WriteChain,
+    mut unrecorded: &[JobProgress],
+) -> bool {
+    while !unrecorded.is_empty() {
+        let (chunk, rest) = unrecorded.split_at(unrecorded.len().min(JOBS_PER_WRITE));
+        if let Err(fault) = write_chunk(node, leadership, chain, chunk).await {
             log_event!(
                 Warn,
                 "recording-failed",
-                jobs = batch.records.len(),
+                jobs = unrecorded.len(),
                 error = fault
             );
             node.metrics.count_retry("recording");
-            lock(&leadership.schedule).requeue_progress(batch);
-            false
+            lock(&leadership.schedule).requeue_progress(unrecorded);
+            return false;
         }
-    }
-}
-
-async fn write_batch(
-    node: &SchedulerNode,
-    leadership: &Leadership,
-    batch: &ProgressBatch,
-) -> Result<(), KvFault> {
-    let mut chains: Vec<(WriteChain, Vec<&JobProgress>)> = Vec::new();
-    for record in &batch.records {
-        let chain = WriteChain::of_job(&record.0);
-        match chains.iter_mut().find(|(known, _)| *known == chain) {
-            Some((_, records)) => records.push(record),
-            None => chains.push((chain, vec![record])),
+        lock(&leadership.schedule).mark_jobs_recorded(chunk);
+        if chunk.iter().any(|(_, progress)| progress.has_crashes()) {
+            leadership.plan_notify.notify_one();
         }
+        unrecorded = rest;
     }
-    let writes = chains
-        .iter()
-        .map(|(chain, records)| write_chain(node, leadership, *chain, records));
-    join_all(writes).await.into_iter().collect()
+    true
 }
 
-async fn write_chain(
+async fn write_chunk(
     node: &SchedulerNode,
     leadership: &Leadership,
     chain: WriteChain,
-    records: &[&JobProgress],
+    chunk: &[JobProgress],
 ) -> Result<(), KvFault> {
-    for chunk in records.chunks(JOBS_PER_WRITE) {
-        let mut transaction = KvTransaction::default();
-        for (name, progress) in chunk {
-            let value = serde_json::to_vec(progress).map_err(|error| KvFault::NotApplied {
-                detail: error.to_string(),
-            })?;
-            transaction = transaction.write(progress_key(name), &value, 0);
-        }
-        leadership
-            .writes
-            .commit(node, leadership, chain, transaction)
-            .await?;
-        for (name, progress) in chunk {
-            if let Some(ended) = progress.ended {
-                log_event!(Info, "job-ended", job = name, state = format!("{ended:?}"));
-            }
+    let mut transaction = KvTransaction::default();
+    for (name, progress) in chunk {
+        let value = serde_json::to_vec(progress).map_err(|error| KvFault::NotApplied {
+            detail: error.to_string(),
+        })?;
+        transaction = transaction.write(progress_key(name), &value, 0);
+    }
+    leadership
+        .writes
+        .commit(node, leadership, chain, transaction)
+        .await?;
+    for (name, progress) in chunk {
+        if let Some(ended) = progress.ended {
+            log_event!(Info, "job-ended", job = name, state = format!("{ended:?}"));
         }
     }
     Ok(())
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -9,6 +9,7 @@
 mod entry_row;
 mod explain;
 mod front;
+mod hedged_call;
 mod job_records;
 mod leading;
 mod log_pipe;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -5,7 +5,10 @@
         leading::Leadership, log_pipe::LogCounts, metrics::NodeMetrics, owner::OwnerRecord,
         peers::OwnerConnection, store_path::StorePath,
     },
-    dotterelshore_domain::schedule::{QueueTable, WaveSpec},
+    dotterelshore_domain::{
+        retry::AnswerDelay,
+        schedule::{QueueTable, WaveSpec},
+    },
     dotterelshore_platform::{KvClient, NodeSettings},
     dotterelshore_wire::{log_event, timer_hub::TimerHub},
     nix::time::{ClockId, clock_gettime},
@@ -33,6 +36,8 @@
     pub(crate) incarnation: u64,
     /// The client of the platform's store.
     pub(crate) kv: KvClient,
+    /// How long the store's answers take.
+    pub(crate) answer_delay: Mutex<AnswerDelay>,
     /// The table in force; `None` before the first was read.
     pub(crate) table: watch::Sender<Option<Arc<QueueTable>>>,
     /// The maintenance waves that operators ordered.
@@ -65,6 +70,7 @@
         let kv = KvClient::new(settings.store.clone(), STORE_TIMEOUT);
         Arc::new(Self {
             kv,
+            answer_delay: Mutex::default(),
             incarnation: rand::random(),
             table: watch::Sender::new(None),
             waves: watch::Sender::new(Vec::new()),
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
+        hedged_call,
         leading::{Leadership, lead},
-        node::{SchedulerNode, uptime_ms},
+        node::{STORE_TIMEOUT, SchedulerNode, uptime_ms},
         store::{OWNER_KEY, PrefixUpdate, ResumeMode, TERM_KEY, follow_prefix},
     },
     dotterelshore_domain::names::EntryName,
@@ -166,7 +167,8 @@
     };
     let sent_ms = uptime_ms();
     let ttl = OWNER_LEASE.max(node.settings.lease_min);
-    let (lease, _) = node.kv.create_lease(ttl).await?;
+    let creating = hedged_call::call(node, STORE_TIMEOUT, || node.kv.create_lease(ttl));
+    let (lease, _) = creating.await?;
     let record = OwnerRecord {
         name: node.settings.name.clone(),
         address: node.settings.peers,
@@ -182,8 +184,9 @@
         .expect(TERM_KEY, term_revision)
         .write(OWNER_KEY, &value, lease)
         .write(TERM_KEY, term.to_string().as_bytes(), 0);
-    let won = match node.kv.commit(&transaction).await {
+    let won = match hedged_call::commit(node, &transaction).await {
         Err(KvFault::OutcomeUnknown { .. }) => confirm_claim(node, &value).await,
+        Err(KvFault::Conflict { rows }) => won_before(rows, &value),
         won => won,
     };
     match won {
@@ -217,6 +220,17 @@
     }
 }
 
+/// Returns the revision of a claim that took effect at an earlier attempt.
+fn won_before(rows: Vec<KvRow>, value: &[u8]) -> Result<u64, KvFault> {
+    let mut own = rows
+        .iter()
+        .filter(|row| row.key == OWNER_KEY && row.value == value);
+    match own.next() {
+        Some(row) => Ok(row.revision),
+        None => Err(KvFault::Conflict { rows }),
+    }
+}
+
 /// Reads back whether a claim whose answer was lost took effect; returns its revision.
 async fn confirm_claim(node: &SchedulerNode, value: &[u8]) -> Result<u64, KvFault> {
     let row = node.kv.read(OWNER_KEY).await?;
@@ -280,7 +294,8 @@
             () = tokio::time::sleep(RENEW_PERIOD) => {}
         }
         let sent_ms = uptime_ms();
-        match node.kv.renew_lease(claim.lease, RENEW_TIMEOUT).await {
+        let renew = || node.kv.renew_lease(claim.lease, RENEW_TIMEOUT);
+        match hedged_call::call(node, RENEW_TIMEOUT, renew).await {
             Ok(()) => {
                 leadership.extend_authority(sent_ms);
                 if std::mem::take(&mut is_failing) {
