Meter the owner's work by part, and the delay of timers

Change: each task of the owner, the halves of a delegate's link, and the calls of peers and callers run as parts of the process's work: counters of steps and of processor time (one step in 16 is timed), a histogram of how late timers fire, and a log line each 2 s at the owner.

--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -7,7 +7,7 @@
         log_pipe::{LogCounts, start_log},
         metrics,
         node::SchedulerNode,
-        owner, peers, store_path, table_follow,
+        owner, peers, store_path, table_follow, work_meter,
     },
     clap::{Parser, Subcommand},
     dotterelshore_platform::{NodeSettings, SettingsFault, read_settings},
@@ -156,6 +156,7 @@
     store_path::start(&node);
     owner::start(&node);
     peers::start(&node, peer_listener);
+    tokio::spawn(work_meter::probe_timers(Arc::clone(&node)));
     tokio::spawn(metrics::serve_metrics(Arc::clone(&node), metrics_listener));
     tokio::spawn(front::serve_readiness(
         Arc::clone(&node),
@@ -166,7 +167,13 @@
     let (close, closing) = watch::channel(false);
     let served = tokio::spawn(serve(
         caller_listener,
-        move |request| front::respond(Arc::clone(&answering_node), request),
+        move |request| {
+            let node = Arc::clone(&answering_node);
+            async move {
+                let answering = front::respond(Arc::clone(&node), request);
+                node.metrics.work.watch("caller-calls", answering).await
+            }
+        },
         closing,
     ));
     tokio::spawn(reload_on_hangup(Arc::clone(&node)));
--- a/crates/scheduler/src/delegation/delegate_link.rs
+++ b/crates/scheduler/src/delegation/delegate_link.rs
@@ -8,6 +8,7 @@
     crate::{
         node::lock,
         peers::{PeerCall, connect},
+        work_meter::WorkMeter,
     },
     dotterelshore_domain::collections::FastMap,
     dotterelshore_wire::peer_codec::{PeerFault, read_frame, write_frame},
@@ -134,11 +135,12 @@
 /// sent by then fail as such, and the others as lost. Tells `on_frame` of each frame whether the
 /// delegate is about to shut down.
 pub(crate) async fn open_link(
+    work: &WorkMeter,
     address: SocketAddr,
     mut calls: LinkCalls,
     on_frame: impl Fn(bool),
 ) -> LinkEnd {
-    let end = match run_link(address, &mut calls.0, on_frame).await {
+    let end = match run_link(work, address, &mut calls.0, on_frame).await {
         Ok(end) => end,
         Err(source) => LinkEnd::Connection { source },
     };
@@ -150,6 +152,7 @@
 }
 
 async fn run_link(
+    work: &WorkMeter,
     address: SocketAddr,
     calls: &mut mpsc::UnboundedReceiver<QueuedCall>,
     on_frame: impl Fn(bool),
@@ -159,8 +162,8 @@
     let (mut reader, mut writer) = tokio::io::split(stream);
     let state = LinkState::default();
     tokio::select! {
-        end = read_replies(&mut reader, &state, on_frame) => end,
-        end = write_calls(&mut writer, &state, calls) => end,
+        end = work.watch("link-reads", read_replies(&mut reader, &state, on_frame)) => end,
+        end = work.watch("link-writes", write_calls(&mut writer, &state, calls)) => end,
     }
 }
 
--- a/crates/scheduler/src/leading/delegates.rs
+++ b/crates/scheduler/src/leading/delegates.rs
@@ -196,13 +196,13 @@
         }
         leadership.assign_delegates();
         for link in leadership.delegates.take_new_links() {
-            let guard = leadership.guard_task("delegate-link");
-            links.spawn(guard.watch(run_link(Arc::clone(&leadership), link)));
+            let running = run_link(Arc::clone(&node), Arc::clone(&leadership), link);
+            links.spawn(leadership.guard_task("delegate-link", running));
         }
     }
 }
 
-async fn run_link(leadership: Arc<Leadership>, link: NewLink) {
+async fn run_link(node: Arc<SchedulerNode>, leadership: Arc<Leadership>, link: NewLink) {
     let NewLink {
         entry,
         address,
@@ -210,7 +210,7 @@
     } = link;
     log_event!(Info, "delegate-linked", entry = entry);
     let delegates = &leadership.delegates;
-    let end = open_link(address, calls, |is_leaving| {
+    let end = open_link(&node.metrics.work, address, calls, |is_leaving| {
         delegates.mark_answering(&entry, is_leaving);
     });
     let end = end.await;
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -10,6 +10,7 @@
         node::{SchedulerNode, lock, millis, uptime_ms},
         owner::{AUTHORITY_DURATION, AUTHORITY_OVERLAP, OwnerClaim},
         store::HANDOVER_KEY,
+        work_meter::WorkMeter,
     },
     dotterelshore_domain::{
         collections::FastMap,
@@ -103,6 +104,7 @@
     pub(super) writes: OwnerWrites,
     /// Wakes the task that keeps the worker snapshots current.
     pub(crate) snapshot_notify: Notify,
+    work: Arc<WorkMeter>,
     token: AtomicU64,
     authority_until_ms: AtomicU64,
     ended: AtomicBool,
@@ -112,11 +114,11 @@
 }
 
 impl Leadership {
-    /// Starts with the authority of a claim and an empty schedule, in a process with this many
-    /// cores.
-    pub(crate) fn new(claim: OwnerClaim, cores: f64) -> Self {
+    /// Starts with the authority of a claim and an empty schedule.
+    pub(crate) fn new(node: &SchedulerNode, claim: OwnerClaim) -> Self {
         let leadership = Self {
-            delegates: Delegates::new(cores),
+            delegates: Delegates::new(node.settings.cores),
+            work: Arc::clone(&node.metrics.work),
             schedule: Mutex::new(FleetSchedule::default()),
             plan_notify: Notify::new(),
             record_notify: Notify::new(),
@@ -187,17 +189,20 @@
         self.fenced.notified().await;
     }
 
-    /// Guards a task of the owner: if it panics, ownership ends, since without the task the owner
-    /// would be half alive.
-    pub(super) fn guard_task(
+    /// Runs a task of the owner as a part of the process's work. If it panics, ownership ends, since
+    /// without the task the owner would be half alive.
+    pub(super) fn guard_task<T, F: Future<Output = T>>(
         self: &Arc<Self>,
         task: &'static str,
-    ) -> PanicGuard<impl Fn() + use<>> {
+        running: F,
+    ) -> impl Future<Output = T> + use<T, F> {
         let leadership = Arc::clone(self);
-        PanicGuard::new(move || {
+        let work = Arc::clone(&self.work);
+        let guard = PanicGuard::new(move || {
             log_event!(Error, "owner-task-failed", task = task);
             leadership.task_failed.notify_one();
-        })
+        });
+        guard.watch(async move { work.watch(task, running).await })
     }
 
     /// Waits until a guarded task panics.
--- a/crates/scheduler/src/leading/worker_stops.rs
+++ b/crates/scheduler/src/leading/worker_stops.rs
@@ -37,8 +37,8 @@
             continue;
         }
         let (node, leadership) = (Arc::clone(&node), Arc::clone(&leadership));
-        let guard = leadership.guard_task("worker-stop");
-        tokio::spawn(guard.watch(async move {
+        let guarding = Arc::clone(&leadership);
+        tokio::spawn(guarding.guard_task("worker-stop", async move {
             stop_run(&node, &leadership, &client, &stop).await;
             drop(slot);
         }));
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -85,13 +85,13 @@
     let (n, l) = clone_handles();
     let orders_clock = Arc::clone(&clock);
     let delivering = deliver_orders(n, l, orders_clock, client.clone(), orders.runs);
-    tokio::spawn(leadership.guard_task("worker-orders").watch(delivering));
+    tokio::spawn(leadership.guard_task("worker-orders", delivering));
     let (n, l) = clone_handles();
     let delivering = deliver_stops(n, l, client.clone(), orders.stops);
-    tokio::spawn(leadership.guard_task("worker-stops").watch(delivering));
+    tokio::spawn(leadership.guard_task("worker-stops", delivering));
     let (n, l) = clone_handles();
     let polling = poll_worker(n, l, clock, client);
-    tokio::spawn(leadership.guard_task("worker-polls").watch(polling));
+    tokio::spawn(leadership.guard_task("worker-polls", polling));
 }
 
 /// A client of a worker that follows its incarnations and the address under which it is listed.
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -20,6 +20,7 @@
 mod store;
 mod store_path;
 mod table_follow;
+mod work_meter;
 
 use std::process::ExitCode;
 
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -4,6 +4,7 @@
     crate::{
         log_pipe::LogCounts,
         node::{SchedulerNode, lock, uptime_ms},
+        work_meter::WorkMeter,
     },
     dotterelshore_wire::{
         event_log::unix_millis,
@@ -48,6 +49,8 @@
     starts: Family<ReasonLabel, Counter>,
     crashes: Family<ReasonLabel, Counter>,
     answers: Family<CallLabel, Histogram>,
+    /// What the process's time goes into.
+    pub(crate) work: Arc<WorkMeter>,
     leading: Gauge,
     open_jobs: Gauge,
     suspected_tasks: Gauge,
@@ -89,6 +92,7 @@
             gauge
         };
         Self {
+            work: Arc::new(WorkMeter::new(&mut registry)),
             leading: gauge(
                 &mut registry,
                 "leading",
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -248,7 +248,7 @@
         token = claim.token,
         term = claim.term
     );
-    let leadership = Arc::new(Leadership::new(claim, node.settings.cores));
+    let leadership = Arc::new(Leadership::new(node, claim));
     let leading = tokio::spawn(lead(Arc::clone(node), Arc::clone(&leadership), claim));
     let reason = renew(node, &leadership, &mut claim).await;
     leadership.end();
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -293,7 +293,11 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::spawn(answer_peer(Arc::clone(&node), stream));
+                    let node = Arc::clone(&node);
+                    tokio::spawn(async move {
+                        let answering = answer_peer(Arc::clone(&node), stream);
+                        node.metrics.work.watch("peer-calls", answering).await;
+                    });
                 }
                 Err(error) => {
                     log_event!(Warn, "accept-failed", error = error);
