Have delegates share frames, and polls list what ended

What callers saw: kern-check late in peaks, while the owner's processor was full.

Cause: what the owner did for a report grew with what runs on the worker, not with what ended there, and each reply of a delegate came in a frame of its own, answered by an empty frame with its stamp: 15,000 frames a second each way.

Change: a delegate collects replies for 10 ms; the owner returns a stamp with its calls, or after 0.2 s. A poll within half a second of a list of runs asks for the ends after the last one applied, unless a run there is followed closely (PollScope); the delegate leaves out the rest. A delegate of an earlier version, by its row, gets the polls it knows. The model of schedules plays both.

--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -19,6 +19,7 @@
 mod pace_controller;
 mod partial_gang;
 mod placement;
+mod poll_scope;
 mod pool_candidates;
 mod pool_demand;
 mod pool_load;
@@ -50,6 +51,7 @@
     job_progress::{JobRecord, JobState, ProgressRecord, StepProgress, TaskCrashes, TaskFailures},
     maintenance_wave::{WaveProgress, WaveSpec},
     pace_controller::PaceController,
+    poll_scope::PollScope,
     pool_load::PoolLoad,
     queue_table::{
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
--- /dev/null
+++ b/crates/domain/src/schedule/poll_scope.rs
@@ -0,0 +1,69 @@
+//! What a poll of a worker asks for.
+
+use {
+    super::{
+        fleet_schedule::FleetSchedule,
+        worker_status::{WorkerReport, WorkerStatus},
+    },
+    crate::names::WorkerName,
+};
+
+/// Longest time between polls that list a worker's runs, in milliseconds. Short beside the time
+/// without progress after which a run counts as stalled.
+const RUNS_PERIOD_MS: u64 = 500;
+
+/// What a poll of a worker asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PollScope {
+    /// Its runs and all ends that are not acknowledged.
+    All,
+    /// Its ends from a number on: what the owner does then grows with what ended, not with what
+    /// runs there.
+    EndsAfter(u64),
+}
+
+impl PollScope {
+    /// Reduces a worker's report to what the poll asked for. A report of another incarnation than
+    /// the one polled stays whole, since it numbers its ends anew.
+    pub fn reduce(self, started_ms: u64, mut report: WorkerReport) -> WorkerReport {
+        let Self::EndsAfter(applied) = self else {
+            return report;
+        };
+        if report.started_ms.is_some_and(|start| start != started_ms) {
+            return report;
+        }
+        report.running.clear();
+        report.finished.retain(|end| end.number > applied);
+        report.ends_only = true;
+        report
+    }
+}
+
+impl FleetSchedule {
+    /// Returns what the next poll of a worker asks for. Its runs are listed now and then, and
+    /// whenever a decision may depend on them.
+    pub fn poll_scope(&self, worker: &WorkerName, now_ms: u64) -> PollScope {
+        let status = self.workers.get(worker);
+        match status.filter(|status| status.is_steady(now_ms)) {
+            Some(status) if !self.watches_runs(worker) => PollScope::EndsAfter(status.applied_end),
+            _ => PollScope::All,
+        }
+    }
+
+    /// Whether some run on a worker is followed closely: one that starts, fills room beside others
+    /// or is suspected of crashing its worker.
+    fn watches_runs(&self, worker: &WorkerName) -> bool {
+        self.is_in_trial(worker) || self.has_unready_task(worker) || self.runs_best_effort(worker)
+    }
+}
+
+impl WorkerStatus {
+    /// Whether its runs were listed shortly before and nothing about them is in doubt.
+    fn is_steady(&self, now_ms: u64) -> bool {
+        self.reported
+            && self.reachable
+            && self.has_listed_all
+            && !self.has_unknown_runs
+            && now_ms < self.runs_listed_ms + RUNS_PERIOD_MS
+    }
+}
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -75,19 +75,10 @@
                 status.applied_end = end.number;
             }
         }
-        let mut has_unknown_runs = false;
-        for reported in &report.running {
-            has_unknown_runs |=
-                !self.apply_reported_run(worker, reported, report.clock_ms, now_ms, &mut orders);
-        }
-        if lists_all {
-            self.release_missing(worker, report);
+        if !report.ends_only {
+            self.apply_runs(worker, report, lists_all, now_ms, &mut orders);
         }
-        orders.extend(self.pace_best_effort(worker, report, now_ms));
         if let Some(status) = self.workers.get_mut(worker) {
-            status.reported = true;
-            status.has_unknown_runs = has_unknown_runs;
-            status.has_listed_all |= lists_all;
             status.reachable = true;
             status.contact_ms = now_ms;
             status.silent_since_ms = None;
@@ -104,6 +95,32 @@
         orders
     }
 
+    /// Applies the runs that a worker reports; `lists_all` means that all its ends are applied.
+    fn apply_runs(
+        &mut self,
+        worker: &WorkerName,
+        report: &WorkerReport,
+        lists_all: bool,
+        now_ms: u64,
+        orders: &mut Vec<WorkerOrder>,
+    ) {
+        let mut has_unknown_runs = false;
+        for reported in &report.running {
+            has_unknown_runs |=
+                !self.apply_reported_run(worker, reported, report.clock_ms, now_ms, orders);
+        }
+        if lists_all {
+            self.release_missing(worker, report);
+        }
+        orders.extend(self.pace_best_effort(worker, report, now_ms));
+        if let Some(status) = self.workers.get_mut(worker) {
+            status.reported = true;
+            status.has_unknown_runs = has_unknown_runs;
+            status.has_listed_all |= lists_all;
+            status.runs_listed_ms = now_ms;
+        }
+    }
+
     /// Applies one run end. Returns whether it may be acknowledged once recorded.
     fn apply_end(
         &mut self,
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -119,6 +119,9 @@
     /// list may then have ended in any way. Not encoded: the reply of a delegate states it.
     #[serde(skip)]
     pub may_have_more_ends: bool,
+    /// Whether it leaves out the runs in progress. Not encoded: the reply of a delegate states it.
+    #[serde(skip)]
+    pub ends_only: bool,
 }
 
 /// Stored state of a worker on which an owner may have left runs.
@@ -168,6 +171,8 @@
     /// Whether it reports a run of a job that is not known, which uses an unknown part of its
     /// capacity.
     pub(super) has_unknown_runs: bool,
+    /// When it last listed its runs, in scheduler milliseconds.
+    pub(super) runs_listed_ms: u64,
     /// Whether it has listed all its runs and ends to this owner at some time.
     pub(super) has_listed_all: bool,
     /// Whether the newest stored snapshot may list it as unreachable.
@@ -215,6 +220,7 @@
             runs_known: false,
             has_current_row: true,
             has_unknown_runs: false,
+            runs_listed_ms: 0,
             has_listed_all: false,
             recorded_unreachable: false,
             reachable: true,
--- a/crates/domain/tests/crash_fleet/mod.rs
+++ b/crates/domain/tests/crash_fleet/mod.rs
@@ -231,6 +231,7 @@
             running: running.collect(),
             finished: std::mem::take(&mut worker.ends),
             may_have_more_ends: false,
+            ends_only: false,
         };
         let (now_ms, wall_ms) = (self.now_ms, WALL_MS + self.now_ms - NOW_MS);
         let orders = self
--- a/crates/domain/tests/schedule_model/worker_calls.rs
+++ b/crates/domain/tests/schedule_model/worker_calls.rs
@@ -8,7 +8,8 @@
     dotterelshore_domain::{
         names::WorkerName,
         schedule::{
-            EndReason, StartOrder, StartRefusal, StartReply, StopOrder, TaskName, WorkerReport,
+            EndReason, PollScope, StartOrder, StartRefusal, StartReply, StopOrder, TaskName,
+            WorkerReport,
         },
     },
 };
@@ -36,6 +37,8 @@
         lease_until_ms: Option<u64>,
         acknowledged_end: u64,
         wait_ms: Option<u64>,
+        scope: PollScope,
+        started_ms: u64,
     },
 }
 
@@ -187,6 +190,7 @@
                 lease_until_ms,
                 acknowledged_end,
                 wait_ms,
+                ..
             } => {
                 if let Some(until_ms) = lease_until_ms {
                     process.extend_lease(until_ms, self.now_ms);
--- a/crates/domain/tests/schedule_model/worker_process.rs
+++ b/crates/domain/tests/schedule_model/worker_process.rs
@@ -204,6 +204,7 @@
             running: running.collect(),
             finished: self.ends.iter().take(ENDS_MAX).cloned().collect(),
             may_have_more_ends: self.ends.len() >= ENDS_MAX,
+            ends_only: false,
         }
     }
 }
--- a/crates/domain/tests/schedule_model/worker_tasks.rs
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -77,8 +77,9 @@
             process.tasks.remove(worker);
             return;
         };
-        if tasks.started_ms != status.listed.started_ms {
-            tasks.started_ms = status.listed.started_ms;
+        let started_ms = status.listed.started_ms;
+        if tasks.started_ms != started_ms {
+            tasks.started_ms = started_ms;
             tasks.reading = None;
         }
         let is_unreachable = tasks.is_unreachable;
@@ -95,6 +96,8 @@
             lease_until_ms,
             acknowledged_end: schedule.acknowledged_end(worker),
             wait_ms: lease_until_ms.map(|_| wait_ms),
+            scope: schedule.poll_scope(worker, now_ms),
+            started_ms,
         };
         self.send_call(owner, worker, number, request);
     }
@@ -136,8 +139,17 @@
         let (owner, worker, now_ms) = (call.owner, &call.worker, self.now_ms);
         match answer {
             WorkerAnswer::Lists(report) => {
-                let first = matches!(call.request, WorkerRequest::Poll { wait_ms: None, .. });
-                self.apply_lists(owner, worker, call.tasks, &report, first);
+                let WorkerRequest::Poll {
+                    wait_ms,
+                    scope,
+                    started_ms,
+                    ..
+                } = call.request
+                else {
+                    return POLL_PAUSE_MS;
+                };
+                let report = scope.reduce(started_ms, report);
+                self.apply_lists(owner, worker, call.tasks, &report, wait_ms.is_none());
                 return POLL_PAUSE_MS;
             }
             WorkerAnswer::Fenced => self.mark_fenced(owner, call.token),
--- a/crates/scheduler/src/delegation/call_carrier.rs
+++ b/crates/scheduler/src/delegation/call_carrier.rs
@@ -6,13 +6,16 @@
         WorkerCall, WorkerReply, WorkerTarget,
     },
     crate::node::{SchedulerNode, lock, uptime_ms},
-    dotterelshore_domain::{collections::FastMap, names::WorkerName},
+    dotterelshore_domain::{collections::FastMap, names::WorkerName, schedule::PollScope},
     dotterelshore_platform::WorkerClient,
     dotterelshore_wire::{
         log_event,
         peer_codec::{PeerFault, read_frame, write_frame},
     },
-    std::sync::{Arc, Mutex},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncRead, AsyncWrite},
         sync::mpsc,
@@ -20,6 +23,9 @@
     },
 };
 
+/// Pause before a frame, so that replies that arrive close together share it: the owner's work for a
+/// frame is many times that for a reply.
+const REPLY_PAUSE: Duration = Duration::from_millis(10);
 /// Most replies in one frame.
 const REPLIES_PER_FRAME: usize = 256;
 /// Time after which the connections of a worker without calls are closed, in milliseconds.
@@ -125,6 +131,11 @@
     let client = clients.client(&call.target, now_ms);
     match call.call {
         WorkerCall::Poll(request) => WorkerReply::of_poll(client.poll(&request).await),
+        WorkerCall::PollEnds(request, applied) => {
+            let started_ms = call.target.started_ms;
+            let reduce = |report| PollScope::EndsAfter(applied).reduce(started_ms, report);
+            WorkerReply::of_poll(client.poll(&request).await.map(reduce))
+        }
         WorkerCall::Start {
             order,
             lease_until_ms,
@@ -141,7 +152,7 @@
     }
 }
 
-/// Writes replies as they come, and a stamp at least each [`STAMP_PERIOD`].
+/// Writes the replies of each [`REPLY_PAUSE`], and a stamp at least each [`STAMP_PERIOD`].
 async fn write_replies(
     node: &SchedulerNode,
     writer: &mut (impl AsyncWrite + Unpin + Send),
@@ -159,5 +170,12 @@
         if tokio::time::timeout(STAMP_PERIOD, received).await == Ok(0) {
             return Ok("ended");
         }
+        tokio::time::sleep(REPLY_PAUSE).await;
+        while replies.len() < REPLIES_PER_FRAME {
+            let Ok(reply) = reply_queue.try_recv() else {
+                break;
+            };
+            replies.push(reply);
+        }
     }
 }
--- a/crates/scheduler/src/delegation/delegate_link.rs
+++ b/crates/scheduler/src/delegation/delegate_link.rs
@@ -2,8 +2,8 @@
 
 use {
     super::link_frame::{
-        CallFrame, DELEGATE_SILENCE_MAX, NumberedCall, ReplyFrame, WorkerCall, WorkerReply,
-        WorkerTarget,
+        CallFrame, DELEGATE_SILENCE_MAX, NumberedCall, ReplyFrame, STAMP_PERIOD, WorkerCall,
+        WorkerReply, WorkerTarget,
     },
     crate::{
         node::lock,
@@ -68,6 +68,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct DelegateLink {
     calls: mpsc::UnboundedSender<QueuedCall>,
+    knows_ends_polls: bool,
 }
 
 /// The calls that wait for a link's task.
@@ -75,10 +76,20 @@
 pub(crate) struct LinkCalls(mpsc::UnboundedReceiver<QueuedCall>);
 
 impl DelegateLink {
-    /// Creates a link and the queue for its task, [`open_link`].
-    pub(crate) fn new() -> (Self, LinkCalls) {
+    /// Creates a link and the queue for its task, [`open_link`]. A delegate of an earlier version
+    /// does not know polls for ends.
+    pub(crate) fn new(knows_ends_polls: bool) -> (Self, LinkCalls) {
         let (calls, receiver) = mpsc::unbounded_channel();
-        (Self { calls }, LinkCalls(receiver))
+        let link = Self {
+            calls,
+            knows_ends_polls,
+        };
+        (link, LinkCalls(receiver))
+    }
+
+    /// Whether the delegate knows [`WorkerCall::PollEnds`].
+    pub(crate) fn knows_ends_polls(&self) -> bool {
+        self.knows_ends_polls
     }
 
     /// Has the delegate carry a call out.
@@ -110,7 +121,7 @@
     pending: Mutex<FastMap<u64, oneshot::Sender<Result<WorkerReply, LinkFault>>>>,
     /// The newest stamp of the delegate.
     stamp_ms: AtomicU64,
-    /// Wakes the writer, which returns the stamp.
+    /// Wakes the writer, which waits for the first stamp.
     stamped: Notify,
 }
 
@@ -194,7 +205,8 @@
     }
 }
 
-/// Writes queued calls, and returns each stamp of the delegate at once.
+/// Writes queued calls with the newest stamp of the delegate, and a frame without calls if there
+/// are none for [`STAMP_PERIOD`].
 async fn write_calls(
     writer: &mut (impl AsyncWrite + Unpin + Send),
     state: &LinkState,
@@ -205,11 +217,9 @@
     // Calls without a stamp would count as too old.
     state.stamped.notified().await;
     loop {
-        tokio::select! {
-            count = calls.recv_many(&mut queued, CALLS_PER_FRAME) => if count == 0 {
-                return Ok(LinkEnd::Leaving);
-            },
-            () = state.stamped.notified() => {}
+        let received = calls.recv_many(&mut queued, CALLS_PER_FRAME);
+        if tokio::time::timeout(STAMP_PERIOD, received).await == Ok(0) {
+            return Ok(LinkEnd::Leaving);
         }
         let frame = CallFrame {
             stamp_ms: state.stamp_ms.load(Ordering::Relaxed),
--- a/crates/scheduler/src/delegation/link_frame.rs
+++ b/crates/scheduler/src/delegation/link_frame.rs
@@ -10,7 +10,7 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time between a delegate's frames while it has no replies.
+/// Time between frames of either side while it has nothing else to send.
 pub(super) const STAMP_PERIOD: Duration = Duration::from_millis(200);
 /// Longest time without a frame after which the owner gives a delegate up.
 pub(super) const DELEGATE_SILENCE_MAX: Duration = Duration::from_millis(700);
@@ -72,6 +72,9 @@
         /// The owner's fencing token.
         token: u64,
     },
+    /// Polls the lists and returns the run ends after a number. Only for delegates whose row says
+    /// that they know it.
+    PollEnds(PollRequest, u64),
 }
 
 /// The outcome of a [`WorkerCall`].
@@ -87,12 +90,15 @@
     NotSent,
     /// The outcome of a poll: a report of a worker that may have more run ends.
     PolledInPart(WorkerReport),
+    /// The outcome of a poll for run ends: a report without runs in progress.
+    PolledEnds(WorkerReport),
 }
 
 impl WorkerReply {
     /// Makes the reply to a poll.
     pub(super) fn of_poll(outcome: Result<WorkerReport, WorkerFault>) -> Self {
         match outcome {
+            Ok(report) if report.ends_only => Self::PolledEnds(report),
             Ok(report) if report.may_have_more_ends => Self::PolledInPart(report),
             outcome => Self::Polled(outcome),
         }
@@ -106,6 +112,10 @@
                 may_have_more_ends: true,
                 ..report
             })),
+            Self::PolledEnds(report) => Some(Ok(WorkerReport {
+                ends_only: true,
+                ..report
+            })),
             Self::Started(_) | Self::Confirmed(_) | Self::NotSent => None,
         }
     }
--- a/crates/scheduler/src/entry_row.rs
+++ b/crates/scheduler/src/entry_row.rs
@@ -26,6 +26,9 @@
     /// Capacity of its network link, in Mbit/s.
     #[serde(default)]
     link_mbps: f64,
+    /// Whether, as a delegate, it knows polls for run ends; an earlier version does not.
+    #[serde(default)]
+    pub(crate) knows_ends_polls: bool,
 }
 
 impl EntryRow {
@@ -36,6 +39,7 @@
             centre: settings.centre.clone(),
             cores: settings.cores,
             link_mbps: settings.link_mbps,
+            knows_ends_polls: true,
         }
     }
 
--- a/crates/scheduler/src/leading/delegates.rs
+++ b/crates/scheduler/src/leading/delegates.rs
@@ -4,7 +4,7 @@
     super::leadership::Leadership,
     crate::{
         delegation::{DelegateLink, LinkCalls, LinkEnd, open_link},
-        entry_row::{entry_of_key, parse_entry_row},
+        entry_row::{EntryRow, entry_of_key, parse_entry_row},
         node::{SchedulerNode, lock, uptime_ms},
         store::{ENTRY_PREFIX, PrefixUpdate, ResumeMode, follow_prefix},
     },
@@ -37,7 +37,7 @@
 #[derive(Debug, Default)]
 struct DelegateState {
     roster: DelegateRoster,
-    addresses: FastMap<EntryName, SocketAddr>,
+    rows: FastMap<EntryName, EntryRow>,
     links: FastMap<EntryName, DelegateLink>,
     new_links: Vec<NewLink>,
 }
@@ -76,17 +76,17 @@
         let state = &mut *state;
         state.roster.assign(fleet, uptime_ms());
         for entry in state.roster.delegates_in_use() {
-            let Some(address) = state.addresses.get(entry) else {
+            let Some(row) = state.rows.get(entry) else {
                 continue;
             };
             if state.links.contains_key(entry) {
                 continue;
             }
-            let (link, calls) = DelegateLink::new();
+            let (link, calls) = DelegateLink::new(row.knows_ends_polls);
             state.links.insert(entry.clone(), link);
             state.new_links.push(NewLink {
                 entry: entry.clone(),
-                address: *address,
+                address: row.address,
                 calls,
             });
         }
@@ -107,11 +107,11 @@
                 continue;
             };
             state.roster.upsert_entry(row.resources(name.clone()));
-            state.addresses.insert(name.clone(), row.address);
+            state.rows.insert(name.clone(), row);
             listed.push(name);
         }
         if complete {
-            let known: Vec<_> = state.addresses.keys().cloned().collect();
+            let known: Vec<_> = state.rows.keys().cloned().collect();
             for name in known.iter().filter(|name| !listed.contains(name)) {
                 state.remove(name);
             }
@@ -154,7 +154,7 @@
 impl DelegateState {
     fn remove(&mut self, name: &EntryName) {
         self.roster.remove_entry(name);
-        self.addresses.remove(name);
+        self.rows.remove(name);
     }
 }
 
--- a/crates/scheduler/src/leading/worker_route.rs
+++ b/crates/scheduler/src/leading/worker_route.rs
@@ -3,7 +3,7 @@
 use {
     crate::delegation::{DelegateLink, LinkFault, WorkerCall, WorkerReply, WorkerTarget},
     dotterelshore_domain::schedule::{
-        PollRequest, StartOrder, StartRefusal, StartReply, StopOrder, WorkerReport,
+        PollRequest, PollScope, StartOrder, StartRefusal, StartReply, StopOrder, WorkerReport,
     },
     dotterelshore_platform::{WorkerClient, WorkerFault},
     snafu::Snafu,
@@ -29,19 +29,31 @@
 /// The way by which calls reach a worker.
 #[derive(Debug, Clone)]
 pub(super) enum WorkerRoute {
-    /// Calls are sent to the worker.
-    Direct(WorkerClient),
+    /// Calls are sent to the worker, of the incarnation that began then, in milliseconds since the
+    /// Unix epoch.
+    Direct(WorkerClient, u64),
     /// Calls are handed to a delegate.
     Delegated(DelegateLink, WorkerTarget),
 }
 
 impl WorkerRoute {
-    /// Polls the worker's lists of runs.
-    pub(super) async fn poll(&self, request: &PollRequest) -> Result<WorkerReport, RouteFault> {
+    /// Polls the worker's lists of runs, as far as the scope asks.
+    pub(super) async fn poll(
+        &self,
+        request: &PollRequest,
+        scope: PollScope,
+    ) -> Result<WorkerReport, RouteFault> {
         match self {
-            Self::Direct(client) => Ok(client.poll(request).await?),
+            Self::Direct(client, started_ms) => {
+                Ok(scope.reduce(*started_ms, client.poll(request).await?))
+            }
             Self::Delegated(link, target) => {
-                let call = WorkerCall::Poll(*request);
+                let call = match scope {
+                    PollScope::EndsAfter(applied) if link.knows_ends_polls() => {
+                        WorkerCall::PollEnds(*request, applied)
+                    }
+                    _ => WorkerCall::Poll(*request),
+                };
                 let reply = link.call(target.clone(), call).await?;
                 if reply == WorkerReply::NotSent {
                     return Err(LinkFault::NotSent.into());
@@ -60,7 +72,7 @@
         token: u64,
     ) -> StartReply {
         let (link, target) = match self {
-            Self::Direct(client) => return client.start(order, lease_until_ms, token).await,
+            Self::Direct(client, _) => return client.start(order, lease_until_ms, token).await,
             Self::Delegated(link, target) => (link, target),
         };
         let call = WorkerCall::Start {
@@ -81,7 +93,7 @@
     /// Stops a run; returns the worker's clock at its confirmation, in milliseconds.
     pub(super) async fn stop(&self, order: &StopOrder, token: u64) -> Result<u64, RouteFault> {
         match self {
-            Self::Direct(client) => Ok(client.stop(order, token).await?),
+            Self::Direct(client, _) => Ok(client.stop(order, token).await?),
             Self::Delegated(link, target) => {
                 let order = order.clone();
                 confirm(link, target, WorkerCall::Stop { order, token }).await
@@ -97,7 +109,7 @@
         token: u64,
     ) -> Result<u64, RouteFault> {
         match self {
-            Self::Direct(client) => Ok(client.pace(order, percent, token).await?),
+            Self::Direct(client, _) => Ok(client.pace(order, percent, token).await?),
             Self::Delegated(link, target) => {
                 let call = WorkerCall::Pace {
                     order: order.clone(),
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -15,7 +15,7 @@
     },
     dotterelshore_domain::{
         names::WorkerName,
-        schedule::{ListedWorker, PollRequest},
+        schedule::{ListedWorker, PollRequest, PollScope},
     },
     dotterelshore_platform::{WorkerClient, WorkerFault},
     dotterelshore_wire::{event_log::unix_millis, log_event},
@@ -127,7 +127,7 @@
             ));
         }
         let client = self.client.get_or_init(|| WorkerClient::new(&self.listed));
-        Some(WorkerRoute::Direct(client.clone()))
+        Some(WorkerRoute::Direct(client.clone(), self.listed.started_ms))
     }
 }
 
@@ -159,8 +159,8 @@
             *lock(&clock.reading) = None;
         }
         let token = leadership.token();
-        let request = next_poll_request(&node, &leadership, &clock, token, is_unreachable);
-        match current.poll(&request).await {
+        let (request, scope) = next_poll_request(&node, &leadership, &clock, token, is_unreachable);
+        match current.poll(&request, scope).await {
             Ok(report) => {
                 is_unreachable = false;
                 is_rerouted = false;
@@ -212,14 +212,14 @@
     }
 }
 
-/// Builds the next poll. It extends the lease, and waits, only if the worker answered the last one.
+/// Builds the next poll, and what it asks for. It extends the lease, and waits, only if the worker answered the last one.
 fn next_poll_request(
     node: &SchedulerNode,
     leadership: &Leadership,
     clock: &WorkerClock,
     token: u64,
     is_unreachable: bool,
-) -> PollRequest {
+) -> (PollRequest, PollScope) {
     let mut schedule = lock(&leadership.schedule);
     let lease_until_ms = clock
         .lease_until(node)
@@ -232,10 +232,11 @@
     } else {
         POLL_WAIT_MS
     };
-    PollRequest {
+    let request = PollRequest {
         lease_until_ms,
         fencing_token: token,
         acknowledged_end: schedule.acknowledged_end(&clock.name),
         wait_ms: lease_until_ms.map(|_| wait_ms),
-    }
+    };
+    (request, schedule.poll_scope(&clock.name, uptime_ms()))
 }
