Plan by what changed, not by looking at the whole fleet

What callers saw: kern-check late in peaks, and with the owner slowed hardly served.

Change: jobs and workers are kept in tables that know which rows may have changed (TrackedTable). A pass looks at those again, and at the jobs that wait. Each pool keeps its candidates in cells of free processor and memory (PoolCandidates), so that a start finds the one with the least room that suffices without comparing all. A newly listed worker is stored and started by itself. A pass waits three times as long as the last one took.

--- a/crates/domain/src/schedule/delegate_roster.rs
+++ b/crates/domain/src/schedule/delegate_roster.rs
@@ -57,6 +57,18 @@
     available_from_ms: u64,
 }
 
+impl DelegateStatus {
+    /// Its place in the order for a worker of a data centre; the lowest is chosen.
+    fn rank(&self, centre: &CentreName) -> (bool, bool, Reverse<usize>, &EntryName) {
+        (
+            self.resources.centre != *centre,
+            self.workers == 0,
+            Reverse(self.capacity),
+            &self.resources.name,
+        )
+    }
+}
+
 /// Assigns workers to the entries that carry the owner's calls to them.
 #[derive(Debug, Default)]
 pub struct DelegateRoster {
@@ -145,12 +157,22 @@
         let present: FastSet<_> = fleet.iter().map(|(name, _)| name).collect();
         self.routes.retain(|worker, _| present.contains(worker));
         self.count_workers();
-        let own_share = self.own_share(fleet.len());
-        let direct: Vec<_> = fleet
+        self.assign_new(fleet, fleet.len(), now_ms);
+    }
+
+    /// Assigns those of some workers that have no delegate, in a fleet of this size.
+    pub fn assign_new(&mut self, new: &[(WorkerName, CentreName)], fleet_size: usize, now_ms: u64) {
+        let own_share = self.own_share(fleet_size);
+        let direct: Vec<_> = new
             .iter()
             .filter(|(name, _)| !self.routes.contains_key(name))
             .collect();
-        let excess = direct.len().saturating_sub(own_share);
+        let called_by_owner = fleet_size.saturating_sub(self.routes.len());
+        let excess = match own_share {
+            // Routes of workers that left since the last assignment count until the next.
+            0 => direct.len(),
+            _ => called_by_owner.saturating_sub(own_share),
+        };
         let cut_off = self.centres_cut_off(now_ms);
         for (worker, centre) in direct.into_iter().rev().take(excess) {
             let Some(delegate) = self.choose_delegate(centre, &cut_off, now_ms) else {
@@ -208,15 +230,9 @@
                 && now_ms >= status.available_from_ms
                 && !cut_off.contains(&status.resources.centre)
         };
-        let rank = |status: &&DelegateStatus| {
-            (
-                status.resources.centre != *centre,
-                status.workers == 0,
-                Reverse(status.capacity),
-                status.resources.name.clone(),
-            )
-        };
-        let chosen = self.delegates.values().filter(has_room).min_by_key(rank)?;
+        let in_rank =
+            |a: &&DelegateStatus, b: &&DelegateStatus| a.rank(centre).cmp(&b.rank(centre));
+        let chosen = self.delegates.values().filter(has_room).min_by(in_rank)?;
         Some(chosen.resources.name.clone())
     }
 }
--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -9,10 +9,13 @@
         job_plan::Resources,
         job_progress::{JobRecord, JobState, ProgressRecord},
         live_job::LiveJob,
+        planning_work::PlanningWork,
+        pool_candidates::FleetCandidates,
         queue_table::QueueTable,
         run_tracking::DroppedRuns,
         share_bucket::ShareBucket,
         task_name::TaskName,
+        tracked_table::TrackedTable,
         worker_order::WorkerOrder,
         worker_status::WorkerStatus,
     },
@@ -65,9 +68,18 @@
 #[derive(Debug, Default)]
 pub struct FleetSchedule {
     pub(super) rule: OrderRule,
-    pub(super) jobs: FastMap<JobName, LiveJob>,
+    pub(super) jobs: TrackedTable<JobName, LiveJob>,
     pub(super) active: FastMap<PoolName, FastSet<JobName>>,
-    pub(super) workers: FastMap<WorkerName, WorkerStatus>,
+    /// Of these, the jobs that may have a startable task, or will at some time.
+    pub(super) waiting: FastMap<PoolName, FastSet<JobName>>,
+    pub(super) workers: TrackedTable<WorkerName, WorkerStatus>,
+    /// The workers that accept tasks, as of the last planning pass.
+    pub(super) candidates: FleetCandidates,
+    /// Workers that may have orphaned runs until some time.
+    pub(super) unsettled: FastSet<WorkerName>,
+    /// Workers listed since they were last asked for, which no stored snapshot may have.
+    pub(super) newly_listed: Vec<WorkerName>,
+    pub(super) planning_work: PlanningWork,
     pub(super) teams: FastMap<TeamName, TeamUsage>,
     pub(super) shares: FastMap<TeamName, ShareBucket>,
     pub(super) arrivals: FastMap<PoolName, ArrivalRate>,
@@ -162,7 +174,7 @@
     /// relies on the lease end given there.
     pub fn renew_lease(&mut self, name: &WorkerName, now_ms: u64) -> bool {
         let lease = self.lease_ms + self.lease_ms * CLOCK_DRIFT_PERCENT / 100 + LEASE_SLACK_MS;
-        let status = self.workers.get_mut(name);
+        let status = self.workers.get_untracked(name);
         let Some(status) = status.filter(|status| status.reachable && !status.recorded_unreachable)
         else {
             return false;
@@ -272,6 +284,11 @@
         expired
     }
 
+    /// Returns what planning passes have looked at so far.
+    pub fn planning_work(&self) -> PlanningWork {
+        self.planning_work
+    }
+
     /// Whether progress is to be recorded at once: the end of a job, for which its caller waits,
     /// or a crash, for which the start of its task waits.
     pub fn has_urgent_progress(&self) -> bool {
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Whether occurrences become due at a later time.
+    pub(super) fn has_occurrences_to_come(&self) -> bool {
+        self.due_occurrences < self.record.plan.occurrences()
+    }
+
     fn create_next_occurrence(&mut self) {
         let steps = self.record.plan.steps.iter().map(|step| StepState {
             tasks: vec![TaskState::default(); step.count as usize],
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -19,6 +19,7 @@
 mod pace_controller;
 mod partial_gang;
 mod placement;
+mod planning_work;
 mod poll_scope;
 mod pool_candidates;
 mod pool_demand;
@@ -32,6 +33,7 @@
 mod step_advice;
 mod task_name;
 mod task_run;
+mod tracked_table;
 mod unplaced_needs;
 mod worker_disruption;
 mod worker_listing;
@@ -51,6 +53,7 @@
     job_progress::{JobRecord, JobState, ProgressRecord, StepProgress, TaskCrashes, TaskFailures},
     maintenance_wave::{WaveProgress, WaveSpec},
     pace_controller::PaceController,
+    planning_work::PlanningWork,
     poll_scope::PollScope,
     pool_load::PoolLoad,
     queue_table::{
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -7,7 +7,7 @@
         fleet_schedule::FleetSchedule,
         job_order::JobSortKey,
         job_plan::{Resources, StepPlan},
-        pool_candidates::{Candidate, PoolCandidates, use_of},
+        pool_candidates::{Candidate, PoolCandidates},
         task_name::TaskName,
         task_run::TaskRun,
         unplaced_needs::UnplacedNeeds,
@@ -33,6 +33,7 @@
         wall_ms: u64,
         sole_until_ms: u64,
     ) -> Vec<WorkerOrder> {
+        self.update_candidates(now_ms);
         self.count_orphaned_runs(now_ms);
         let mut orders = self.give_up_culprits(now_ms, wall_ms);
         let mut waiting_by_pool = self.waiting_jobs(now_ms, wall_ms, sole_until_ms);
@@ -41,24 +42,63 @@
         if waiting_by_pool.is_empty() {
             return orders;
         }
-        let mut candidates = PoolCandidates::gather(self, &waiting_by_pool, now_ms);
         for (pool, waiting) in &mut waiting_by_pool {
             waiting.sort_unstable();
-            let mut candidates = candidates.take_pool(pool);
-            let names = waiting.iter().map(|(_, name)| name);
-            let trials = self.plan_trials(pool, names, &mut candidates, now_ms);
-            for trial in trials {
-                self.start_trial(trial, now_ms, &mut orders);
+            if self.suspects.is_empty() && self.trials.is_empty() {
+                let mut candidates = self.candidates.take_pool(pool);
+                self.plan_pool(waiting, &mut candidates, now_ms, &mut orders);
+                self.candidates.return_pool(pool, candidates);
+            } else {
+                self.plan_pool_with_trials(pool, waiting, now_ms, &mut orders);
             }
-            self.plan_pool(waiting, &mut candidates, now_ms, &mut orders);
         }
         orders
     }
 
+    /// Looks again at the workers that may have changed since the last pass.
+    fn update_candidates(&mut self, now_ms: u64) {
+        let mut changed = self.workers.take_changed();
+        changed.extend(self.candidates.take_ejected());
+        self.planning_work.passes += 1;
+        self.planning_work.workers += changed.len() as u64;
+        for name in changed {
+            let status = self.workers.get(&name);
+            if status.is_some_and(|status| status.may_have_orphans(now_ms)) {
+                self.unsettled.insert(name.clone());
+            }
+            self.candidates.update(&name, status, now_ms);
+        }
+    }
+
+    /// Places the tasks of a pool in which tasks are suspected of crashing their workers.
+    fn plan_pool_with_trials(
+        &mut self,
+        pool: &PoolName,
+        waiting: &[(JobSortKey, JobName)],
+        now_ms: u64,
+        orders: &mut Vec<WorkerOrder>,
+    ) {
+        let kept = self.candidates.take_pool(pool);
+        let mut candidates: Vec<_> = kept.iter().cloned().collect();
+        self.candidates.return_pool(pool, kept);
+        let names = waiting.iter().map(|(_, name)| name);
+        let trials = self.plan_trials(pool, names, &mut candidates, now_ms);
+        for trial in trials {
+            self.start_trial(trial, now_ms, orders);
+        }
+        let mut candidates = candidates.into_iter().collect();
+        self.plan_pool(waiting, &mut candidates, now_ms, orders);
+    }
+
     /// Holds back jobs of earlier owners in pools that may have orphaned runs. Each of their
     /// ready tasks that is not known to run counts towards the ceiling of its team.
     fn count_orphaned_runs(&mut self, now_ms: u64) {
-        let may_have = self.workers.values().filter(|w| w.may_have_orphans(now_ms));
+        let workers = &self.workers;
+        self.unsettled.retain(|name| {
+            let status = workers.get(name);
+            status.is_some_and(|status| status.may_have_orphans(now_ms))
+        });
+        let may_have = self.unsettled.iter().filter_map(|name| workers.get(name));
         let orphaned: FastSet<PoolName> = may_have.map(|w| w.listed.pool.clone()).collect();
         if orphaned.is_empty() && !self.has_orphans {
             return;
@@ -91,21 +131,33 @@
         wall_ms: u64,
         sole_until_ms: u64,
     ) -> FastMap<PoolName, Vec<(JobSortKey, JobName)>> {
+        let changed = self.jobs.take_changed();
+        self.planning_work.jobs += changed.len() as u64;
+        for name in changed {
+            if let Some(job) = self.jobs.get(&name).filter(|job| job.ended.is_none()) {
+                let waiting = self.waiting.entry(job.record.pool.clone()).or_default();
+                waiting.insert(name);
+            }
+        }
         let mut waiting_by_pool = FastMap::default();
-        for (pool, names) in &self.active {
+        for (pool, names) in &mut self.waiting {
+            self.planning_work.jobs += names.len() as u64;
             let mut waiting = Vec::new();
-            for name in names {
-                let Some(job) = self.jobs.get_mut(name) else {
-                    continue;
+            names.retain(|name| {
+                let job = self.jobs.get_untracked(name);
+                let Some(job) = job.filter(|job| job.ended.is_none()) else {
+                    return false;
                 };
                 if job.added_ms >= sole_until_ms {
-                    continue;
+                    return true;
                 }
                 job.create_due_occurrences(wall_ms);
                 if job.has_startable_task() {
                     waiting.push((job.urgency().sort_key(self.rule, now_ms), name.clone()));
+                    return true;
                 }
-            }
+                job.has_occurrences_to_come()
+            });
             if !waiting.is_empty() {
                 waiting_by_pool.insert(pool.clone(), waiting);
             }
@@ -135,7 +187,7 @@
     fn plan_pool(
         &mut self,
         waiting: &[(JobSortKey, JobName)],
-        candidates: &mut [Candidate],
+        candidates: &mut PoolCandidates,
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
     ) {
@@ -157,26 +209,21 @@
             if orders.len() > orders_before {
                 backfill.record_start();
             } else if !has_room {
-                backfill.record_without_room(|| use_of(candidates));
+                backfill.record_without_room(|| candidates.totals());
             }
         }
     }
 
     /// Places the tasks of a job that is in a trial.
-    fn start_trial(
-        &mut self,
-        mut trial: TrialCandidates,
-        now_ms: u64,
-        orders: &mut Vec<WorkerOrder>,
-    ) {
+    fn start_trial(&mut self, trial: TrialCandidates, now_ms: u64, orders: &mut Vec<WorkerOrder>) {
         if trial.ready.is_empty() {
             return;
         }
         let mut unplaced = UnplacedNeeds::default();
         let steps = self.placeable_steps(&trial.job, &unplaced, &BackfillLimit::default());
+        let mut ready = trial.ready.into_iter().collect();
         for step in steps.into_iter().flatten() {
-            let ready = &mut trial.ready;
-            self.start_step(&trial.job, step, ready, &mut unplaced, now_ms, orders);
+            self.start_step(&trial.job, step, &mut ready, &mut unplaced, now_ms, orders);
         }
     }
 
@@ -205,7 +252,7 @@
         &mut self,
         name: &JobName,
         (occurrence, step): (u32, usize),
-        candidates: &mut [Candidate],
+        candidates: &mut PoolCandidates,
         unplaced: &mut UnplacedNeeds,
         now_ms: u64,
         orders: &mut Vec<WorkerOrder>,
@@ -265,9 +312,8 @@
                 has_room = false;
                 break;
             };
-            let chosen = &mut candidates[chosen];
-            chosen.used += plan.reserved();
-            let worker = chosen.name.clone();
+            let worker = chosen;
+            candidates.reserve(&worker, plan.reserved());
             let run = self.assign_run(&task, &worker, gang_run, now_ms);
             placed.push((task, worker, run));
         }
@@ -301,7 +347,7 @@
     /// run number, since a partial placement would use numbers up.
     fn gang_fits(
         &self,
-        candidates: &[Candidate],
+        candidates: &PoolCandidates,
         plan: &StepPlan,
         member: &TaskName,
         now_ms: u64,
@@ -330,13 +376,10 @@
         &self,
         unplaced: &mut UnplacedNeeds,
         plan: &StepPlan,
-        candidates: &[Candidate],
+        candidates: &PoolCandidates,
     ) {
         let need = plan.reserved();
-        let mut fitting = candidates
-            .iter()
-            .filter(|candidate| need.fits(candidate.used, candidate.capacity))
-            .peekable();
+        let mut fitting = candidates.with_room(need).peekable();
         if fitting.peek().is_none() {
             unplaced.record(None, need);
         } else if let Some(label) = &plan.requires
@@ -354,7 +397,7 @@
         &self,
         name: &JobName,
         (occurrence, step): (u32, usize),
-        candidates: &[Candidate],
+        candidates: &PoolCandidates,
         now_ms: u64,
     ) -> bool {
         let Some(job) = self.jobs.get(name).filter(|job| job.record.advised) else {
@@ -393,17 +436,16 @@
         run
     }
 
-    /// Chooses the worker for a task and returns its position: near its data first, then the
-    /// fullest that has room, so that large tasks find room too and idle instances can leave the
-    /// pool. Long-running tasks are spread so far that disrupting one instance stays within the
-    /// limit of their step. Workers with pending maintenance come last, so that they become idle.
+    /// Chooses the worker for a task: near its data first, then in the order of the candidates with
+    /// room. Long-running tasks are spread so far that disrupting one instance stays within the
+    /// limit of their step.
     fn choose_worker(
-        &self,
-        candidates: &[Candidate],
+        &mut self,
+        candidates: &PoolCandidates,
         plan: &StepPlan,
         task: &TaskName,
         now_ms: u64,
-    ) -> Option<usize> {
+    ) -> Option<WorkerName> {
         let need = plan.reserved();
         let job = self.jobs.get(&task.job)?;
         let advice = job.step(task).filter(|_| job.record.advised);
@@ -412,32 +454,35 @@
                 && status.is_eligible(plan, task)
         };
         let takes_any = advice.is_none() && plan.requires.is_none() && plan.anti_affinity.is_none();
-        let has_preference = plan.affinity.is_some() || plan.long_running;
-        let rank = |candidate: &Candidate| {
-            let status = has_preference.then(|| self.workers.get(&candidate.name));
-            let (is_far, is_crowded) = status.flatten().map_or((false, false), |status| {
-                let near = plan
-                    .affinity
-                    .as_ref()
-                    .is_none_or(|rack| status.has_label(rack.as_str()));
-                let crowded =
-                    plan.long_running && status.count_same_step(task) >= plan.max_per_worker();
-                (!near, crowded)
-            });
-            let free = free_cpu_share(candidate.used, candidate.capacity);
-            (is_far, is_crowded, candidate.pending_maintenance, free)
+        let mut considered = 0;
+        let mut accepts = |candidate: &Candidate| {
+            considered += 1;
+            takes_any || self.workers.get(&candidate.name).is_some_and(is_eligible)
         };
-        let fitting = candidates.iter().enumerate().filter(|(_, candidate)| {
-            need.fits(candidate.used, candidate.capacity)
-                && (takes_any || self.workers.get(&candidate.name).is_some_and(is_eligible))
-        });
-        let chosen = fitting.min_by_key(|(_, candidate)| rank(candidate));
-        chosen.map(|(position, _)| position)
+        let chosen = if plan.affinity.is_some() || plan.long_running {
+            let accepted = candidates
+                .with_room(need)
+                .filter(|candidate| accepts(candidate));
+            accepted.min_by_key(|candidate| self.preference(plan, task, candidate))
+        } else {
+            candidates.first_with_room(need, accepts)
+        };
+        let chosen = chosen.map(|candidate| candidate.name.clone());
+        self.planning_work.workers += considered;
+        chosen
     }
-}
 
-/// Returns the free processor share, in thousandths of the capacity.
-fn free_cpu_share(used: Resources, capacity: Resources) -> u64 {
-    let free = capacity.cpu_milli.saturating_sub(used.cpu_milli);
-    free.saturating_mul(1000) / capacity.cpu_milli.max(1)
+    /// Ranks a candidate for a task with preferences: whether it is far from the task's data, and
+    /// whether it has as many of its step as one worker should have.
+    fn preference(&self, plan: &StepPlan, task: &TaskName, candidate: &Candidate) -> (bool, bool) {
+        let Some(status) = self.workers.get(&candidate.name) else {
+            return (false, false);
+        };
+        let is_far = plan
+            .affinity
+            .as_ref()
+            .is_some_and(|rack| !status.has_label(rack.as_str()));
+        let is_crowded = plan.long_running && status.count_same_step(task) >= plan.max_per_worker();
+        (is_far, is_crowded)
+    }
 }
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -366,8 +366,10 @@
     /// those that rule out unconfirmed starts. Without `sole_owner`, another owner may have
     /// extended the leases, and none counts as expired.
     pub fn tick(&mut self, now_ms: u64, sole_owner: bool) -> Vec<WorkerOrder> {
-        for status in self.workers.values_mut().filter(|status| !status.reachable) {
-            status.silent_since_ms.get_or_insert(now_ms);
+        for (_, status) in self.workers.iter_untracked() {
+            if !status.reachable {
+                status.silent_since_ms.get_or_insert(now_ms);
+            }
         }
         let expired: Vec<_> = self
             .workers
--- a/crates/domain/src/schedule/snapshot_shard.rs
+++ b/crates/domain/src/schedule/snapshot_shard.rs
@@ -58,6 +58,15 @@
         self.written.len() == usize::from(SHARDS)
     }
 
+    /// Returns the shards of those of some workers that no stored snapshot has.
+    pub fn shards_without(&self, workers: &[WorkerName]) -> Vec<SnapshotShard> {
+        let missing = workers.iter().filter(|name| !self.contains(name));
+        let mut shards: Vec<_> = missing.map(SnapshotShard::of_worker).collect();
+        shards.sort_unstable();
+        shards.dedup();
+        shards
+    }
+
     /// Returns the shards that differ from the schedule, or whose last write may have failed.
     pub fn outdated_shards(&self, schedule: &FleetSchedule, now_ms: u64) -> Vec<SnapshotShard> {
         let mut outdated: FastSet<_> = SnapshotShard::all()
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -32,8 +32,15 @@
     /// Sets the workers whose instances await maintenance by a wave in progress. Tasks go to
     /// other workers as far as these have room.
     pub(super) fn set_pending_maintenance(&mut self, pending: &FastSet<WorkerName>) {
-        for (name, status) in &mut self.workers {
-            status.pending_maintenance = pending.contains(name);
+        let is_changed = |status: &&WorkerStatus| {
+            status.pending_maintenance != pending.contains(&status.listed.name)
+        };
+        let changed = self.workers.values().filter(is_changed);
+        let changed: Vec<_> = changed.map(|status| status.listed.name.clone()).collect();
+        for name in changed {
+            if let Some(status) = self.workers.get_mut(&name) {
+                status.pending_maintenance = !status.pending_maintenance;
+            }
         }
     }
 
--- a/crates/domain/src/schedule/worker_listing.rs
+++ b/crates/domain/src/schedule/worker_listing.rs
@@ -24,21 +24,29 @@
                 return false;
             }
             if known.listed.started_ms != listed.started_ms {
+                self.newly_listed.push(listed.name.clone());
                 self.replace_incarnation(listed);
                 return true;
             }
         }
         let orphans_until_ms = self.orphans_until_ms;
-        let status = self
-            .workers
-            .entry(listed.name.clone())
-            .or_insert_with(|| WorkerStatus::new(listed.clone(), orphans_until_ms));
+        let status = self.workers.get_or_insert_with(listed.name.clone(), || {
+            WorkerStatus::new(listed.clone(), orphans_until_ms)
+        });
+        if !status.present || !status.reported {
+            self.newly_listed.push(listed.name.clone());
+        }
         status.listed = listed;
         status.has_current_row = true;
         status.present = true;
         true
     }
 
+    /// Takes the workers that were listed since the last call.
+    pub fn take_newly_listed(&mut self) -> Vec<WorkerName> {
+        std::mem::take(&mut self.newly_listed)
+    }
+
     fn replace_incarnation(&mut self, listed: ListedWorker) {
         let name = listed.name.clone();
         self.attribute_crash(&name, DropReason::Replaced);
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -85,7 +85,7 @@
     fn restore_listed(&mut self, listed: ListedWorker) {
         let orphans_until_ms = self.orphans_until_ms;
         let name = listed.name.clone();
-        let status = self.workers.entry(name).or_insert_with(|| {
+        let status = self.workers.get_or_insert_with(name, || {
             let mut status = WorkerStatus::new(listed, orphans_until_ms);
             status.present = false;
             status
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -255,7 +255,12 @@
             && !self.recorded_unreachable
             && !self.cordoned
             && !self.listed.draining
-            && now_ms >= self.ejected_until_ms
+            && !self.is_ejected(now_ms)
+    }
+
+    /// Whether it gets no tasks for a while because of failures.
+    pub(super) fn is_ejected(&self, now_ms: u64) -> bool {
+        now_ms < self.ejected_until_ms
     }
 
     /// Whether it may have orphaned runs, which an earlier owner started and this one does not
--- a/crates/scheduler/src/leading/delegates.rs
+++ b/crates/scheduler/src/leading/delegates.rs
@@ -73,8 +73,18 @@
     /// Assigns the workers of the fleet and creates the links that this needs.
     pub(super) fn assign(&self, fleet: &[(WorkerName, CentreName)]) {
         let mut state = lock(&self.state);
-        let state = &mut *state;
         state.roster.assign(fleet, uptime_ms());
+        self.create_links(&mut state);
+    }
+
+    /// Assigns new workers of a fleet of this size and creates the links that this needs.
+    pub(super) fn assign_new(&self, new: &[(WorkerName, CentreName)], fleet_size: usize) {
+        let mut state = lock(&self.state);
+        state.roster.assign_new(new, fleet_size, uptime_ms());
+        self.create_links(&mut state);
+    }
+
+    fn create_links(&self, state: &mut DelegateState) {
         for entry in state.roster.delegates_in_use() {
             let Some(row) = state.rows.get(entry) else {
                 continue;
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -228,6 +228,19 @@
         self.delegates.assign(&fleet);
     }
 
+    /// Assigns workers that were just listed to delegates.
+    pub(super) fn assign_new_to_delegates(&self, names: &[WorkerName]) {
+        let (new, fleet_size) = {
+            let schedule = lock(&self.schedule);
+            let listed = names.iter().filter_map(|name| schedule.worker(name));
+            let new: Vec<_> = listed
+                .map(|status| (status.listed.name.clone(), status.listed.centre.clone()))
+                .collect();
+            (new, schedule.workers().count())
+        };
+        self.delegates.assign_new(&new, fleet_size);
+    }
+
     /// Opens the order queues of a worker; `None` if they are already open.
     pub(super) fn open_order_queues(&self, name: &WorkerName) -> Option<OrderReceivers> {
         let mut queues = lock(&self.order_queues);
@@ -254,6 +267,21 @@
         to_start.cloned().collect()
     }
 
+    /// Returns those of some workers that are in stored snapshots and whose tasks do not run yet.
+    pub(super) fn workers_to_start_of(
+        &self,
+        names: &[WorkerName],
+        stored: &StoredSnapshots,
+    ) -> Vec<ListedWorker> {
+        let schedule = lock(&self.schedule);
+        let queues = lock(&self.order_queues);
+        let to_start = names
+            .iter()
+            .filter(|name| !queues.contains_key(*name) && stored.contains(name))
+            .filter_map(|name| schedule.worker(name));
+        to_start.map(|status| status.listed.clone()).collect()
+    }
+
     /// Closes the order queues of a worker.
     pub(super) fn close_order_queues(&self, name: &WorkerName) {
         lock(&self.order_queues).remove(name);
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -28,7 +28,10 @@
     },
     dotterelshore_platform::{KvFault, KvPage, KvRow, WORKER_PREFIX},
     dotterelshore_wire::{event_log::unix_millis, log_event, timer_hub::jittered_pause},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::task::JoinSet,
 };
 
@@ -43,8 +46,11 @@
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time between checks of leases, unanswered orders and due jobs.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
-/// Pause before a planning pass, so that runs that end close together share one pass.
+/// Shortest pause before a planning pass, so that runs that end close together share one pass.
 const PLAN_PAUSE: Duration = Duration::from_millis(3);
+/// The pause as a multiple of the time that the last pass took, so that planning leaves time for
+/// reports and orders however many jobs wait.
+const PLAN_PAUSE_FACTOR: u32 = 3;
 /// Time between removals of jobs whose retention has ended.
 const REMOVAL_PERIOD: Duration = Duration::from_secs(20);
 /// Ended jobs are kept for this multiple of their query time, so that a late repeat of a
@@ -267,17 +273,19 @@
 
 async fn run_planner(node: Arc<SchedulerNode>, leadership: Arc<Leadership>) {
     let mut interval = node.timer.interval(TICK_PERIOD);
+    let mut took = Duration::ZERO;
     loop {
         let ticked = tokio::select! {
             () = leadership.plan_notify.notified() => false,
             () = interval.tick() => true,
         };
         if !ticked {
-            tokio::time::sleep(PLAN_PAUSE).await;
+            tokio::time::sleep(PLAN_PAUSE.max(took * PLAN_PAUSE_FACTOR)).await;
         }
         if !leadership.has_authority() {
             continue;
         }
+        let began = Instant::now();
         let now_ms = uptime_ms();
         let sole_owner_until_ms = leadership.sole_owner_until_ms();
         let (orders, dropped, notices) = {
@@ -292,6 +300,7 @@
             (orders, dropped, schedule.take_crash_notices())
         };
         leadership.dispatch(orders);
+        took = began.elapsed();
         log_dropped(&dropped);
         if !notices.is_empty() {
             log_crash_notices(&node, &notices);
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -133,29 +133,43 @@
 ) {
     let mut stored = StoredSnapshots::default();
     let mut interval = node.timer.interval(SNAPSHOT_CHECK_PERIOD);
+    let mut is_check = true;
     loop {
-        let outdated = stored.outdated_shards(&lock(&leadership.schedule), uptime_ms());
+        let newly_listed = lock(&leadership.schedule).take_newly_listed();
+        let outdated = if is_check {
+            stored.outdated_shards(&lock(&leadership.schedule), uptime_ms())
+        } else {
+            stored.shards_without(&newly_listed)
+        };
         if !outdated.is_empty() && leadership.has_authority() {
             let outcome = store_worker_snapshots(&node, &leadership, &mut stored, &outdated);
             if let Err(error) = outcome.await {
                 node.metrics.count_retry("roster");
                 log_event!(Warn, "worker-snapshots-not-stored", error = error);
                 tokio::time::sleep(SNAPSHOT_RETRY_PAUSE).await;
+                is_check = true;
+                continue;
             }
         }
         if has_unsharded && stored.is_complete() && leadership.has_authority() {
             has_unsharded = delete_unsharded(&node, &leadership).await.is_err();
         }
-        leadership.assign_delegates();
-        for listed in leadership.workers_to_start(&stored) {
+        let to_start = if is_check {
+            leadership.assign_delegates();
+            leadership.workers_to_start(&stored)
+        } else {
+            leadership.assign_new_to_delegates(&newly_listed);
+            leadership.workers_to_start_of(&newly_listed, &stored)
+        };
+        for listed in to_start {
             if leadership.has_authority() {
                 start_worker(&node, &leadership, listed);
             }
         }
-        tokio::select! {
-            () = interval.tick() => {}
-            () = leadership.snapshot_notify.notified() => {}
-        }
+        is_check = tokio::select! {
+            () = interval.tick() => true,
+            () = leadership.snapshot_notify.notified() => false,
+        };
     }
 }
 
