Plan instances without copies, and start at most 125 planning passes a second

Cause: each plan of the instances copied the names of the worker and the pool of every instance, and did so twice. Planning passes came each 3 ms, most of them with a handful of starts.

Change: the hosts of instances are borrowed, and unanswered orders are looked for only if there are any. A pass begins 8 ms after what asks for it: a hundredth of the shortest objective.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         fleet_schedule::FleetSchedule, maintenance_wave::WaveState, order_budget::OrderBudget,
-        pool_demand::wanted_instances, worker_order::WorkerOrder, worker_status::ListedWorker,
+        pool_demand::wanted_instances, worker_order::WorkerOrder, worker_status::WorkerStatus,
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -288,8 +288,13 @@
     /// Updates each instance's worker and whether it is idle.
     pub(super) fn update_workers(&mut self, schedule: &mut FleetSchedule, now_ms: u64) {
         let hosted = hosted_workers(schedule);
+        let mut stayed = Vec::new();
         for (name, status) in &mut self.instances {
-            status.worker = hosted.get(name).map(|(worker, _)| worker.clone());
+            let worker = hosted.get(name).map(|(_, worker)| *worker);
+            let worker_name = worker.map(|worker| &worker.listed.name);
+            if status.worker.as_ref() != worker_name {
+                status.worker = worker_name.cloned();
+            }
             let list_trusted = status
                 .ordered_ms
                 .is_none_or(|at| now_ms >= at + ORDER_PRECEDENCE_MS);
@@ -297,22 +302,14 @@
             {
                 // The unanswered move did not happen in time: a worker that stayed gets tasks
                 // again.
-                if let Some(worker) = &status.worker {
-                    schedule.set_cordon(worker, false);
-                }
+                stayed.extend(status.worker.clone());
             }
             // A worker's report is newer than the list.
-            status.up |= hosted.get(name).is_some_and(|(worker, pool)| {
-                *pool == status.pool
-                    && schedule
-                        .worker(worker)
-                        .is_some_and(|status| status.reported)
-            });
+            status.up |=
+                worker.is_some_and(|worker| worker.listed.pool == status.pool && worker.reported);
             let idle = status.up
-                && status.worker.as_ref().is_some_and(|worker| {
-                    schedule.worker(worker).is_some_and(|status| {
-                        status.reported && status.reachable && status.runs.is_empty()
-                    })
+                && worker.is_some_and(|worker| {
+                    worker.reported && worker.reachable && worker.runs.is_empty()
                 });
             if idle {
                 status.idle_since_ms.get_or_insert(now_ms);
@@ -320,6 +317,9 @@
                 status.idle_since_ms = None;
             }
         }
+        for worker in stayed {
+            schedule.set_cordon(&worker, false);
+        }
     }
 
     pub(super) fn accepts_order(&self, instance: &InstanceName) -> bool {
@@ -327,9 +327,12 @@
     }
 }
 
-/// Returns the worker that each instance hosts: the newest of those that answer, else the newest.
-fn hosted_workers(schedule: &FleetSchedule) -> FastMap<InstanceName, (WorkerName, PoolName)> {
-    let mut hosted: FastMap<&InstanceName, ((bool, u64), &ListedWorker)> = FastMap::default();
+/// Returns the worker that each instance hosts, with its rank: the newest of those that answer, else
+/// the newest.
+fn hosted_workers(
+    schedule: &FleetSchedule,
+) -> FastMap<&InstanceName, ((bool, u64), &WorkerStatus)> {
+    let mut hosted: FastMap<&InstanceName, ((bool, u64), &WorkerStatus)> = FastMap::default();
     for status in schedule.workers() {
         let Some(instance) = &status.listed.instance else {
             continue;
@@ -337,12 +340,8 @@
         let answers = status.present && status.reported && status.reachable;
         let rank = (answers, status.listed.started_ms);
         if hosted.get(instance).is_none_or(|(best, _)| *best < rank) {
-            hosted.insert(instance, (rank, &status.listed));
+            hosted.insert(instance, (rank, status));
         }
     }
-    let hosted = hosted.into_iter().map(|(instance, (_, listed))| {
-        let worker = (listed.name.clone(), listed.pool.clone());
-        (instance.clone(), worker)
-    });
-    hosted.collect()
+    hosted
 }
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -246,6 +246,9 @@
         schedule: &mut FleetSchedule,
         now_ms: u64,
     ) -> Vec<InstanceOrder> {
+        if self.waves.iter().all(|wave| wave.unanswered.is_empty()) {
+            return Vec::new();
+        }
         self.update_workers(schedule, now_ms);
         let limit = self.remaining_orders(now_ms);
         let mut orders = Vec::new();
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -47,7 +47,7 @@
 /// Time between checks of leases, unanswered orders and due jobs.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 /// Shortest pause before a planning pass, so that runs that end close together share one pass.
-const PLAN_PAUSE: Duration = Duration::from_millis(3);
+const PLAN_PAUSE: Duration = Duration::from_millis(8);
 /// The pause as a multiple of the time that the last pass took, so that planning leaves time for
 /// reports and orders however many jobs wait.
 const PLAN_PAUSE_FACTOR: u32 = 3;
