Let an entry carry the calls to 150 workers a core

Cause: with 100 workers a core, 1,100 workers need 47 delegates, of which 33 are small entries with 12 workers each; the owner pays for each frame, whatever is in it.

Change: 150 workers a core, so that the entries of half a core carry nearly all.

--- a/crates/domain/src/schedule/delegate_roster.rs
+++ b/crates/domain/src/schedule/delegate_roster.rs
@@ -12,7 +12,7 @@
 };
 
 /// Workers whose calls an entry can carry with one core, beside its callers.
-const WORKERS_PER_CORE: f64 = 100.0;
+const WORKERS_PER_CORE: f64 = 150.0;
 /// Workers whose calls an entry can carry with one Mbit/s of its network link.
 const WORKERS_PER_MBPS: f64 = 4.0;
 /// Workers of a fleet, per core of the owner, above which the owner calls none of them itself.
