Hand over when the processor is slowed, and poll later when lagging

Cause: an owner knew nothing of its own pace. A slowed one renewed its lease and decided for all, with timers 0.27 s late and five planning passes a second.

Change: OwnerPace. Steps of polls that take three times as long as usual for 0.4 s mean a slowed processor: the owner hands over as on SIGTERM, and leaves the claim to others for a second. Load alone does not make steps longer, so that it moves no ownership; an owner whose timers are late polls later instead, so that a report brings more ends and starts are not held up.

--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -16,6 +16,7 @@
 mod maintenance_wave;
 mod order_budget;
 mod orphaned_runs;
+mod owner_pace;
 mod pace_controller;
 mod partial_gang;
 mod placement;
@@ -52,6 +53,7 @@
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
     job_progress::{JobRecord, JobState, ProgressRecord, StepProgress, TaskCrashes, TaskFailures},
     maintenance_wave::{WaveProgress, WaveSpec},
+    owner_pace::OwnerPace,
     pace_controller::PaceController,
     planning_work::PlanningWork,
     poll_scope::PollScope,
--- a/crates/scheduler/src/leading/leadership.rs
+++ b/crates/scheduler/src/leading/leadership.rs
@@ -16,16 +16,19 @@
         collections::FastMap,
         names::WorkerName,
         schedule::{
-            FleetSchedule, ListedWorker, QueueTable, SnapshotShard, StartOrder, StopOrder,
-            StoredSnapshots, WorkerOrder,
+            FleetSchedule, ListedWorker, OwnerPace, QueueTable, SnapshotShard, StartOrder,
+            StopOrder, StoredSnapshots, WorkerOrder,
         },
     },
     dotterelshore_platform::KvTransaction,
     dotterelshore_wire::{log_event, panic_guard::PanicGuard},
     serde::{Deserialize, Serialize},
-    std::sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+    std::{
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::{Notify, mpsc},
 };
@@ -110,6 +113,8 @@
     ended: AtomicBool,
     fenced: Notify,
     task_failed: Notify,
+    pace: Mutex<OwnerPace>,
+    slowed: Notify,
     order_queues: Mutex<FastMap<WorkerName, OrderQueues>>,
 }
 
@@ -129,6 +134,8 @@
             ended: AtomicBool::new(false),
             fenced: Notify::new(),
             task_failed: Notify::new(),
+            pace: Mutex::default(),
+            slowed: Notify::new(),
             order_queues: Mutex::new(FastMap::default()),
         };
         leadership.extend_authority(claim.sent_ms);
@@ -210,6 +217,27 @@
         self.task_failed.notified().await;
     }
 
+    /// Records how late a timer fired, and steps of the owner's work with the time that they took.
+    pub(crate) fn record_pace(&self, timer_delay: Duration, steps: u64, took: Duration) {
+        let now_ms = uptime_ms();
+        let mut pace = lock(&self.pace);
+        pace.record_timer_delay(timer_delay);
+        pace.record_steps(steps, took, now_ms);
+        if pace.is_slowed(now_ms) {
+            self.slowed.notify_one();
+        }
+    }
+
+    /// Returns the pause after each poll of a worker.
+    pub(super) fn poll_pause(&self) -> Duration {
+        lock(&self.pace).poll_pause()
+    }
+
+    /// Waits until this process is so slow that another entry does better.
+    pub(crate) async fn slowed(&self) {
+        self.slowed.notified().await;
+    }
+
     /// Applies a new table to the schedule.
     pub(crate) fn set_table(&self, table: &QueueTable) {
         lock(&self.schedule).set_table(table);
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -34,8 +34,6 @@
 /// How long a poll waits while a long-running task starts, or in a trial. The worker does not end the wait when
 /// the task becomes ready or is cleared, since no run ends. A small part of the duration of such a start.
 const STARTING_POLL_WAIT_MS: u64 = 250;
-/// Pause after each poll, so that runs that end close together share one answer.
-const POLL_PAUSE: Duration = Duration::from_millis(35);
 /// Pause after a failed poll, and between checks for authority while it is missing.
 const POLL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -185,7 +183,7 @@
                 if lacks_row {
                     refresh_row(&node, &leadership, &clock.name).await;
                 }
-                tokio::time::sleep(POLL_PAUSE).await;
+                tokio::time::sleep(leadership.poll_pause()).await;
             }
             Err(RouteFault::Delegate { source }) if !is_rerouted => {
                 is_rerouted = true;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -37,6 +37,8 @@
 const OWNER_MBPS: f64 = 100.0;
 /// Longest further delay of a process with less than these resources.
 const CLAIM_WEAK_DELAY: Duration = Duration::from_millis(300);
+/// How long an owner that handed over because its processor was slowed leaves the claim to others.
+const CLAIM_SLOWED_DELAY: Duration = Duration::from_secs(1);
 /// Pause after a failed claim.
 const CLAIM_RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for the handover at shutdown.
@@ -260,15 +262,18 @@
         token = claim.token,
         reason = reason
     );
-    if reason == "leaving" {
+    if matches!(reason, "leaving" | "slowed") {
         leadership.record_final_state(node, claim.term).await;
     }
-    if matches!(reason, "leaving" | "task-failed") {
+    if matches!(reason, "leaving" | "slowed" | "task-failed") {
         if let Err(error) = node.kv.revoke_lease(claim.lease).await {
             log_event!(Warn, "lease-not-ended", error = error);
         }
         node.owner.send_replace(None);
     }
+    if reason == "slowed" {
+        tokio::time::sleep(CLAIM_SLOWED_DELAY).await;
+    }
 }
 
 /// Renews the lease until ownership ends; returns the reason.
@@ -291,6 +296,7 @@
             }
             () = leadership.fenced() => return "fenced",
             () = leadership.task_failed() => return "task-failed",
+            () = leadership.slowed() => return "slowed",
             () = tokio::time::sleep(RENEW_PERIOD) => {}
         }
         let sent_ms = uptime_ms();
--- a/crates/scheduler/src/work_meter.rs
+++ b/crates/scheduler/src/work_meter.rs
@@ -23,11 +23,12 @@
     tokio::time::Instant,
 };
 
-/// One step of a part in this many is timed and stands for all of them, since reading the
-/// thread's clock costs as much as a short step.
+/// One step of a part in this many is timed and stands for all of them.
 const STEPS_PER_SAMPLE: u64 = 16;
 /// Time between checks of the timers' delay.
 const PROBE_PERIOD: Duration = Duration::from_millis(50);
+/// The part by which the pace of an owner is measured: its steps take about as long under any load.
+const PACE_PART: &str = "worker-polls";
 /// Time between log lines on an owner's work.
 const REPORT_PERIOD: Duration = Duration::from_secs(2);
 /// Upper bound of the first bucket of timer delays, in seconds; ten buckets reach a second.
@@ -46,7 +47,7 @@
     seconds: Counter<f64, AtomicU64>,
 }
 
-/// Counts the steps of each part of the process's work and estimates their processor time.
+/// Counts the steps of each part of the process's work and estimates the time that they take.
 #[derive(Debug)]
 pub(crate) struct WorkMeter {
     steps: Family<PartLabel, Counter>,
@@ -67,7 +68,7 @@
         let seconds = Family::default();
         registry.register(
             "work_seconds",
-            "Processor time of the process's work by part, from samples",
+            "Time of the steps of the process's work by part, from samples",
             seconds.clone(),
         );
         let timer_delays = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT));
@@ -92,9 +93,9 @@
             if !steps.inc().is_multiple_of(STEPS_PER_SAMPLE) {
                 return task.as_mut().poll(context);
             }
-            let began = thread_time();
+            let began = Instant::now();
             let polled = task.as_mut().poll(context);
-            let took = thread_time().saturating_sub(began);
+            let took = began.elapsed();
             let samples = u32::try_from(STEPS_PER_SAMPLE).unwrap_or(u32::MAX);
             seconds.inc_by((took * samples).as_secs_f64());
             polled
@@ -114,38 +115,49 @@
         counters.clone()
     }
 
-    /// Returns the processor time and the steps of each part so far.
+    /// Returns what a part did so far.
+    fn total(&self, part: &'static str) -> PartTotal {
+        PartTotal::of(&self.counters(part))
+    }
+
+    /// Returns what each part did so far.
     fn totals(&self) -> FastMap<&'static str, PartTotal> {
         let parts = lock(&self.parts);
-        let totals = parts.iter().map(|(part, counters)| {
-            let total = PartTotal {
-                milliseconds: counters.seconds.get() * 1e3,
-                steps: counters.steps.get(),
-            };
-            (*part, total)
-        });
+        let totals = parts
+            .iter()
+            .map(|(part, counters)| (*part, PartTotal::of(counters)));
         totals.collect()
     }
 }
 
-/// Processor time and steps of a part.
+/// The steps of a part and the time that they took.
 #[derive(Debug, Clone, Copy, Default)]
 struct PartTotal {
-    milliseconds: f64,
+    time: Duration,
     steps: u64,
 }
 
+impl PartTotal {
+    fn of(counters: &PartCounters) -> Self {
+        Self {
+            time: Duration::from_secs_f64(counters.seconds.get()),
+            steps: counters.steps.get(),
+        }
+    }
+}
+
 /// Processor time of the current thread.
 fn thread_time() -> Duration {
     let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).map(Duration::from);
     time.unwrap_or_default()
 }
 
-/// Measures the delay of timers, until the process ends. While it owns the schedule, a log line
-/// says what its processor time went into.
+/// Measures the pace of the process, until it ends. While it owns the schedule, a log line says what
+/// its processor time went into, and ownership ends if its processor is slowed.
 pub(crate) async fn probe_timers(node: Arc<SchedulerNode>) {
     let meter = &node.metrics.work;
     let mut reported = Instant::now();
+    let mut paced = PartTotal::default();
     let mut earlier = FastMap::default();
     let mut cpu = thread_time();
     let mut delay_max = Duration::ZERO;
@@ -155,6 +167,15 @@
         let delay = due.elapsed();
         meter.timer_delays.observe(delay.as_secs_f64());
         delay_max = delay_max.max(delay);
+        let polls = meter.total(PACE_PART);
+        if let Some(leadership) = node.leadership() {
+            leadership.record_pace(
+                delay,
+                polls.steps - paced.steps,
+                polls.time.saturating_sub(paced.time),
+            );
+        }
+        paced = polls;
         if reported.elapsed() < REPORT_PERIOD {
             continue;
         }
@@ -185,12 +206,12 @@
         .iter()
         .map(|(part, total)| {
             let before = earlier.get(part).copied().unwrap_or_default();
-            let spent_ms = (total.milliseconds - before.milliseconds).round();
+            let spent_ms = total.time.saturating_sub(before.time).as_millis();
             (spent_ms, total.steps - before.steps, *part)
         })
         .filter(|(_, steps, _)| *steps > 0)
         .collect();
-    parts.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.2.cmp(b.2)));
+    parts.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.2.cmp(b.2)));
     let texts = parts
         .iter()
         .map(|(spent_ms, steps, part)| format!("{part}:{spent_ms}/{steps}"));
