Keep the runs of a worker that a repeated order may not have ended

Cause: an order for an instance whose first attempt got no answer is sent again, and is answered 200 although the first was carried out; the worker came after it. While the store was down the worker's row ran out, and its removal within 1.5 s of the answer was taken for the order's effect, so that its runs were dropped.

Change: a repeated order that is confirmed does not explain a worker's removal. Its runs stay until the platform's list shows its instance disrupted, or its lease ends.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Whether an earlier attempt at a maintenance order got no answer.
+    pub fn is_repeated(&self, instance: &InstanceName, number: u64) -> bool {
+        let wave = self.waves.iter().find(|wave| wave.number == number);
+        wave.is_some_and(|wave| wave.unanswered.contains(instance))
+    }
+
     /// Records that a maintenance order was refused. Returns whether an earlier order, whose
     /// answer was lost, may be in force. Then the instance counts as down, which may be why
     /// the order was refused, and the order has to be resent. Otherwise the instance is
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -49,11 +49,21 @@
     pub fn confirm_disruption(&mut self, name: &WorkerName, now_ms: u64) {
         if let Some(status) = self.workers.get_mut(name) {
             status.disrupted_until_ms = now_ms + DISRUPTION_WINDOW_MS;
+            status.may_outlive_order = false;
             status.disrupting = true;
             status.cordoned = true;
         }
     }
 
+    /// Marks a repeated order for a worker's instance as confirmed. The confirmation may be of the
+    /// first attempt, which the worker came after: its removal from the list proves nothing.
+    pub fn confirm_repeated_disruption(&mut self, name: &WorkerName, now_ms: u64) {
+        self.confirm_disruption(name, now_ms);
+        if let Some(status) = self.workers.get_mut(name) {
+            status.may_outlive_order = true;
+        }
+    }
+
     /// Whether a worker runs only long-running tasks, if any.
     pub fn runs_only_long_running(&self, name: &WorkerName) -> bool {
         let long_running = |task: &TaskName| {
--- a/crates/domain/src/schedule/worker_listing.rs
+++ b/crates/domain/src/schedule/worker_listing.rs
@@ -112,13 +112,13 @@
     }
 
     /// Marks a worker as no longer listed. Its runs may go on until its lease expires, unless
-    /// an order just disrupted its instance: then they are released at once.
+    /// an order that was sent once just disrupted its instance: then they are released at once.
     pub fn unlist_worker(&mut self, name: &WorkerName, now_ms: u64) {
         let Some(status) = self.workers.get_mut(name) else {
             return;
         };
         status.present = false;
-        if now_ms < status.disrupted_until_ms {
+        if now_ms < status.disrupted_until_ms && !status.may_outlive_order {
             self.drop_runs(name, DropReason::Disrupted);
             self.workers.remove(name);
         }
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -201,6 +201,9 @@
     /// Until when its removal from the list is attributed to an order for its instance, which
     /// ended all runs there; in scheduler milliseconds.
     pub(super) disrupted_until_ms: u64,
+    /// Whether an earlier attempt at that order may have been carried out before this incarnation
+    /// started, so that it goes on.
+    pub(super) may_outlive_order: bool,
     /// Controls the pace of its best-effort tasks.
     pub(super) pace_controller: PaceController,
     consecutive_failures: u32,
@@ -234,6 +237,7 @@
             pending_maintenance: false,
             disrupting: false,
             disrupted_until_ms: 0,
+            may_outlive_order: false,
             pace_controller: PaceController::default(),
             consecutive_failures: 0,
             ejected_until_ms: 0,
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -641,6 +641,29 @@
     confirmed_disruption_counts_as_unavailable(true);
 }
 
+/// After a confirmed order for its instance, a worker is unlisted while its run goes on; the task
+/// starts elsewhere at once, or only once the run has surely ended.
+fn unlisted_after_order(repeated: bool, starts_elsewhere: usize) {
+    let mut schedule = schedule(&["w-1", "w-2"]);
+    add(&mut schedule, job("ordered", vec![step(1)]));
+    let started = starts(&mut schedule, NOW_MS);
+    let worker = &started[0].worker;
+    confirm_start(&mut schedule, &started[0], 10);
+    schedule.renew_lease(worker, NOW_MS);
+    if repeated {
+        schedule.confirm_repeated_disruption(worker, NOW_MS);
+    } else {
+        schedule.confirm_disruption(worker, NOW_MS);
+    }
+    schedule.unlist_worker(worker, NOW_MS + 300);
+    assert_eq!(starts(&mut schedule, NOW_MS + 400).len(), starts_elsewhere);
+}
+
+named_cases! { unlisted_after_order:
+    task_of_a_worker_that_an_order_ended_starts_elsewhere(false, 1);
+    task_of_a_worker_that_may_outlive_a_repeated_order_does_not_start_twice(true, 0);
+}
+
 /// A step whose tasks take 400 s, so that a sound one shows the same percent for 4 s.
 fn long_step() -> StepPlan {
     StepPlan {
--- a/crates/scheduler/src/leading/instance_calls.rs
+++ b/crates/scheduler/src/leading/instance_calls.rs
@@ -86,6 +86,10 @@
     let outcome_unknown = matches!(answer, Err(CloudFault::OutcomeUnknown { .. }));
     let now_ms = uptime_ms();
     let worker = plan.worker_of(order.instance()).cloned();
+    let is_repeated = match &order {
+        InstanceOrder::Maintain { instance, wave } => plan.is_repeated(instance, *wave),
+        InstanceOrder::Move { .. } => false,
+    };
     let mut keeps_cordon = answer.is_ok() || outcome_unknown;
     match &order {
         InstanceOrder::Move { instance, pool } => match &answer {
@@ -104,7 +108,9 @@
     }
     if let Some(worker) = worker {
         let mut schedule = lock(&leadership.schedule);
-        if answer.is_ok() {
+        if answer.is_ok() && is_repeated {
+            schedule.confirm_repeated_disruption(&worker, now_ms);
+        } else if answer.is_ok() {
             schedule.confirm_disruption(&worker, now_ms);
         } else if !keeps_cordon {
             schedule.set_cordon(&worker, false);
