Ask once a poll how closely a worker's runs are followed

RunWatch is asked once and decides both. No change of behaviour; poll_scope_test and the model play it.

--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -56,7 +56,7 @@
     owner_pace::OwnerPace,
     pace_controller::PaceController,
     planning_work::PlanningWork,
-    poll_scope::PollScope,
+    poll_scope::{PollScope, RunWatch},
     pool_load::PoolLoad,
     queue_table::{
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
--- a/crates/domain/src/schedule/poll_scope.rs
+++ b/crates/domain/src/schedule/poll_scope.rs
@@ -39,22 +39,38 @@
     }
 }
 
+/// How closely the runs on a worker are followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunWatch {
+    /// No closer than others.
+    None,
+    /// Best-effort tasks run beside others, whose tail latency decides on their pace.
+    Paced,
+    /// A long-running task starts, or suspected tasks are tried.
+    Starting,
+}
+
 impl FleetSchedule {
+    /// Returns how closely the runs on a worker are followed.
+    pub fn run_watch(&self, worker: &WorkerName) -> RunWatch {
+        if self.has_unready_task(worker) || self.is_in_trial(worker) {
+            RunWatch::Starting
+        } else if self.runs_best_effort(worker) {
+            RunWatch::Paced
+        } else {
+            RunWatch::None
+        }
+    }
+
     /// Returns what the next poll of a worker asks for. Its runs are listed now and then, and
-    /// whenever a decision may depend on them.
-    pub fn poll_scope(&self, worker: &WorkerName, now_ms: u64) -> PollScope {
+    /// whenever they are followed closely.
+    pub fn poll_scope(&self, worker: &WorkerName, watch: RunWatch, now_ms: u64) -> PollScope {
         let status = self.workers.get(worker);
         match status.filter(|status| status.is_steady(now_ms)) {
-            Some(status) if !self.watches_runs(worker) => PollScope::EndsAfter(status.applied_end),
+            Some(status) if watch == RunWatch::None => PollScope::EndsAfter(status.applied_end),
             _ => PollScope::All,
         }
     }
-
-    /// Whether some run on a worker is followed closely: one that starts, fills room beside others
-    /// or is suspected of crashing its worker.
-    fn watches_runs(&self, worker: &WorkerName) -> bool {
-        self.is_in_trial(worker) || self.has_unready_task(worker) || self.runs_best_effort(worker)
-    }
 }
 
 impl WorkerStatus {
--- a/crates/domain/tests/poll_scope_test.rs
+++ b/crates/domain/tests/poll_scope_test.rs
@@ -110,7 +110,9 @@
 /// A poll this long after the runs were listed asks for them again or only for ends.
 fn poll_asks_for(is_lasting: bool, later_ms: u64, expected: PollScope) {
     let (schedule, _) = running_schedule(is_lasting);
-    assert_eq!(schedule.poll_scope(&worker(), NOW_MS + later_ms), expected);
+    let watch = schedule.run_watch(&worker());
+    let scope = schedule.poll_scope(&worker(), watch, NOW_MS + later_ms);
+    assert_eq!(scope, expected);
 }
 
 named_cases! { poll_asks_for:
--- a/crates/domain/tests/schedule_model/worker_tasks.rs
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -96,7 +96,7 @@
             lease_until_ms,
             acknowledged_end: schedule.acknowledged_end(worker),
             wait_ms: lease_until_ms.map(|_| wait_ms),
-            scope: schedule.poll_scope(worker, now_ms),
+            scope: schedule.poll_scope(worker, schedule.run_watch(worker), now_ms),
             started_ms,
         };
         self.send_call(owner, worker, number, request);
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -15,7 +15,7 @@
     },
     dotterelshore_domain::{
         names::WorkerName,
-        schedule::{ListedWorker, PollRequest, PollScope},
+        schedule::{ListedWorker, PollRequest, PollScope, RunWatch},
     },
     dotterelshore_platform::{WorkerClient, WorkerFault},
     dotterelshore_wire::{event_log::unix_millis, log_event},
@@ -222,13 +222,11 @@
     let lease_until_ms = clock
         .lease_until(node)
         .filter(|_| !is_unreachable && schedule.renew_lease(&clock.name, uptime_ms()));
-    let is_starting = schedule.has_unready_task(&clock.name) || schedule.is_in_trial(&clock.name);
-    let wait_ms = if is_starting {
-        STARTING_POLL_WAIT_MS
-    } else if schedule.runs_best_effort(&clock.name) {
-        PACED_POLL_WAIT_MS
-    } else {
-        POLL_WAIT_MS
+    let watch = schedule.run_watch(&clock.name);
+    let wait_ms = match watch {
+        RunWatch::Starting => STARTING_POLL_WAIT_MS,
+        RunWatch::Paced => PACED_POLL_WAIT_MS,
+        RunWatch::None => POLL_WAIT_MS,
     };
     let request = PollRequest {
         lease_until_ms,
@@ -236,5 +234,8 @@
         acknowledged_end: schedule.acknowledged_end(&clock.name),
         wait_ms: lease_until_ms.map(|_| wait_ms),
     };
-    (request, schedule.poll_scope(&clock.name, uptime_ms()))
+    (
+        request,
+        schedule.poll_scope(&clock.name, watch, uptime_ms()),
+    )
 }
