--- a/crates/domain/tests/poll_scope_test.rs
+++ b/crates/domain/tests/poll_scope_test.rs
@@ -1,75 +1,46 @@
 //! Tests of polls that list only what ended.
 
+mod samples;
+
 use {
     dotterelshore_domain::{
-        names::{CentreName, JobName, PoolName, QueueName, WorkerName},
+        names::WorkerName,
         schedule::{
-            EndReason, EndedRun, FleetSchedule, JobPlan, JobRecord, JobState, ListedWorker,
-            OrderRule, PollScope, ReportedRun, Resources, StartOrder, StartReply, StepPlan,
-            WorkerOrder, WorkerReport,
+            EndReason, EndedRun, FleetSchedule, JobState, OrderRule, PollScope, ReportedRun,
+            Resources, StartOrder, StartReply, StepPlan, WorkerOrder, WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
 
-const NOW_MS: u64 = 1_000_000;
-const STARTED_MS: u64 = 7;
+const WORKER: &str = "w-1";
+/// Start of the sample worker's incarnation.
+const STARTED_MS: u64 = 1;
 
 fn worker() -> WorkerName {
-    WorkerName::try_from("w-1").expect("a name")
-}
-
-fn resources(cpu_milli: u64) -> Resources {
-    Resources {
-        cpu_milli,
-        memory_mb: cpu_milli,
-        gpus: 0,
-    }
+    WorkerName::try_from(WORKER).expect("a name")
 }
 
 /// A worker that runs both tasks of a job and has listed them.
 fn running_schedule(is_lasting: bool) -> (FleetSchedule, Vec<StartOrder>) {
     let mut schedule = FleetSchedule::new(OrderRule::default(), 3_600, 0);
-    schedule.upsert_worker(ListedWorker {
-        name: worker(),
-        started_ms: STARTED_MS,
-        instance: None,
-        address: Arc::from("127.0.0.1:1"),
-        pool: PoolName::try_from("pool").expect("a name"),
-        centre: CentreName::try_from("north").expect("a name"),
-        labels: Vec::new(),
-        capacity: resources(64_000),
-        draining: false,
-    });
-    schedule.apply_report(&worker(), &report(&[], &[]), NOW_MS, NOW_MS);
-    let record = JobRecord {
-        name: JobName::try_from("a1").expect("a name"),
-        queue: QueueName::try_from("quick").expect("a name"),
-        pool: PoolName::try_from("pool").expect("a name"),
-        team: None,
-        accepted_ms: NOW_MS,
-        priority: 0,
-        attempts: 2,
-        objective_factor: 1.6,
-        target_latency_ms: 600,
-        advised: false,
-        plan: JobPlan {
-            task_body: Arc::from("text"),
-            steps: vec![StepPlan {
-                count: 2,
-                need: resources(1_000),
-                estimate_ms: 640,
-                long_running: is_lasting,
-                ..StepPlan::default()
-            }],
-            timed_occurrences: 0,
-            start_at_ms: 0,
-            interval_ms: 0,
+    schedule.upsert_worker(sample_worker(WORKER, 64_000));
+    schedule.apply_report(&worker(), &report(&[], &[]), NOW_MS, WALL_MS);
+    let step = StepPlan {
+        count: 2,
+        need: Resources {
+            cpu_milli: 1_000,
+            memory_mb: 1_000,
+            gpus: 0,
         },
+        estimate_ms: 640,
+        long_running: is_lasting,
+        ..StepPlan::default()
     };
-    schedule.add_job(record, None, 0, NOW_MS, NOW_MS);
-    let orders = schedule.plan_starts(NOW_MS, NOW_MS, u64::MAX);
+    schedule.add_job(sample_job("a1", step), None, 0, NOW_MS, WALL_MS);
+    let orders = schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX);
     let starts = orders.into_iter().filter_map(|order| match order {
         WorkerOrder::Start(order) => Some(order),
         _ => None,
@@ -79,7 +50,7 @@
         let reply = StartReply::Started { clock_ms: 1 };
         schedule.apply_start_reply(&worker(), &order.task, order.run, reply, NOW_MS);
     }
-    schedule.apply_report(&worker(), &report(&starts, &[]), NOW_MS, NOW_MS);
+    schedule.apply_report(&worker(), &report(&starts, &[]), NOW_MS, WALL_MS);
     (schedule, starts)
 }
 
@@ -127,7 +98,7 @@
     let whole = report(&starts[1..], &starts[..1]);
     let ends = PollScope::EndsAfter(0).reduce(STARTED_MS, whole);
     assert!(ends.running.is_empty());
-    schedule.apply_report(&worker(), &ends, NOW_MS + 50, NOW_MS + 50);
+    schedule.apply_report(&worker(), &ends, NOW_MS + 50, WALL_MS);
     let status = schedule.worker(&worker()).expect("a worker");
     assert_eq!(status.tasks().collect::<Vec<_>>(), [&starts[1].task]);
     let last = PollScope::EndsAfter(1).reduce(STARTED_MS, report(&[], &starts));
@@ -136,7 +107,7 @@
         1,
         "ends that were applied are left out"
     );
-    schedule.apply_report(&worker(), &last, NOW_MS + 90, NOW_MS + 90);
+    schedule.apply_report(&worker(), &last, NOW_MS + 90, WALL_MS);
     let batch = schedule.take_progress_batch();
     assert_eq!(batch.records[0].1.ended, Some(JobState::Completed));
 }
