--- a/review/harness-2/world.py
+++ b/review/harness-2/world.py
@@ -31,22 +31,24 @@
 MEMORY_MB = 260
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+USED_PORTS = set()
 
 
 def free_range(count):
+    """Returns the first of some free ports, below those that the system gives to connections."""
     while True:
-        first = random.randrange(20000, 55000)
+        first = random.randrange(20000, 32000 - count)
+        ports = range(first, first + count)
+        if USED_PORTS.intersection(ports):
+            continue
         try:
-            for port in range(first, first + count):
+            for port in ports:
                 with socket.socket() as probe:
                     probe.bind((HOST, port))
-            return first
         except OSError:
             continue
+        USED_PORTS.update(ports)
+        return first
 
 
 class Server:
@@ -489,15 +491,27 @@
 
     def __init__(self, world, name):
         self.world, self.name = world, name
-        first = free_range(16)
-        self.internal = first
-        self.front, self.ready, self.control = free_port(), free_port(), free_port()
+        self.internal = free_range(19)
+        self.front, self.ready, self.control = range(self.internal + 16, self.internal + 19)
         self.settings = os.path.join(world.folder, name + ".toml")
         self.log = os.path.join(world.folder, name + ".log")
         self.process = None
+        # Its own way to the store, which can be cut.
+        self.way = Server(self.pass_on, 0)
+        self.is_cut = False
+
+    async def pass_on(self, *call):
+        """Passes a call on to the store; while this machine is cut off, nothing gets through."""
+        if self.is_cut:
+            await asyncio.sleep(3600)
+        await asyncio.sleep(STORE_ANSWER_S)
+        answer = await self.world.store.handle(*call)
+        if self.is_cut:
+            await asyncio.sleep(3600)
+        return answer
 
     def write_settings(self):
-        store, cloud = self.world.store.server.address, self.world.cloud.address
+        store, cloud = self.way.address, self.world.cloud.address
         text = f"""
 node_name = "{self.name}"
 role = "scheduler"
@@ -582,6 +596,8 @@
             file.write(text)
 
     async def start(self):
+        if self.way.server is None:
+            await self.way.open()
         self.write_settings()
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             command = tomllib.load(file)["roles"]["scheduler"]["run"].split()
