--- a/crates/domain/benches/fleet_load/mod.rs
+++ b/crates/domain/benches/fleet_load/mod.rs
@@ -235,7 +235,9 @@
                 self.apply(stops);
             }
             if self.now_ms.is_multiple_of(20_000) {
-                self.schedule.expire_ended_jobs(20_000, self.now_ms);
+                for name in self.schedule.expire_ended_jobs(20_000, self.now_ms) {
+                    self.schedule.forget_removed(&name);
+                }
             }
         }
         self.ended - ended
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -81,6 +81,8 @@
     pub(super) ended: Option<JobState>,
     pub(super) ended_ms: Option<u64>,
     pub(super) end_recorded: bool,
+    /// Whether its records are to be removed from the store.
+    pub(super) removal_ordered: bool,
     pub(super) arrived_ms: u64,
     pub(super) added_ms: u64,
     pub(super) from_earlier_owner: bool,
@@ -117,6 +119,7 @@
             ended: None,
             ended_ms: None,
             end_recorded: false,
+            removal_ordered: false,
             arrived_ms,
             added_ms,
             from_earlier_owner: run_base > 0,
--- a/crates/domain/src/schedule/tracked_table.rs
+++ b/crates/domain/src/schedule/tracked_table.rs
@@ -63,10 +63,6 @@
         }
     }
 
-    pub(super) fn contains_key(&self, key: &K) -> bool {
-        self.rows.contains_key(key)
-    }
-
     pub(super) fn values(&self) -> impl Iterator<Item = &V> {
         self.rows.values()
     }
--- /dev/null
+++ b/crates/domain/tests/job_removal_test.rs
@@ -0,0 +1,130 @@
+//! Tests of ended jobs whose records are removed from the store: none is run again.
+
+mod samples;
+mod start_samples;
+
+use {
+    dotterelshore_domain::{
+        names::JobName,
+        schedule::{
+            EndReason, EndedRun, FleetSchedule, JobRecord, JobState, OrderRule, WorkerReport,
+        },
+    },
+    dotterelshore_testkit::named_cases,
+    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    start_samples::{ordered_starts, sample_step},
+    std::sync::Arc,
+};
+
+const LEASE_MS: u64 = 4_000;
+const RETENTION_MS: u64 = 30_000;
+/// A time after the retention of the job.
+const LATER_MS: u64 = RETENTION_MS + 1_000;
+
+fn record() -> JobRecord {
+    sample_job("job", sample_step(1, 2_000))
+}
+
+fn name() -> JobName {
+    record().name
+}
+
+/// A schedule with a job that is completed and recorded, and was ordered to be removed.
+fn with_expired_job() -> FleetSchedule {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    let listed = sample_worker("w-0", 64_000);
+    let worker = listed.name.clone();
+    schedule.upsert_worker(listed);
+    schedule.apply_report(&worker, &WorkerReport::default(), NOW_MS, WALL_MS);
+    schedule.add_job(record(), None, 0, NOW_MS, WALL_MS);
+    let start = ordered_starts(&mut schedule, NOW_MS, WALL_MS).pop();
+    let start = start.expect("a start");
+    let end = EndedRun {
+        number: 1,
+        task: start.task,
+        run: start.run,
+        reason: EndReason::Done,
+        checkpoint: Arc::from(""),
+    };
+    let report = WorkerReport {
+        finished: vec![end],
+        ..WorkerReport::default()
+    };
+    schedule.apply_report(&worker, &report, NOW_MS, WALL_MS);
+    let batch = schedule.take_progress_batch();
+    schedule.mark_progress_recorded(&batch);
+    assert_eq!(expire(&mut schedule), vec![name()]);
+    schedule
+}
+
+fn expire(schedule: &mut FleetSchedule) -> Vec<JobName> {
+    schedule.expire_ended_jobs(RETENTION_MS, WALL_MS + LATER_MS)
+}
+
+/// Reads a record from the store, as after a dropped history, and returns the starts that follow.
+fn starts_after_read(schedule: &mut FleetSchedule, record: JobRecord) -> usize {
+    let (now_ms, wall_ms) = (NOW_MS + LATER_MS, WALL_MS + LATER_MS);
+    schedule.add_job(record, None, 0, now_ms, wall_ms);
+    ordered_starts(schedule, now_ms, wall_ms).len()
+}
+
+/// A completed job was run again when the store refused the removal of its record, and the owner
+/// read that again after the store had dropped its history (review case 6).
+#[test]
+fn job_whose_removal_was_refused_does_not_run_again() {
+    let mut schedule = with_expired_job();
+    assert_eq!(starts_after_read(&mut schedule, record()), 0);
+    assert_eq!(schedule.state(&name()), Some(JobState::Completed));
+}
+
+#[test]
+fn refused_removal_is_ordered_again() {
+    let mut schedule = with_expired_job();
+    assert_eq!(expire(&mut schedule), vec![name()]);
+}
+
+/// A job is forgotten once its record is gone.
+fn job_is_forgotten(see: fn(&mut FleetSchedule)) {
+    let mut schedule = with_expired_job();
+    see(&mut schedule);
+    assert_eq!(schedule.state(&name()), None);
+    assert_eq!(expire(&mut schedule), Vec::new());
+}
+
+named_cases! { job_is_forgotten:
+    job_is_forgotten_when_its_removal_is_seen(|schedule| {
+        assert!(schedule.forget_removed(&name()));
+    });
+    job_is_forgotten_when_the_store_does_not_list_it(|schedule| {
+        schedule.forget_missing(&[].into_iter().collect());
+    });
+}
+
+#[test]
+fn listed_job_is_known_after_its_removal_was_refused() {
+    let mut schedule = with_expired_job();
+    schedule.forget_missing(&[name()].into_iter().collect());
+    assert_eq!(schedule.state(&name()), Some(JobState::Completed));
+}
+
+/// The loss of the record of a job that was not to be removed does not lose the job.
+#[test]
+fn job_is_known_although_its_record_is_lost() {
+    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    schedule.add_job(record(), None, 0, NOW_MS, WALL_MS);
+    assert!(!schedule.forget_removed(&name()));
+    schedule.forget_missing(&[].into_iter().collect());
+    assert_eq!(schedule.state(&name()), Some(JobState::Queued));
+}
+
+/// Another job may have the name of one that was removed, before the owner sees the removal.
+#[test]
+fn other_job_under_the_name_runs() {
+    let mut schedule = with_expired_job();
+    let other = JobRecord {
+        accepted_ms: WALL_MS + LATER_MS,
+        ..record()
+    };
+    assert_eq!(starts_after_read(&mut schedule, other), 1);
+    assert!(!schedule.forget_removed(&name()), "it is not to be removed");
+}
--- a/crates/scheduler/src/leading/job_follow.rs
+++ b/crates/scheduler/src/leading/job_follow.rs
@@ -7,7 +7,7 @@
         store::{JOB_PREFIX, JobKey, PrefixUpdate, ResumeMode, follow_prefix},
     },
     dotterelshore_domain::{
-        collections::FastMap,
+        collections::{FastMap, FastSet},
         names::JobName,
         schedule::{FleetSchedule, JobRecord, ProgressRecord, WorkerOrder},
     },
@@ -82,6 +82,25 @@
     leadership.record_notify.notify_one();
 }
 
+/// Returns the jobs whose records are among these rows.
+fn recorded_jobs(rows: &[KvRow]) -> FastSet<JobName> {
+    let names = rows.iter().filter_map(|row| match JobKey::parse(&row.key) {
+        Some(JobKey::Record(name)) => Some(name),
+        Some(JobKey::Cancelled(_)) | None => None,
+    });
+    names.collect()
+}
+
+/// Forgets the job of a key that was removed from the store.
+fn forget_removed(leadership: &Leadership, key: &str) {
+    let Some(JobKey::Record(name)) = JobKey::parse(key) else {
+        return;
+    };
+    if !lock(&leadership.schedule).forget_removed(&name) {
+        log_event!(Warn, "job-record-lost", job = name);
+    }
+}
+
 /// Applies changes to jobs from a store revision on, until aborted.
 pub(super) async fn follow_jobs(
     node: Arc<SchedulerNode>,
@@ -95,9 +114,15 @@
         Some(revision),
         |update| {
             let rows = match update {
-                PrefixUpdate::Snapshot(rows) => rows,
+                PrefixUpdate::Snapshot(rows) => {
+                    lock(&leadership.schedule).forget_missing(&recorded_jobs(&rows));
+                    rows
+                }
                 PrefixUpdate::Change(WatchEvent::Written(row)) => vec![row],
-                PrefixUpdate::Change(WatchEvent::Removed { .. }) => return,
+                PrefixUpdate::Change(WatchEvent::Removed { key, .. }) => {
+                    forget_removed(&leadership, &key);
+                    return;
+                }
             };
             let orders = apply_job_rows(
                 &mut lock(&leadership.schedule),
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -137,7 +137,8 @@
     Ok(())
 }
 
-/// Removes the records of jobs whose retention has ended.
+/// Removes the records of jobs whose retention has ended. Those that the store does not remove
+/// stay known, and are removed with the next ones.
 pub(super) async fn remove_jobs(node: &SchedulerNode, leadership: &Leadership, jobs: &[JobName]) {
     let mut jobs = jobs.to_vec();
     jobs.sort_by_key(WriteChain::of_job);
@@ -164,6 +165,7 @@
             .await;
         if let Err(fault) = removed {
             log_event!(Warn, "removal-failed", jobs = chunk.len(), error = fault);
+            node.metrics.count_retry("removal");
         }
     }
 }
