--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -31,6 +31,9 @@
 /// How slow a worker's clock may run, in percent; the platform specifies 2.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
 
+/// How often in a row the store rejects the record of a job before the job fails.
+const REJECTIONS_MAX: u32 = 3;
+
 /// Resources that a team's runs use, and its ceiling.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct TeamUsage {
@@ -220,7 +223,7 @@
                 self.suspects.insert(name.clone());
             }
         }
-        job.create_due_occurrences(wall_ms);
+        job.open_due_occurrences(wall_ms);
         self.has_gangs |= job.record.plan.has_gang();
         if job.ended.is_none() {
             if !job.from_earlier_owner {
@@ -344,35 +347,60 @@
 
     /// Marks a batch as recorded, so that its run ends can be acknowledged.
     pub fn mark_progress_recorded(&mut self, batch: &ProgressBatch) {
-        self.mark_jobs_recorded(&batch.records);
-        self.mark_ends_recorded(&batch.ends);
+        for (name, progress) in &batch.records {
+            self.mark_job_recorded(name, progress);
+        }
+        self.mark_ends_recorded(&batch.ends, &FastSet::default());
     }
 
-    /// Marks the progress of some jobs of a batch as recorded.
-    pub fn mark_jobs_recorded(&mut self, records: &[(JobName, ProgressRecord)]) {
-        for (name, progress) in records {
-            if let Some(job) = self.jobs.get_mut(name) {
-                job.end_recorded |= progress.ended.is_some();
-                job.mark_crashes_recorded(progress);
-            }
+    /// Marks the progress of a job as recorded.
+    pub fn mark_job_recorded(&mut self, name: &JobName, progress: &ProgressRecord) {
+        if let Some(job) = self.jobs.get_mut(name) {
+            job.rejections = 0;
+            job.end_recorded |= progress.ended.is_some();
+            job.mark_crashes_recorded(progress);
         }
     }
 
-    /// Marks the run ends of a batch as recorded once all of its jobs are.
-    pub fn mark_ends_recorded(&mut self, ends: &[(WorkerName, u64, u64)]) {
+    /// Marks the run ends of a batch as recorded, but those of its jobs that are `unrecorded`.
+    pub fn mark_ends_recorded(
+        &mut self,
+        ends: &[(WorkerName, u64, u64)],
+        unrecorded: &FastSet<JobName>,
+    ) {
         for (name, started_ms, end) in ends {
             if let Some(status) = self.workers.get_mut(name)
                 && status.listed.started_ms == *started_ms
             {
-                status.recorded_end = status.recorded_end.max(*end);
+                status.mark_ends_recorded(*end, unrecorded);
             }
         }
     }
 
-    /// Queues jobs of a batch again, because their write may have failed.
-    pub fn requeue_progress(&mut self, records: &[(JobName, ProgressRecord)]) {
-        let names = records.iter().map(|(name, _)| name.clone());
-        self.dirty.extend(names);
+    /// Queues a job of a batch again, because its write may have failed.
+    pub fn requeue_progress(&mut self, name: &JobName) {
+        self.dirty.insert(name.clone());
+    }
+
+    /// Queues a job again whose record the store rejects, and returns the orders that follow.
+    ///
+    /// A job whose record is rejected again and again fails: its run ends could not be
+    /// acknowledged, nor any others behind them at the same workers.
+    pub fn reject_progress(
+        &mut self,
+        name: &JobName,
+        now_ms: u64,
+        wall_ms: u64,
+    ) -> Vec<WorkerOrder> {
+        self.dirty.insert(name.clone());
+        let Some(job) = self.jobs.get_untracked(name) else {
+            return Vec::new();
+        };
+        job.rejections += 1;
+        if job.rejections < REJECTIONS_MAX || job.ended.is_some() {
+            return Vec::new();
+        }
+        self.end_job(name, JobState::Failed, now_ms, wall_ms)
     }
 
     /// Ends a job and returns the orders that stop its runs.
@@ -393,7 +421,7 @@
         }
         self.dirty.insert(name.clone());
         let mut orders = Vec::new();
-        for (occurrence, steps) in &mut job.occurrences {
+        for (occurrence, steps) in job.occurrences.open_mut() {
             for (step, state) in (0u16..).zip(steps) {
                 for (index, task) in (0u32..).zip(&mut state.tasks) {
                     for run in &mut task.runs {
@@ -402,7 +430,7 @@
                         }
                         let task = TaskName {
                             job: name.clone(),
-                            occurrence: *occurrence,
+                            occurrence,
                             step,
                             index,
                         };
--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -284,6 +284,22 @@
         self.start_at_ms.saturating_add(since_first_ms)
     }
 
+    /// Returns the number of occurrences that are due at a time, in milliseconds since the Unix
+    /// epoch.
+    pub(super) fn due_occurrences(&self, wall_ms: u64) -> u32 {
+        if self.timed_occurrences == 0 {
+            return 1;
+        }
+        let Some(since_first_ms) = wall_ms.checked_sub(self.start_at_ms) else {
+            return 0;
+        };
+        let later = since_first_ms.checked_div(self.interval_ms);
+        let due = later.map_or(u64::MAX, |later| later.saturating_add(1));
+        u32::try_from(due).map_or(self.timed_occurrences, |due| {
+            due.min(self.timed_occurrences)
+        })
+    }
+
     /// Whether some of its steps run as gangs.
     pub(super) fn has_gang(&self) -> bool {
         self.steps.iter().any(|step| step.gang)
--- a/crates/domain/src/schedule/job_progress.rs
+++ b/crates/domain/src/schedule/job_progress.rs
@@ -1,7 +1,7 @@
 //! Stored records of a job and its progress.
 
 use {
-    super::{crash_suspicion::CrashedRun, job_plan::JobPlan},
+    super::{crash_suspicion::CrashedRun, index_ranges::IndexRanges, job_plan::JobPlan},
     crate::names::{JobName, PoolName, QueueName, TeamName},
     serde::{Deserialize, Serialize},
 };
@@ -80,28 +80,32 @@
     /// Index of the step.
     pub step: u16,
     /// Whether every task is done.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub all_done: bool,
     /// Indices of the tasks that are done; empty if all are.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<u32>,
     /// Failures of tasks that are not done.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failures: Vec<TaskFailures>,
     /// Crashes under tasks that are not done.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<TaskCrashes>,
 }
 
 /// Progress of a job. The record is rewritten as its tasks end.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct ProgressRecord {
     /// Final state; `None` until the job ends.
     pub ended: Option<JobState>,
     /// When it ended, in milliseconds since the Unix epoch.
     pub ended_ms: Option<u64>,
-    /// Steps with done tasks, failed runs or crashes; empty once the job has ended.
+    /// Occurrences all of whose tasks are done; empty once the job has ended.
+    #[serde(default, skip_serializing_if = "IndexRanges::is_empty")]
+    pub ended_occurrences: IndexRanges,
+    /// Steps of other occurrences with done tasks, failed runs or crashes; empty once the job has
+    /// ended.
     #[serde(rename = "tallies")]
     pub step_progress: Vec<StepProgress>,
 }
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -2,63 +2,23 @@
 
 use {
     super::{
-        crash_suspicion::CrashSuspicion,
+        job_occurrences::JobOccurrences,
         job_order::JobUrgency,
         job_plan::{Resources, StepPlan},
-        job_progress::{
-            JobRecord, JobState, ProgressRecord, StepProgress, TaskCrashes, TaskFailures,
-        },
+        job_progress::{JobRecord, JobState, ProgressRecord, StepProgress},
         pool_load::PoolLoad,
-        step_advice::StepAdvice,
+        step_state::{StepState, TaskState},
         task_name::TaskName,
-        task_run::{RunPhase, TaskRun},
+        task_run::RunPhase,
     },
     crate::names::WorkerName,
-    std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
+    std::{cmp::Reverse, sync::Arc},
 };
 
 /// Multiple of the objective up to which a late completion still has value, by the users'
 /// rules.
 const LATE_VALUE_FACTOR: u64 = 3;
 
-/// State of one task.
-#[derive(Debug, Clone, Default)]
-pub(super) struct TaskState {
-    pub(super) done: bool,
-    pub(super) failed_runs: Vec<u32>,
-    pub(super) suspicion: CrashSuspicion,
-    pub(super) last_run: u32,
-    pub(super) checkpoint: Option<Arc<str>>,
-    pub(super) runs: Vec<TaskRun>,
-}
-
-impl TaskState {
-    pub(super) fn is_idle(&self) -> bool {
-        !self.done && self.runs.is_empty()
-    }
-
-    /// Returns the run with this number on a worker.
-    pub(super) fn run_on(&self, worker: &WorkerName, run: u32) -> Option<&TaskRun> {
-        let mut runs = self.runs.iter();
-        runs.find(|known| known.run == run && known.worker == *worker)
-    }
-
-    /// Returns the run with this number on a worker, to change it.
-    pub(super) fn run_on_mut(&mut self, worker: &WorkerName, run: u32) -> Option<&mut TaskRun> {
-        let mut runs = self.runs.iter_mut();
-        runs.find(|known| known.run == run && known.worker == *worker)
-    }
-}
-
-/// The tasks of one step in one occurrence.
-#[derive(Debug, Clone)]
-pub(super) struct StepState {
-    pub(super) tasks: Vec<TaskState>,
-    pub(super) remaining: usize,
-    pub(super) has_progress: bool,
-    pub(super) advice: StepAdvice,
-}
-
 /// A job in the schedule.
 #[derive(Debug, Clone)]
 #[expect(
@@ -73,14 +33,12 @@
     full_path_ms: u64,
     /// Duration of what is left of it in the last occurrence, in milliseconds.
     critical_path_ms: u64,
-    pub(super) occurrences: BTreeMap<u32, Vec<StepState>>,
-    pub(super) next_occurrence: u32,
-    /// Occurrences that are due by this owner's clock. Later ones may exist too, if another
-    /// owner, whose clock is ahead, started them.
-    due_occurrences: u32,
+    pub(super) occurrences: JobOccurrences,
     pub(super) ended: Option<JobState>,
     pub(super) ended_ms: Option<u64>,
     pub(super) end_recorded: bool,
+    /// How often in a row the store has rejected the record of its progress.
+    pub(super) rejections: u32,
     /// Whether its records are to be removed from the store.
     pub(super) removal_ordered: bool,
     pub(super) arrived_ms: u64,
@@ -113,12 +71,11 @@
             full_path_ms,
             critical_path_ms: full_path_ms,
             record,
-            occurrences: BTreeMap::new(),
-            next_occurrence: 0,
-            due_occurrences: 0,
+            occurrences: JobOccurrences::default(),
             ended: None,
             ended_ms: None,
             end_recorded: false,
+            rejections: 0,
             removal_ordered: false,
             arrived_ms,
             added_ms,
@@ -148,69 +105,60 @@
             self.mark_begun();
             return;
         }
-        self.create_due_occurrences(wall_ms);
+        self.occurrences.restore_ended(&progress.ended_occurrences);
+        if !progress.ended_occurrences.is_empty() {
+            self.mark_begun();
+        }
         for recorded in &progress.step_progress {
-            self.create_occurrences_to(recorded.occurrence);
-            let Some(step) = self
-                .occurrences
-                .get_mut(&recorded.occurrence)
-                .and_then(|steps| steps.get_mut(usize::from(recorded.step)))
-            else {
+            if self.occurrences.has_ended(recorded.occurrence) {
+                continue;
+            }
+            self.open_occurrence(recorded.occurrence);
+            let steps = self.occurrences.steps_mut(recorded.occurrence);
+            let step = steps.and_then(|steps| steps.get_mut(usize::from(recorded.step)));
+            let Some(step) = step else {
                 continue;
             };
             step.restore(recorded);
             self.mark_begun();
         }
+        for recorded in &progress.step_progress {
+            self.occurrences.settle(recorded.occurrence);
+        }
+        self.open_due_occurrences(wall_ms);
         self.update_critical_path();
     }
 
-    /// Creates the occurrences that are due.
-    pub(super) fn create_due_occurrences(&mut self, wall_ms: u64) {
-        while self.due_occurrences < self.record.plan.occurrences()
-            && self.record.plan.due_ms(self.due_occurrences) <= wall_ms
-        {
-            self.create_occurrences_to(self.due_occurrences);
-            self.due_occurrences += 1;
+    /// Opens the occurrences that are due.
+    pub(super) fn open_due_occurrences(&mut self, wall_ms: u64) {
+        if self.occurrences.open_due(&self.record.plan, wall_ms) {
             self.may_start = true;
+            self.update_critical_path();
         }
     }
 
-    /// Creates the occurrences up to one that a worker or a record names, due or not, so that
-    /// its runs and ends are tracked. Occurrences that are not due start no more tasks.
-    pub(super) fn create_occurrences_to(&mut self, occurrence: u32) {
-        let first = self.next_occurrence;
-        while self.next_occurrence <= occurrence
-            && self.next_occurrence < self.record.plan.occurrences()
-        {
-            self.create_next_occurrence();
-        }
-        if self.next_occurrence > first {
+    /// Opens an occurrence that a worker or a record names.
+    pub(super) fn open_occurrence(&mut self, occurrence: u32) {
+        if self.occurrences.open_named(&self.record.plan, occurrence) {
             self.update_critical_path();
         }
     }
 
-    /// Whether occurrences become due at a later time.
-    pub(super) fn has_occurrences_to_come(&self) -> bool {
-        self.due_occurrences < self.record.plan.occurrences()
+    /// Whether an occurrence has ended and none of its runs is known.
+    pub(super) fn is_closed(&self, occurrence: u32) -> bool {
+        self.occurrences.has_ended(occurrence) && self.occurrences.steps(occurrence).is_none()
     }
 
-    fn create_next_occurrence(&mut self) {
-        let steps = self.record.plan.steps.iter().map(|step| StepState {
-            tasks: vec![TaskState::default(); step.count as usize],
-            remaining: step.count as usize,
-            has_progress: false,
-            advice: StepAdvice::default(),
-        });
-        self.occurrences
-            .insert(self.next_occurrence, steps.collect());
-        self.next_occurrence += 1;
+    /// Whether occurrences are to be opened at a later time.
+    pub(super) fn has_occurrences_to_come(&self) -> bool {
+        self.occurrences.has_unopened(&self.record.plan)
     }
 
     /// Updates the critical path, which each planning pass reads, after a change of the steps.
     fn update_critical_path(&mut self) {
         let plan = &self.record.plan;
-        let last = self.occurrences.values().next_back();
-        self.critical_path_ms = last.map_or(self.full_path_ms, |steps| {
+        let last = self.occurrences.open().next_back();
+        self.critical_path_ms = last.map_or(self.full_path_ms, |(_, steps)| {
             plan.critical_path_ms(|step| steps[step].remaining == 0)
         });
     }
@@ -230,22 +178,16 @@
 
     /// Returns the tasks under which workers have crashed and that are not cleared.
     pub(super) fn suspected_tasks(&self) -> impl Iterator<Item = (TaskName, &TaskState)> {
-        let steps = self.occurrences.iter().flat_map(|(occurrence, steps)| {
-            let numbered = (0u16..).zip(steps);
-            numbered.map(move |(number, step)| (*occurrence, number, step))
-        });
-        steps.flat_map(move |(occurrence, step, state)| {
-            let tasks = (0u32..).zip(&state.tasks);
-            let suspected = tasks.filter(|(_, task)| task.suspicion.is_suspected());
-            suspected.map(move |(index, task)| {
-                let name = TaskName {
-                    job: self.record.name.clone(),
-                    occurrence,
-                    step,
-                    index,
-                };
-                (name, task)
-            })
+        let tasks = self.occurrences.tasks();
+        let suspected = tasks.filter(|(_, _, _, task)| task.suspicion.is_suspected());
+        suspected.map(|(occurrence, step, index, task)| {
+            let name = TaskName {
+                job: self.record.name.clone(),
+                occurrence,
+                step,
+                index,
+            };
+            (name, task)
         })
     }
 
@@ -258,7 +200,7 @@
     /// Marks the crashes in a stored record as recorded.
     pub(super) fn mark_crashes_recorded(&mut self, stored: &ProgressRecord) {
         for step in &stored.step_progress {
-            let steps = self.occurrences.get_mut(&step.occurrence);
+            let steps = self.occurrences.steps_mut(step.occurrence);
             let Some(state) = steps.and_then(|steps| steps.get_mut(usize::from(step.step))) else {
                 continue;
             };
@@ -300,16 +242,8 @@
 
     /// Whether a step's occurrence is due and the steps that it depends on are done.
     pub(super) fn is_ready(&self, occurrence: u32, step: usize) -> bool {
-        if occurrence >= self.due_occurrences {
-            return false;
-        }
-        let Some(steps) = self.occurrences.get(&occurrence) else {
-            return false;
-        };
-        self.record.plan.steps[step]
-            .after
-            .iter()
-            .all(|after| steps[usize::from(*after)].remaining == 0)
+        self.occurrences
+            .is_ready(&self.record.plan, occurrence, step)
     }
 
     /// Marks a task, or all tasks of a gang, as done. Returns whether that changed anything.
@@ -321,8 +255,7 @@
         step.has_progress = true;
         let before = step.remaining;
         if gang {
-            step.tasks.iter_mut().for_each(|task| task.done = true);
-            step.remaining = 0;
+            step.mark_all_done();
         } else if let Some(task) = step.tasks.get_mut(name.index as usize)
             && !task.done
         {
@@ -333,6 +266,7 @@
         let is_step_done = is_changed && step.remaining == 0;
         self.may_start |= is_changed;
         if is_step_done {
+            self.occurrences.settle(name.occurrence);
             self.update_critical_path();
         }
         is_changed
@@ -351,6 +285,7 @@
         if is_removed {
             self.run_count -= 1;
             self.may_start = true;
+            self.occurrences.settle(task.occurrence);
         }
         is_removed
     }
@@ -378,34 +313,34 @@
 
     /// Whether every task of every occurrence is done.
     pub(super) fn all_done(&self) -> bool {
-        self.next_occurrence == self.record.plan.occurrences()
-            && self
-                .occurrences
-                .values()
-                .all(|steps| steps.iter().all(|step| step.remaining == 0))
+        self.occurrences.all_ended(&self.record.plan)
     }
 
     /// Returns the step of a task, to change it.
     pub(super) fn step_mut(&mut self, task: &TaskName) -> Option<&mut StepState> {
-        let steps = self.occurrences.get_mut(&task.occurrence)?;
+        let steps = self.occurrences.steps_mut(task.occurrence)?;
         steps.get_mut(usize::from(task.step))
     }
 
+    /// Returns a step of an open occurrence.
+    pub(super) fn step_at(&self, occurrence: u32, step: usize) -> Option<&StepState> {
+        self.occurrences.steps(occurrence)?.get(step)
+    }
+
     /// Returns the step of a task.
     pub(super) fn step(&self, task: &TaskName) -> Option<&StepState> {
-        let steps = self.occurrences.get(&task.occurrence)?;
-        steps.get(usize::from(task.step))
+        self.step_at(task.occurrence, usize::from(task.step))
     }
 
     /// Adds the demand of its ready tasks to its pool's load.
     pub(super) fn add_load(&self, load: &mut PoolLoad) {
-        for (occurrence, steps) in &self.occurrences {
+        for (occurrence, steps) in self.occurrences.open() {
             for (number, step) in steps.iter().enumerate() {
                 let plan = &self.record.plan.steps[number];
                 if plan.long_running {
                     load.spread = load.spread.max(spread_width(plan));
                 }
-                if step.remaining == 0 || !self.is_ready(*occurrence, number) {
+                if step.remaining == 0 || !self.is_ready(occurrence, number) {
                     continue;
                 }
                 let idle = step.tasks.iter().filter(|task| task.is_idle()).count() as u64;
@@ -431,9 +366,9 @@
 
     /// Returns the steps that are ready and not done, each as occurrence, number and state.
     pub(super) fn ready_steps(&self) -> impl Iterator<Item = (u32, usize, &StepState)> {
-        let steps = self.occurrences.iter().flat_map(|(occurrence, steps)| {
+        let steps = self.occurrences.open().flat_map(|(occurrence, steps)| {
             let numbered = steps.iter().enumerate();
-            numbered.map(move |(number, step)| (*occurrence, number, step))
+            numbered.map(move |(number, step)| (occurrence, number, step))
         });
         steps.filter(|(occurrence, number, step)| {
             step.remaining > 0 && self.is_ready(*occurrence, *number)
@@ -472,29 +407,28 @@
 
     /// Returns the progress to be recorded.
     pub(super) fn progress(&self) -> ProgressRecord {
-        let step_progress = if self.ended.is_some() {
-            Vec::new()
+        let (ended_occurrences, step_progress) = if self.ended.is_some() {
+            Default::default()
         } else {
-            self.step_progress()
+            (self.occurrences.ended().clone(), self.step_progress())
         };
         ProgressRecord {
             ended: self.ended,
             ended_ms: self.ended_ms,
+            ended_occurrences,
             step_progress,
         }
     }
 
     fn step_progress(&self) -> Vec<StepProgress> {
         let mut step_progress = Vec::new();
-        for (occurrence, steps) in &self.occurrences {
-            for (number, step) in steps
-                .iter()
-                .enumerate()
-                .filter(|(_, step)| step.has_progress)
-            {
-                step_progress
-                    .push(step.progress(*occurrence, u16::try_from(number).unwrap_or(u16::MAX)));
+        for (occurrence, steps) in self.occurrences.open() {
+            if self.occurrences.has_ended(occurrence) {
+                continue;
             }
+            let numbered = (0u16..).zip(steps);
+            let changed = numbered.filter(|(_, step)| step.has_progress);
+            step_progress.extend(changed.map(|(number, step)| step.progress(occurrence, number)));
         }
         step_progress
     }
@@ -516,62 +450,3 @@
     let workers = plan.count.div_ceil(plan.max_per_worker().max(1));
     usize::try_from(workers).unwrap_or(usize::MAX)
 }
-
-impl StepState {
-    fn restore(&mut self, recorded: &StepProgress) {
-        self.has_progress = true;
-        if recorded.all_done {
-            self.tasks.iter_mut().for_each(|task| task.done = true);
-            self.remaining = 0;
-            return;
-        }
-        for index in &recorded.done {
-            if let Some(task) = self.tasks.get_mut(*index as usize)
-                && !task.done
-            {
-                task.done = true;
-                self.remaining -= 1;
-            }
-        }
-        for failed in &recorded.failures {
-            if let Some(task) = self.tasks.get_mut(failed.index as usize) {
-                let highest = failed.runs.iter().copied().max().unwrap_or_default();
-                task.last_run = task.last_run.max(highest);
-                task.failed_runs.clone_from(&failed.runs);
-            }
-        }
-        for crashed in &recorded.crashes {
-            if let Some(task) = self.tasks.get_mut(crashed.index as usize) {
-                let highest = crashed.runs.iter().map(|crash| crash.run).max();
-                task.last_run = task.last_run.max(highest.unwrap_or_default());
-                task.suspicion.restore(&crashed.runs);
-            }
-        }
-    }
-
-    fn progress(&self, occurrence: u32, step: u16) -> StepProgress {
-        let indexed = || (0u32..).zip(&self.tasks);
-        let all_done = self.remaining == 0;
-        let done = indexed().filter(|(_, task)| task.done && !all_done);
-        let failed = indexed().filter(|(_, task)| !task.failed_runs.is_empty() && !task.done);
-        let suspected = indexed().filter(|(_, task)| task.suspicion.is_suspected() && !task.done);
-        StepProgress {
-            occurrence,
-            step,
-            all_done,
-            done: done.map(|(index, _)| index).collect(),
-            failures: failed
-                .map(|(index, task)| TaskFailures {
-                    index,
-                    runs: task.failed_runs.clone(),
-                })
-                .collect(),
-            crashes: suspected
-                .map(|(index, task)| TaskCrashes {
-                    index,
-                    runs: task.suspicion.crashes().to_vec(),
-                })
-                .collect(),
-        }
-    }
-}
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -7,8 +7,10 @@
 mod crash_trial;
 mod delegate_roster;
 mod fleet_schedule;
+mod index_ranges;
 mod instance_moves;
 mod instance_plan;
+mod job_occurrences;
 mod job_order;
 mod job_plan;
 mod job_progress;
@@ -32,6 +34,7 @@
 mod snapshot_shard;
 mod start_replies;
 mod step_advice;
+mod step_state;
 mod task_name;
 mod task_run;
 mod tracked_table;
@@ -48,6 +51,7 @@
     crash_suspicion::CrashedRun,
     delegate_roster::{DelegateRoster, EntryResources},
     fleet_schedule::{FleetSchedule, ProgressBatch},
+    index_ranges::IndexRanges,
     instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
--- a/crates/domain/src/schedule/partial_gang.rs
+++ b/crates/domain/src/schedule/partial_gang.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule, live_job::TaskState, task_name::TaskName,
+        fleet_schedule::FleetSchedule, step_state::TaskState, task_name::TaskName,
         worker_order::WorkerOrder,
     },
     crate::names::JobName,
@@ -28,7 +28,7 @@
                 .collect();
             for (occurrence, number) in steps {
                 let step = u16::try_from(number).unwrap_or(u16::MAX);
-                let state = job.occurrences.get_mut(&occurrence);
+                let state = job.occurrences.steps_mut(occurrence);
                 let Some(state) = state.and_then(|steps| steps.get_mut(number)) else {
                     continue;
                 };
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -151,7 +151,7 @@
                 if job.added_ms >= sole_until_ms {
                     return true;
                 }
-                job.create_due_occurrences(wall_ms);
+                job.open_due_occurrences(wall_ms);
                 if job.has_startable_task() {
                     waiting.push((job.urgency().sort_key(self.rule, now_ms), name.clone()));
                     return true;
@@ -269,7 +269,10 @@
         if unplaced.covers(plan.requires.as_ref(), plan.reserved()) {
             return false;
         }
-        let tasks = &job.occurrences[&occurrence][step].tasks;
+        let Some(state) = job.step_at(occurrence, step) else {
+            return true;
+        };
+        let tasks = &state.tasks;
         let mut idle: Vec<u32> = (0u32..)
             .zip(tasks)
             .filter(|(_, task)| task.is_idle() && !task.suspicion.awaits_record())
@@ -403,7 +406,9 @@
         let Some(job) = self.jobs.get(name).filter(|job| job.record.advised) else {
             return true;
         };
-        let step = &job.occurrences[&occurrence][step];
+        let Some(step) = job.step_at(occurrence, step) else {
+            return true;
+        };
         let mut statuses = candidates
             .iter()
             .filter_map(|candidate| self.workers.get(&candidate.name));
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -72,7 +72,7 @@
                 break;
             }
             if let Some(status) = self.workers.get_mut(worker) {
-                status.applied_end = end.number;
+                status.mark_end_applied(end.number, end.task.job.clone());
             }
         }
         if !report.ends_only {
@@ -134,7 +134,9 @@
             // The job's record may not have arrived from the store yet.
             return now_ms > self.orphans_until_ms;
         };
-        job.create_occurrences_to(end.task.occurrence);
+        if !job.is_closed(end.task.occurrence) {
+            job.open_occurrence(end.task.occurrence);
+        }
         if job.task(&end.task).is_none() {
             return true;
         }
@@ -256,7 +258,7 @@
         let ends = plan.filter(|step| !step.long_running);
         let estimate_ms = ends.map_or(0, |step| step.estimate_ms);
         job.mark_begun();
-        job.create_occurrences_to(reported.task.occurrence);
+        job.open_occurrence(reported.task.occurrence);
         let Some(task) = job.task_mut(&reported.task) else {
             orders.push(unwanted());
             return true;
--- a/crates/domain/src/schedule/step_advice.rs
+++ b/crates/domain/src/schedule/step_advice.rs
@@ -2,10 +2,8 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule,
-        live_job::{LiveJob, TaskState},
-        task_name::TaskName,
-        worker_status::WorkerStatus,
+        fleet_schedule::FleetSchedule, live_job::LiveJob, step_state::TaskState,
+        task_name::TaskName, worker_status::WorkerStatus,
     },
     crate::{
         collections::FastMap,
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -2,11 +2,8 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule,
-        live_job::{LiveJob, TaskState},
-        task_name::TaskName,
-        task_run::TaskRun,
-        worker_order::WorkerOrder,
+        fleet_schedule::FleetSchedule, live_job::LiveJob, step_state::TaskState,
+        task_name::TaskName, task_run::TaskRun, worker_order::WorkerOrder,
         worker_status::WorkerStatus,
     },
     crate::{
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -67,7 +67,10 @@
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            job.create_occurrences_to(task.occurrence);
+            if job.is_closed(task.occurrence) {
+                continue;
+            }
+            job.open_occurrence(task.occurrence);
             let Some(state) = job.task_mut(&task) else {
                 continue;
             };
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -4,10 +4,10 @@
     super::{job_plan::Resources, pace_controller::PaceController, task_name::TaskName},
     crate::{
         collections::FastSet,
-        names::{CentreName, InstanceName, PoolName, WorkerName},
+        names::{CentreName, InstanceName, JobName, PoolName, WorkerName},
     },
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{collections::VecDeque, sync::Arc},
 };
 
 /// Consecutive failed runs after which a worker is ejected. Two, since a single failure may be
@@ -190,8 +190,10 @@
     pub(super) orphans_until_ms: u64,
     /// Highest run end that was applied.
     pub applied_end: u64,
-    /// Highest run end that is recorded.
+    /// Highest run end that is recorded, as are all before it.
     pub recorded_end: u64,
+    /// The run ends after it that were applied, each with its job.
+    unrecorded_ends: VecDeque<(u64, JobName)>,
     /// Whether it gets no new tasks because its instance is about to be disrupted.
     pub cordoned: bool,
     /// Whether its instance awaits maintenance by a wave in progress.
@@ -233,6 +235,7 @@
             orphans_until_ms,
             applied_end: 0,
             recorded_end: 0,
+            unrecorded_ends: VecDeque::new(),
             cordoned: false,
             pending_maintenance: false,
             disrupting: false,
@@ -284,6 +287,24 @@
         !self.reachable && !self.may_have_orphans(now_ms) && self.applied_end <= self.recorded_end
     }
 
+    /// Notes that a run end of a job was applied.
+    pub(super) fn mark_end_applied(&mut self, number: u64, job: JobName) {
+        self.applied_end = number;
+        self.unrecorded_ends.push_back((number, job));
+    }
+
+    /// Marks the run ends up to `number` as recorded, as far as the progress of their jobs is. An end
+    /// can't be acknowledged before those ahead of it.
+    pub(super) fn mark_ends_recorded(&mut self, number: u64, unrecorded: &FastSet<JobName>) {
+        while let Some((end, job)) = self.unrecorded_ends.front() {
+            if *end > number || unrecorded.contains(job) {
+                return;
+            }
+            self.recorded_end = *end;
+            self.unrecorded_ends.pop_front();
+        }
+    }
+
     /// Records the outcome of a run that was not stopped. Consecutive failures eject the
     /// worker.
     pub fn record_outcome(&mut self, done: bool, now_ms: u64) {
--- a/crates/domain/tests/crash_fleet/mod.rs
+++ b/crates/domain/tests/crash_fleet/mod.rs
@@ -275,7 +275,9 @@
     fn record(&mut self) {
         let batch = self.schedule.take_progress_batch();
         if self.now_ms < self.store_out_until_ms {
-            self.schedule.requeue_progress(&batch.records);
+            for (job, _) in &batch.records {
+                self.schedule.requeue_progress(job);
+            }
             return;
         }
         self.schedule.mark_progress_recorded(&batch);
--- a/crates/domain/tests/ended_job_test.rs
+++ b/crates/domain/tests/ended_job_test.rs
@@ -52,7 +52,7 @@
     let progress = recorded_end.map(|state| ProgressRecord {
         ended: Some(state),
         ended_ms: Some(WALL_MS),
-        step_progress: Vec::new(),
+        ..ProgressRecord::default()
     });
     let mut schedule = taken_over(progress.as_ref(), is_cancelled);
     let first = report(20, &[EARLIER_RUN]);
@@ -173,12 +173,11 @@
         ..StepPlan::default()
     };
     let progress = ProgressRecord {
-        ended: None,
-        ended_ms: None,
         step_progress: vec![StepProgress {
             done: vec![0],
             ..StepProgress::default()
         }],
+        ..ProgressRecord::default()
     };
     let record = sample_job(JOB, step);
     schedule.add_job(record, Some(&progress), RUN_BASE, NOW_MS, WALL_MS);
--- a/crates/domain/tests/schedule_model/owner_storage.rs
+++ b/crates/domain/tests/schedule_model/owner_storage.rs
@@ -128,7 +128,9 @@
             if recorded {
                 schedule.mark_progress_recorded(&batch);
             } else {
-                schedule.requeue_progress(&batch.records);
+                for (job, _) in &batch.records {
+                    schedule.requeue_progress(job);
+                }
             }
             then(model, recorded);
         });
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -236,7 +236,8 @@
     assert_eq!(recorded_end(&schedule), Some(0));
     if write_fails {
         let batch = schedule.take_progress_batch();
-        schedule.requeue_progress(&batch.records);
+        let (job, _) = batch.records.first().expect("a record");
+        schedule.requeue_progress(job);
         assert_eq!(recorded_end(&schedule), Some(0));
         assert_eq!(schedule.state(&name("done")), Some(JobState::Running));
     }
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -216,6 +216,7 @@
         Ok(WriteOutcome::NotStored) => {
             CallResponse::refused(503, "store-away").with_retry_after(RETRY_AFTER_STORE_S)
         }
+        Ok(WriteOutcome::Rejected) => CallResponse::refused(413, "job-too-large"),
         Ok(WriteOutcome::Unsure) | Err(_) => CallResponse::refused(504, "store-unsure"),
     }
 }
@@ -238,7 +239,7 @@
             match outcome {
                 WriteOutcome::Stored => return CallResponse::ok("{}".to_owned()),
                 WriteOutcome::NoJob => return CallResponse::refused(410, "no-job"),
-                WriteOutcome::NotStored | WriteOutcome::Unsure => {
+                WriteOutcome::NotStored | WriteOutcome::Unsure | WriteOutcome::Rejected => {
                     node.metrics.count_retry("cancel");
                     tokio::time::sleep(jittered_pause(CANCEL_RETRY_PAUSE)).await;
                 }
--- a/crates/scheduler/src/job_records.rs
+++ b/crates/scheduler/src/job_records.rs
@@ -75,6 +75,17 @@
             Err(KvFault::OutcomeUnknown { .. } | KvFault::Unreadable { .. }) => {
                 node.mark_store_unreachable();
             }
+            Err(KvFault::Rejected { detail }) => {
+                let bytes = value.len();
+                log_event!(
+                    Info,
+                    "job-rejected",
+                    job = record.name,
+                    bytes = bytes,
+                    error = detail
+                );
+                return WriteOutcome::Rejected;
+            }
             Err(_) if attempt > 0 => {}
             Err(fault) => {
                 log_event!(Info, "job-not-stored", job = record.name, error = fault);
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -3,16 +3,16 @@
 use {
     super::{leadership::Leadership, owner_writes::WriteChain},
     crate::{
-        node::{SchedulerNode, lock},
+        node::{SchedulerNode, lock, uptime_ms},
         store::{cancel_key, job_key, progress_key},
     },
     dotterelshore_domain::{
-        collections::FastMap,
+        collections::{FastMap, FastSet},
         names::JobName,
         schedule::{ProgressBatch, ProgressRecord},
     },
     dotterelshore_platform::{KvFault, KvTransaction},
-    dotterelshore_wire::{log_event, timer_hub::jittered_pause},
+    dotterelshore_wire::{event_log::unix_millis, log_event, timer_hub::jittered_pause},
     futures_util::future::join_all,
     std::{
         sync::Arc,
@@ -20,11 +20,29 @@
     },
 };
 
-/// A job and its progress.
-type JobProgress = (JobName, ProgressRecord);
+/// The progress of a job as it is stored.
+struct EncodedProgress {
+    job: JobName,
+    progress: ProgressRecord,
+    value: Vec<u8>,
+}
+
+impl From<(JobName, ProgressRecord)> for EncodedProgress {
+    fn from((job, progress): (JobName, ProgressRecord)) -> Self {
+        let value = serde_json::to_vec(&progress).expect("a record has string keys");
+        Self {
+            job,
+            progress,
+            value,
+        }
+    }
+}
 
 /// Jobs recorded in one transaction. The store allows 32 rows, three of which order the write.
 const JOBS_PER_WRITE: usize = 28;
+/// Bytes of the records in one transaction, unless one record is longer. A tenth of a second on the
+/// slowest link.
+const BYTES_PER_WRITE: usize = 128 * 1024;
 /// Jobs removed in one transaction, each with three keys.
 const JOBS_PER_REMOVAL: usize = 9;
 /// Pause before a write, so that jobs that end close together share it.
@@ -64,77 +82,126 @@
     }
 }
 
-/// Records all progress so far. Returns whether the write succeeded.
+/// Records all progress so far. Returns whether all of it is stored.
 pub(super) async fn record_once(node: &SchedulerNode, leadership: &Leadership) -> bool {
     let ProgressBatch { records, ends } = lock(&leadership.schedule).take_progress_batch();
-    let mut chains: FastMap<WriteChain, Vec<JobProgress>> = FastMap::default();
+    let mut chains: FastMap<WriteChain, Vec<EncodedProgress>> = FastMap::default();
     for record in records {
         let chain = WriteChain::of_job(&record.0);
-        chains.entry(chain).or_default().push(record);
+        let encoded = EncodedProgress::from(record);
+        chains.entry(chain).or_default().push(encoded);
     }
     let writes = chains
         .iter()
         .map(|(chain, records)| record_chain(node, leadership, *chain, records));
-    let all_recorded = join_all(writes).await.into_iter().all(|recorded| recorded);
-    if all_recorded {
-        lock(&leadership.schedule).mark_ends_recorded(&ends);
-    }
-    all_recorded
+    let unrecorded: FastSet<_> = join_all(writes).await.into_iter().flatten().collect();
+    lock(&leadership.schedule).mark_ends_recorded(&ends, &unrecorded);
+    unrecorded.is_empty()
 }
 
-/// Records the progress of the jobs of one chain. Each write that took effect counts at once,
-/// whatever becomes of the others.
+/// Records the progress of the jobs of one chain, and returns the jobs that are not recorded. Each
+/// write that took effect counts at once, whatever becomes of the others.
 async fn record_chain(
     node: &SchedulerNode,
     leadership: &Leadership,
     chain: WriteChain,
-    mut unrecorded: &[JobProgress],
-) -> bool {
-    while !unrecorded.is_empty() {
-        let (chunk, rest) = unrecorded.split_at(unrecorded.len().min(JOBS_PER_WRITE));
-        if let Err(fault) = write_chunk(node, leadership, chain, chunk).await {
-            log_event!(
-                Warn,
-                "recording-failed",
-                jobs = unrecorded.len(),
-                error = fault
-            );
-            node.metrics.count_retry("recording");
-            lock(&leadership.schedule).requeue_progress(unrecorded);
-            return false;
+    records: &[EncodedProgress],
+) -> Vec<JobName> {
+    let mut unrecorded = Vec::new();
+    let mut groups = write_groups(records);
+    while let Some(group) = groups.pop() {
+        match write_group(node, leadership, chain, group).await {
+            Ok(()) => mark_recorded(leadership, group),
+            Err(KvFault::Rejected { .. }) if group.len() > 1 => {
+                // One of the records can't be stored. The others need not wait for it.
+                let (first, second) = group.split_at(group.len() / 2);
+                groups.extend([second, first]);
+            }
+            Err(KvFault::Rejected { detail }) => {
+                for record in group {
+                    reject(node, leadership, record, &detail);
+                    unrecorded.push(record.job.clone());
+                }
+            }
+            Err(fault) => {
+                groups.push(group);
+                let left: Vec<_> = groups.into_iter().flatten().collect();
+                log_event!(Warn, "recording-failed", jobs = left.len(), error = fault);
+                node.metrics.count_retry("recording");
+                for record in left {
+                    lock(&leadership.schedule).requeue_progress(&record.job);
+                    unrecorded.push(record.job.clone());
+                }
+                break;
+            }
         }
-        lock(&leadership.schedule).mark_jobs_recorded(chunk);
-        if chunk.iter().any(|(_, progress)| progress.has_crashes()) {
-            leadership.plan_notify.notify_one();
+    }
+    unrecorded
+}
+
+/// Divides records into groups for one transaction each, the first group last.
+fn write_groups(records: &[EncodedProgress]) -> Vec<&[EncodedProgress]> {
+    let mut groups = Vec::new();
+    let mut rest = records;
+    while !rest.is_empty() {
+        let mut bytes = 0;
+        let fitting = rest.iter().take(JOBS_PER_WRITE).take_while(|record| {
+            bytes += record.value.len();
+            bytes <= BYTES_PER_WRITE
+        });
+        let (group, others) = rest.split_at(fitting.count().max(1));
+        groups.push(group);
+        rest = others;
+    }
+    groups.reverse();
+    groups
+}
+
+fn mark_recorded(leadership: &Leadership, group: &[EncodedProgress]) {
+    for record in group {
+        lock(&leadership.schedule).mark_job_recorded(&record.job, &record.progress);
+        if let Some(ended) = record.progress.ended {
+            let state = format!("{ended:?}");
+            log_event!(Info, "job-ended", job = record.job, state = state);
         }
-        unrecorded = rest;
     }
-    true
+    if group.iter().any(|record| record.progress.has_crashes()) {
+        leadership.plan_notify.notify_one();
+    }
 }
 
-async fn write_chunk(
+/// Has a record that the store rejects written again later, or its job given up.
+fn reject(node: &SchedulerNode, leadership: &Leadership, record: &EncodedProgress, detail: &str) {
+    let stops = {
+        let mut schedule = lock(&leadership.schedule);
+        schedule.reject_progress(&record.job, uptime_ms(), unix_millis())
+    };
+    log_event!(
+        Error,
+        "record-rejected",
+        job = record.job,
+        bytes = record.value.len(),
+        error = detail,
+        stops = stops.len()
+    );
+    node.metrics.count_retry("record-rejected");
+    leadership.dispatch(stops);
+}
+
+async fn write_group(
     node: &SchedulerNode,
     leadership: &Leadership,
     chain: WriteChain,
-    chunk: &[JobProgress],
+    group: &[EncodedProgress],
 ) -> Result<(), KvFault> {
     let mut transaction = KvTransaction::default();
-    for (name, progress) in chunk {
-        let value = serde_json::to_vec(progress).map_err(|error| KvFault::NotApplied {
-            detail: error.to_string(),
-        })?;
-        transaction = transaction.write(progress_key(name), &value, 0);
+    for record in group {
+        transaction = transaction.write(progress_key(&record.job), &record.value, 0);
     }
     leadership
         .writes
         .commit(node, leadership, chain, transaction)
-        .await?;
-    for (name, progress) in chunk {
-        if let Some(ended) = progress.ended {
-            log_event!(Info, "job-ended", job = name, state = format!("{ended:?}"));
-        }
-    }
-    Ok(())
+        .await
 }
 
 /// Removes the records of jobs whose retention has ended. Those that the store does not remove
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -96,6 +96,8 @@
     NotStored,
     /// The outcome is unknown: the write may have taken effect or may still do so.
     Unsure,
+    /// The store rejects the record, such as for its length, and would do so again.
+    Rejected,
 }
 
 /// The connection to the owner, opened when a call needs it.
