--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -265,6 +265,12 @@
         jobs.filter(is_pending).count()
     }
 
+    /// Counts the tasks that have state: those of the open occurrences of all jobs.
+    pub fn tracked_tasks(&self) -> usize {
+        let jobs = self.jobs.values();
+        jobs.map(|job| job.occurrences.tasks().count()).sum()
+    }
+
     /// Counts the jobs that have not ended.
     pub fn open_jobs(&self) -> usize {
         self.active.values().map(FastSet::len).sum()
--- a/crates/domain/src/schedule/job_occurrences.rs
+++ b/crates/domain/src/schedule/job_occurrences.rs
@@ -9,8 +9,15 @@
     std::collections::BTreeMap,
 };
 
+/// Most tasks in the open occurrences of a job, unless a single occurrence has more. Their progress
+/// is stored in one record, which grows by up to some 50 bytes a task.
+pub(super) const OPEN_TASKS_MAX: usize = 2_048;
+/// Startable tasks beyond which a job opens no further occurrence. More than an entry starts between
+/// two planning passes.
+const STARTABLE_TASKS_MAX: usize = 256;
+
 /// The occurrences of a job. Which are due follows from the plan and the time. One is opened when
-/// it is due, or a worker or a record names it, and closed once it has ended.
+/// its tasks may start soon, or a worker or a record names it, and closed once it has ended.
 #[derive(Debug, Clone, Default)]
 pub(super) struct JobOccurrences {
     open: BTreeMap<u32, Vec<StepState>>,
@@ -77,7 +84,14 @@
         self.next < plan.occurrences()
     }
 
-    /// Opens the occurrences that are due at a time. Returns whether it opened one.
+    /// Returns how many occurrences are due and were not opened yet; at most, since a few of them
+    /// may have been opened out of turn.
+    pub(super) fn unopened_due(&self) -> u32 {
+        self.due.saturating_sub(self.next)
+    }
+
+    /// Opens the next occurrences that are due at a time, as far as their tasks may start soon.
+    /// Returns whether it opened one.
     pub(super) fn open_due(&mut self, plan: &JobPlan, wall_ms: u64) -> bool {
         self.due = self.due.max(plan.due_occurrences(wall_ms));
         let mut has_opened = false;
@@ -87,6 +101,9 @@
                 continue;
             }
             if !self.open.contains_key(&self.next) {
+                if !self.has_room(plan) {
+                    break;
+                }
                 self.insert(plan, self.next);
                 has_opened = true;
             }
@@ -132,6 +149,31 @@
         }
     }
 
+    /// Whether another occurrence may be opened.
+    fn has_room(&self, plan: &JobPlan) -> bool {
+        let per_occurrence = plan.tasks_per_occurrence();
+        let open_tasks = self.open.len().saturating_mul(per_occurrence);
+        let fits = open_tasks.saturating_add(per_occurrence) <= OPEN_TASKS_MAX;
+        (self.open.is_empty() || fits) && !self.has_many_startable(plan)
+    }
+
+    /// Whether the open occurrences that are due have tasks enough to start. Looks at the newest
+    /// ones first: their tasks have started last.
+    fn has_many_startable(&self, plan: &JobPlan) -> bool {
+        let mut startable = 0;
+        for (_, steps) in self.open.range(..self.due).rev() {
+            for (number, step) in steps.iter().enumerate() {
+                if is_ready(plan, steps, number) {
+                    startable += step.tasks.iter().filter(|task| task.is_idle()).count();
+                }
+            }
+            if startable >= STARTABLE_TASKS_MAX {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Whether a step's occurrence is due and open, and the steps that it depends on are done.
     pub(super) fn is_ready(&self, plan: &JobPlan, occurrence: u32, step: usize) -> bool {
         let steps = self.steps(occurrence).filter(|_| self.is_due(occurrence));
--- a/crates/domain/src/schedule/job_plan.rs
+++ b/crates/domain/src/schedule/job_plan.rs
@@ -300,6 +300,11 @@
         })
     }
 
+    /// Returns the number of tasks in each occurrence.
+    pub(super) fn tasks_per_occurrence(&self) -> usize {
+        self.steps.iter().map(|step| step.count as usize).sum()
+    }
+
     /// Whether some of its steps run as gangs.
     pub(super) fn has_gang(&self) -> bool {
         self.steps.iter().any(|step| step.gang)
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -129,7 +129,7 @@
         self.update_critical_path();
     }
 
-    /// Opens the occurrences that are due.
+    /// Opens the next occurrences that are due, as far as their tasks may start soon.
     pub(super) fn open_due_occurrences(&mut self, wall_ms: u64) {
         if self.occurrences.open_due(&self.record.plan, wall_ms) {
             self.may_start = true;
@@ -350,6 +350,18 @@
                 }
             }
         }
+        for (step, tasks) in self.unopened_tasks() {
+            load.add_waiting(tasks, step.reserved());
+        }
+    }
+
+    /// Returns the first steps of the occurrences that are due and not open, each with the number
+    /// of its tasks in all of them.
+    fn unopened_tasks(&self) -> impl Iterator<Item = (&StepPlan, u64)> {
+        let occurrences = u64::from(self.occurrences.unopened_due());
+        let steps = self.record.plan.steps.iter();
+        let first = steps.filter(move |step| occurrences > 0 && step.after.is_empty());
+        first.map(move |step| (step, occurrences.saturating_mul(step.count.into())))
     }
 
     /// Sums the resources of ready tasks that are not known to run.
@@ -361,6 +373,9 @@
                 need += task_need;
             }
         }
+        for (step, tasks) in self.unopened_tasks() {
+            need += step.need.times(tasks);
+        }
         need
     }
 
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -54,6 +54,7 @@
     leading: Gauge,
     open_jobs: Gauge,
     suspected_tasks: Gauge,
+    tracked_tasks: Gauge,
     lingering_runs: Gauge,
     lingering_oldest_ms: Gauge,
     config_version: Gauge,
@@ -108,6 +109,11 @@
                 "suspected_tasks",
                 "Tasks under which workers crashed and that are not cleared, at the owner",
             ),
+            tracked_tasks: gauge(
+                &mut registry,
+                "tracked_tasks",
+                "Tasks that have state in memory, at the owner",
+            ),
             lingering_runs: gauge(
                 &mut registry,
                 "lingering_runs",
@@ -171,13 +177,19 @@
         let gauge_value = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         let leadership = node.leadership();
         self.leading.set(i64::from(leadership.is_some()));
-        let (open, suspected, lingering) = leadership.map_or_else(Default::default, |leadership| {
-            let schedule = lock(&leadership.schedule);
-            let lingering = schedule.lingering_runs(unix_millis());
-            (schedule.open_jobs(), schedule.suspected_tasks(), lingering)
-        });
+        let (open, suspected, tracked, lingering) =
+            leadership.map_or_else(Default::default, |leadership| {
+                let schedule = lock(&leadership.schedule);
+                (
+                    schedule.open_jobs(),
+                    schedule.suspected_tasks(),
+                    schedule.tracked_tasks(),
+                    schedule.lingering_runs(unix_millis()),
+                )
+            });
         self.open_jobs.set(gauge_value(open as u64));
         self.suspected_tasks.set(gauge_value(suspected as u64));
+        self.tracked_tasks.set(gauge_value(tracked as u64));
         self.lingering_runs.set(gauge_value(lingering.runs as u64));
         self.lingering_oldest_ms
             .set(gauge_value(lingering.oldest_ms));
