--- a/crates/domain/src/schedule/crash_blame.rs
+++ b/crates/domain/src/schedule/crash_blame.rs
@@ -4,14 +4,14 @@
     super::{
         crash_suspicion::{CrashSuspicion, CrashedRun, JUST_STARTED_MS},
         fleet_schedule::FleetSchedule,
-        job_progress::JobState,
+        job_progress::{JobState, RecordedAttempt, WorkerIncarnation},
         run_tracking::DropReason,
         task_name::TaskName,
         task_run::{RunPhase, TaskRun},
         worker_order::WorkerOrder,
         worker_status::WorkerStatus,
     },
-    crate::names::{InstanceName, JobName, WorkerName},
+    crate::names::{JobName, WorkerName},
 };
 
 /// A run that has gone on for this long is not taken for the cause of a crash, in milliseconds.
@@ -79,9 +79,7 @@
 /// A worker whose lease expired while runs on it were young: it crashed or was cut off.
 #[derive(Debug)]
 pub(super) struct LapsedWorker {
-    worker: WorkerName,
-    started_ms: u64,
-    instance: Option<InstanceName>,
+    at: WorkerIncarnation,
     runs: Vec<(TaskName, u32)>,
     contact_ms: u64,
 }
@@ -130,10 +128,10 @@
         };
         let confirmed = reason != DropReason::LeaseExpired;
         let young = self.young_runs(status);
+        let knows_runs = status.knows_runs();
+        let pool = status.listed.pool.clone();
         let lapsed = LapsedWorker {
-            worker: name.clone(),
-            started_ms: status.listed.started_ms,
-            instance: status.listed.instance.clone(),
+            at: status.listed.incarnation(),
             runs: young
                 .iter()
                 .map(|run| (run.task.clone(), run.run))
@@ -141,8 +139,12 @@
             contact_ms: status.contact_ms,
         };
         let had_lapsed = confirmed && self.confirm_lapsed(|known| known.worker == *name);
+        if !knows_runs {
+            // Runs of the owner before may have been there that are not known.
+            self.pools_with_unknown_runs.insert(pool);
+        }
         if young.is_empty() {
-            if confirmed && !had_lapsed {
+            if confirmed && !had_lapsed && knows_runs {
                 self.mark_unexplained(name.clone());
             }
             return;
@@ -156,12 +158,13 @@
                 likely: likely.contains(&run.task.job),
                 alone: young.iter().all(|other| !run.has_rival(other)),
                 confirmed,
+                unconfirmed_at: (!confirmed).then(|| lapsed.at.clone()),
             };
-            self.suspect(run, name, crash);
+            self.suspect(&run.task, name, crash);
         }
         if confirmed {
             self.open_crashes.push(OpenCrash {
-                worker: lapsed.worker,
+                worker: lapsed.at.worker,
                 runs: lapsed.runs,
             });
         } else {
@@ -180,6 +183,9 @@
         let runs = status.runs.iter().filter_map(|(task, number)| {
             let state = self.jobs.get(&task.job)?.task(task)?;
             let run = state.run_on(&status.listed.name, *number)?;
+            if run.phase == RunPhase::Planned {
+                return None;
+            }
             let mut age_ms = run.age_ms(status.contact_ms);
             if run.from_earlier_owner && run.is_reported {
                 // It went on before this owner heard of it.
@@ -197,22 +203,22 @@
         runs
     }
 
-    fn suspect(&mut self, run: &YoungRun, worker: &WorkerName, crash: CrashedRun) {
-        let job = self.jobs.get_mut(&run.task.job);
+    fn suspect(&mut self, name: &TaskName, worker: &WorkerName, crash: CrashedRun) {
+        let job = self.jobs.get_mut(&name.job);
         let Some(job) = job.filter(|job| job.ended.is_none()) else {
             return;
         };
-        let Some(task) = job.task_mut(&run.task).filter(|task| !task.done) else {
+        let Some(task) = job.task_mut(name).filter(|task| !task.done) else {
             return;
         };
-        if !task.suspicion.add(crash) {
+        if !task.suspicion.add(crash.clone()) {
             return;
         }
         let crashes = task.suspicion.crashes().len();
-        self.suspects.insert(run.task.job.clone());
-        self.mark_suspicion_changed(&run.task);
+        self.suspects.insert(name.job.clone());
+        self.mark_suspicion_changed(name);
         self.crash_notices.push(CrashNotice::Suspected {
-            task: run.task.clone(),
+            task: name.clone(),
             worker: worker.clone(),
             crash,
             crashes,
@@ -224,6 +230,43 @@
         Some(&mut state.suspicion)
     }
 
+    /// Takes over the question whether a worker has crashed under a run, which an earlier owner has
+    /// left open.
+    pub(super) fn restore_lapsed(
+        &mut self,
+        at: &WorkerIncarnation,
+        run: (TaskName, u32),
+        now_ms: u64,
+    ) {
+        match self.lapsed.iter_mut().find(|lapsed| lapsed.at == *at) {
+            Some(lapsed) => lapsed.runs.push(run),
+            None => self.lapsed.push(LapsedWorker {
+                at: at.clone(),
+                runs: vec![run],
+                contact_ms: now_ms,
+            }),
+        }
+    }
+
+    /// Suspects a task whose recorded attempt went with its worker under an earlier owner.
+    pub(super) fn suspect_lost_attempt(
+        &mut self,
+        task: &TaskName,
+        attempt: &RecordedAttempt,
+        confirmed: bool,
+    ) {
+        let crash = CrashedRun {
+            run: attempt.run,
+            age_ms: 0,
+            age_max_ms: u64::MAX,
+            likely: true,
+            alone: false,
+            confirmed,
+            unconfirmed_at: (!confirmed).then(|| attempt.at.clone()),
+        };
+        self.suspect(task, &attempt.at.worker, crash);
+    }
+
     /// Has the progress of a task's job recorded, with the crashes under the task.
     fn mark_suspicion_changed(&mut self, task: &TaskName) {
         let job = self.jobs.get_mut(&task.job);
@@ -234,10 +277,10 @@
     }
 
     /// Confirms the crashes of lapsed workers. Returns whether there was one.
-    fn confirm_lapsed(&mut self, is_crashed: impl Fn(&LapsedWorker) -> bool) -> bool {
+    fn confirm_lapsed(&mut self, is_crashed: impl Fn(&WorkerIncarnation) -> bool) -> bool {
         let crashed: Vec<_> = self
             .lapsed
-            .extract_if(.., |known| is_crashed(known))
+            .extract_if(.., |known| is_crashed(&known.at))
             .collect();
         for (task, run) in crashed.iter().flat_map(|lapsed| &lapsed.runs) {
             let suspicion = self.suspicion_mut(task);
@@ -266,8 +309,9 @@
                 known.worker == *name || known.instance.is_some() && known.instance == instance;
             is_same && known.started_ms < started_ms
         });
-        let alive =
-            |known: &mut LapsedWorker| known.worker == *name && known.started_ms == started_ms;
+        let alive = |known: &mut LapsedWorker| {
+            known.at.worker == *name && known.at.started_ms == started_ms
+        };
         let alive: Vec<_> = self.lapsed.extract_if(.., alive).collect();
         for (task, run) in alive.iter().flat_map(|lapsed| &lapsed.runs) {
             let suspicion = self.suspicion_mut(task);
@@ -372,7 +416,7 @@
     /// How long the run had gone on at a time; 0 if it may only just have started.
     pub(super) fn age_ms(&self, at_ms: u64) -> u64 {
         match self.phase {
-            RunPhase::Restored | RunPhase::Ordered | RunPhase::Unconfirmed => 0,
+            RunPhase::Planned | RunPhase::Restored | RunPhase::Ordered | RunPhase::Unconfirmed => 0,
             _ => self
                 .begun_ms
                 .map_or(0, |begun_ms| at_ms.saturating_sub(begun_ms)),
--- a/crates/domain/src/schedule/crash_suspicion.rs
+++ b/crates/domain/src/schedule/crash_suspicion.rs
@@ -1,6 +1,7 @@
 //! The crashes of workers under the runs of one task.
 
 use {
+    super::job_progress::WorkerIncarnation,
     serde::{Deserialize, Serialize},
     std::cmp::Reverse,
 };
@@ -15,7 +16,7 @@
 pub(super) const JUST_STARTED_MS: u64 = 300;
 
 /// A crash of a worker under a run of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct CrashedRun {
     /// Number of the run.
@@ -31,6 +32,9 @@
     pub alone: bool,
     /// Whether the worker is known to have crashed; otherwise it may only be cut off.
     pub confirmed: bool,
+    /// The worker, until its crash is confirmed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unconfirmed_at: Option<WorkerIncarnation>,
 }
 
 impl CrashedRun {
@@ -40,97 +44,57 @@
     }
 }
 
-/// The crashes under a task since it was last cleared. Few tasks have any, and passes over many
-/// tasks read them, so that they are kept apart.
+/// The crashes under a task since it was last cleared.
 #[derive(Debug, Clone, Default)]
-pub(super) struct CrashSuspicion(Option<Box<KnownCrashes>>);
-
-#[derive(Debug, Clone, Default)]
-struct KnownCrashes {
-    crashes: Vec<CrashedRun>,
-    /// Runs whose crash is not recorded yet.
-    unrecorded: Vec<u32>,
-}
+pub(super) struct CrashSuspicion(Vec<CrashedRun>);
 
 impl CrashSuspicion {
     /// Adds a crash, unless one under this run is known. Returns whether it was added.
     pub(super) fn add(&mut self, crash: CrashedRun) -> bool {
-        let known = self.0.get_or_insert_default();
-        if known.crashes.iter().any(|other| other.run == crash.run) {
+        if self.0.iter().any(|other| other.run == crash.run) {
             return false;
         }
-        known.crashes.push(crash);
-        known.unrecorded.push(crash.run);
+        self.0.push(crash);
         true
     }
 
     /// Restores recorded crashes.
     pub(super) fn restore(&mut self, crashes: &[CrashedRun]) {
-        let known = KnownCrashes {
-            crashes: crashes.to_vec(),
-            unrecorded: Vec::new(),
-        };
-        self.0 = (!crashes.is_empty()).then(|| Box::new(known));
+        self.0 = crashes.to_vec();
     }
 
     /// Returns the crashes.
     pub(super) fn crashes(&self) -> &[CrashedRun] {
-        self.0.as_ref().map_or(&[], |known| &known.crashes)
+        &self.0
     }
 
     /// Whether a worker has crashed under the task.
     pub(super) fn is_suspected(&self) -> bool {
-        self.0.is_some()
-    }
-
-    /// Whether the task must not start before its crashes are recorded: the next owner would not
-    /// count them. What ran beside the cause need not wait after a first crash.
-    pub(super) fn awaits_record(&self) -> bool {
-        let known = self.0.as_ref();
-        known.is_some_and(|known| known.crashes.len() > 1 && !known.unrecorded.is_empty())
-    }
-
-    /// Marks the crashes in a stored record as recorded.
-    pub(super) fn mark_recorded(&mut self, stored: &[CrashedRun]) {
-        if let Some(known) = &mut self.0 {
-            let is_stored = |run: &u32| stored.iter().any(|crash| crash.run == *run);
-            known.unrecorded.retain(|run| !is_stored(run));
-        }
+        !self.0.is_empty()
     }
 
     /// Marks the worker under a run as crashed for certain. Returns whether that is news.
     pub(super) fn confirm(&mut self, run: u32) -> bool {
-        let Some(known) = &mut self.0 else {
-            return false;
-        };
         let unconfirmed = |crash: &&mut CrashedRun| crash.run == run && !crash.confirmed;
-        let Some(crash) = known.crashes.iter_mut().find(unconfirmed) else {
+        let Some(crash) = self.0.iter_mut().find(unconfirmed) else {
             return false;
         };
         crash.confirmed = true;
-        known.unrecorded.push(run);
+        crash.unconfirmed_at = None;
         true
     }
 
     /// Removes the crash under a run, whose worker was only cut off. Returns whether it was known.
     pub(super) fn retract(&mut self, run: u32) -> bool {
-        let Some(known) = &mut self.0 else {
-            return false;
-        };
-        let before = known.crashes.len();
-        known.crashes.retain(|crash| crash.run != run);
-        known.unrecorded.retain(|other| *other != run);
-        let is_retracted = known.crashes.len() < before;
-        if known.crashes.is_empty() {
-            self.0 = None;
-        }
-        is_retracted
+        let before = self.0.len();
+        self.0.retain(|crash| crash.run != run);
+        self.0.len() < before
     }
 
     /// Clears the task, since a run of it did not crash its worker. Returns whether it was
     /// suspected.
     pub(super) fn clear(&mut self) -> bool {
-        self.0.take().is_some()
+        !std::mem::take(&mut self.0).is_empty()
     }
 
     /// Whether its next run has to be a trial, away from other tasks that have just started.
--- a/crates/domain/src/schedule/crash_trial.rs
+++ b/crates/domain/src/schedule/crash_trial.rs
@@ -66,7 +66,7 @@
             return Vec::new();
         }
         let mut startable: Vec<_> = waiting
-            .filter(|name| self.needs_trial(name) && self.may_be_tried(name, now_ms))
+            .filter(|name| self.needs_trial(name) && !self.defers_last_trial(name, now_ms))
             .collect();
         // The least likely cause comes first: it is cleared soon, and costs no worker.
         startable.sort_by_key(|name| self.jobs.get(*name).map(LiveJob::likelihood));
@@ -121,16 +121,6 @@
         }
     }
 
-    /// Whether all crashes under a job's tasks are recorded, and its trial need not wait.
-    fn may_be_tried(&self, name: &JobName, now_ms: u64) -> bool {
-        let awaits_record = |job: &LiveJob| {
-            let mut tasks = job.suspected_tasks();
-            tasks.any(|(_, task)| task.suspicion.awaits_record())
-        };
-        let job = self.jobs.get(name);
-        job.is_some_and(|job| !awaits_record(job)) && !self.defers_last_trial(name, now_ms)
-    }
-
     /// Whether a run of a trial's job may still crash one of its workers, or may have done so.
     fn is_running(&self, trial: &CrashTrial, now_ms: u64) -> bool {
         let window_ms = self.trial_window_ms(&trial.job);
--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -7,11 +7,12 @@
         crash_trial::CrashTrial,
         job_order::OrderRule,
         job_plan::Resources,
-        job_progress::{JobRecord, JobState, ProgressRecord},
+        job_progress::{JobRecord, JobState, ProgressRecord, RecordedAttempt},
         live_job::LiveJob,
         planning_work::PlanningWork,
         pool_candidates::FleetCandidates,
         queue_table::QueueTable,
+        recorded_start::RecordedStart,
         run_tracking::DroppedRuns,
         share_bucket::ShareBucket,
         task_name::TaskName,
@@ -94,6 +95,14 @@
     pub(super) lapsed: Vec<LapsedWorker>,
     pub(super) open_crashes: Vec<OpenCrash>,
     pub(super) crash_notices: Vec<CrashNotice>,
+    /// Pools with a worker that crashed, or seems to have, of which this owner knew no runs.
+    pub(super) pools_with_unknown_runs: FastSet<PoolName>,
+    /// Jobs with planned starts that are to be recorded.
+    pub(super) planned: FastSet<JobName>,
+    /// Planned starts that are recorded and not ordered yet.
+    pub(super) recorded_starts: Vec<RecordedStart>,
+    /// Attempts in the records that were read, until the workers' snapshots are restored.
+    pub(super) restored_attempts: Vec<(TaskName, RecordedAttempt)>,
     /// Whether a worker crashed that no run can have crashed, since the last planning pass.
     pub(super) has_unexplained_crash: bool,
     /// When the last such crash was noticed, in scheduler milliseconds.
@@ -222,6 +231,9 @@
             if job.ended.is_none() && job.suspected_tasks().next().is_some() {
                 self.suspects.insert(name.clone());
             }
+            if job.ended.is_none() {
+                self.restore_open_runs(&name, progress, now_ms);
+            }
         }
         job.open_due_occurrences(wall_ms);
         self.has_gangs |= job.record.plan.has_gang();
@@ -319,19 +331,20 @@
         self.planning_work
     }
 
-    /// Whether progress is to be recorded at once: the end of a job, for which its caller waits,
-    /// or a crash, for which the start of its task waits.
+    /// Whether progress is to be recorded at once: the end of a job, for which its caller waits, a
+    /// crash, or a planned start.
     pub fn has_urgent_progress(&self) -> bool {
         let ended = |name| self.jobs.get(name).is_some_and(|job| job.ended.is_some());
         self.dirty
             .iter()
-            .any(|name| ended(name) || self.suspects.contains(name))
+            .any(|name| ended(name) || self.suspects.contains(name) || self.planned.contains(name))
     }
 
     /// Takes the progress that is not recorded yet. Run ends are acknowledged after
     /// [`mark_ends_recorded`](Self::mark_ends_recorded).
     pub fn take_progress_batch(&mut self) -> ProgressBatch {
         let dirty = std::mem::take(&mut self.dirty);
+        self.planned.clear();
         let records = dirty
             .into_iter()
             .filter_map(|name| Some((name.clone(), self.jobs.get(&name)?.progress())))
@@ -361,11 +374,11 @@
 
     /// Marks the progress of a job as recorded.
     pub fn mark_job_recorded(&mut self, name: &JobName, progress: &ProgressRecord) {
-        if let Some(job) = self.jobs.get_mut(name) {
+        if let Some(job) = self.jobs.get_untracked(name) {
             job.rejections = 0;
             job.end_recorded |= progress.ended.is_some();
-            job.mark_crashes_recorded(progress);
         }
+        self.mark_attempts_recorded(name, progress);
     }
 
     /// Marks the run ends of a batch as recorded, but those of its jobs that are `unrecorded`.
@@ -385,6 +398,10 @@
 
     /// Queues a job of a batch again, because its write may have failed.
     pub fn requeue_progress(&mut self, name: &JobName) {
+        let job = self.jobs.get(name);
+        if job.is_some_and(LiveJob::has_planned_runs) {
+            self.planned.insert(name.clone());
+        }
         self.dirty.insert(name.clone());
     }
 
--- a/crates/domain/src/schedule/job_progress.rs
+++ b/crates/domain/src/schedule/job_progress.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{crash_suspicion::CrashedRun, index_ranges::IndexRanges, job_plan::JobPlan},
-    crate::names::{JobName, PoolName, QueueName, TeamName},
+    crate::names::{InstanceName, JobName, PoolName, QueueName, TeamName, WorkerName},
     serde::{Deserialize, Serialize},
 };
 
@@ -71,6 +71,32 @@
     pub runs: Vec<CrashedRun>,
 }
 
+/// One incarnation of a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WorkerIncarnation {
+    /// The worker.
+    pub worker: WorkerName,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// The instance that hosts it.
+    #[serde(default)]
+    pub instance: Option<InstanceName>,
+}
+
+/// A run that is recorded before it starts. An owner that takes over would not know of it
+/// otherwise, if it went with its worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RecordedAttempt {
+    /// Index of the task in its step.
+    pub index: u32,
+    /// The number of the run.
+    pub run: u32,
+    /// Where it starts.
+    pub at: WorkerIncarnation,
+}
+
 /// Progress of one step of one occurrence.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -91,6 +117,9 @@
     /// Crashes under tasks that are not done.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<TaskCrashes>,
+    /// Runs of tasks that are not done, as far as they are recorded before they start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub attempts: Vec<RecordedAttempt>,
 }
 
 /// Progress of a job. The record is rewritten as its tasks end.
@@ -111,9 +140,9 @@
 }
 
 impl ProgressRecord {
-    /// Whether it records crashes, for which the starts of tasks wait.
-    pub fn has_crashes(&self) -> bool {
-        let mut steps = self.step_progress.iter();
-        steps.any(|step| !step.crashes.is_empty())
+    /// Counts the recorded attempts, whose starts may wait for it.
+    pub fn attempts(&self) -> usize {
+        let steps = self.step_progress.iter();
+        steps.map(|step| step.attempts.len()).sum()
     }
 }
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -9,7 +9,7 @@
         pool_load::PoolLoad,
         step_state::{StepState, TaskState},
         task_name::TaskName,
-        task_run::RunPhase,
+        task_run::{RunPhase, TaskRun},
     },
     crate::names::WorkerName,
     std::{cmp::Reverse, sync::Arc},
@@ -197,20 +197,10 @@
         suspected.any(|(_, task)| task.suspicion.needs_trial())
     }
 
-    /// Marks the crashes in a stored record as recorded.
-    pub(super) fn mark_crashes_recorded(&mut self, stored: &ProgressRecord) {
-        for step in &stored.step_progress {
-            let steps = self.occurrences.steps_mut(step.occurrence);
-            let Some(state) = steps.and_then(|steps| steps.get_mut(usize::from(step.step))) else {
-                continue;
-            };
-            for crashed in &step.crashes {
-                if let Some(task) = state.tasks.get_mut(crashed.index as usize) {
-                    task.suspicion.mark_recorded(&crashed.runs);
-                    self.may_start = true;
-                }
-            }
-        }
+    /// Whether one of its tasks has a run whose start waits for its record.
+    pub(super) fn has_planned_runs(&self) -> bool {
+        let mut runs = self.occurrences.tasks().flat_map(|(.., task)| &task.runs);
+        runs.any(|run| run.phase == RunPhase::Planned)
     }
 
     /// Whether a crash points to one of its tasks alone.
@@ -272,22 +262,20 @@
         is_changed
     }
 
-    /// Removes a run. Returns whether the task had it.
-    pub(super) fn remove_run(&mut self, task: &TaskName, worker: &WorkerName, run: u32) -> bool {
-        let Some(state) = self.task_mut(task) else {
-            return false;
-        };
-        let before = state.runs.len();
-        state
-            .runs
-            .retain(|known| known.run != run || known.worker != *worker);
-        let is_removed = state.runs.len() < before;
-        if is_removed {
-            self.run_count -= 1;
-            self.may_start = true;
-            self.occurrences.settle(task.occurrence);
-        }
-        is_removed
+    /// Removes a run and returns it, if the task had it.
+    pub(super) fn remove_run(
+        &mut self,
+        task: &TaskName,
+        worker: &WorkerName,
+        run: u32,
+    ) -> Option<TaskRun> {
+        let runs = &mut self.task_mut(task)?.runs;
+        let is_known = |known: &TaskRun| known.run == run && known.worker == *worker;
+        let removed = runs.remove(runs.iter().position(is_known)?);
+        self.run_count -= 1;
+        self.may_start = true;
+        self.occurrences.settle(task.occurrence);
+        Some(removed)
     }
 
     /// Whether its tasks wait until orphaned runs of earlier owners have surely ended.
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -28,6 +28,7 @@
 mod pool_demand;
 mod pool_load;
 mod queue_table;
+mod recorded_start;
 mod run_reports;
 mod run_tracking;
 mod share_bucket;
@@ -55,7 +56,10 @@
     instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
     job_plan::{JobPlan, PlanFault, Resources, StepPlan},
-    job_progress::{JobRecord, JobState, ProgressRecord, StepProgress, TaskCrashes, TaskFailures},
+    job_progress::{
+        JobRecord, JobState, ProgressRecord, RecordedAttempt, StepProgress, TaskCrashes,
+        TaskFailures, WorkerIncarnation,
+    },
     maintenance_wave::{WaveProgress, WaveSpec},
     owner_pace::OwnerPace,
     pace_controller::PaceController,
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -9,9 +9,9 @@
         job_plan::{Resources, StepPlan},
         pool_candidates::{Candidate, PoolCandidates},
         task_name::TaskName,
-        task_run::TaskRun,
+        task_run::{RunPhase, TaskRun},
         unplaced_needs::UnplacedNeeds,
-        worker_order::{StartOrder, WorkerOrder},
+        worker_order::WorkerOrder,
         worker_status::WorkerStatus,
     },
     crate::{
@@ -36,6 +36,7 @@
         self.update_candidates(now_ms);
         self.count_orphaned_runs(now_ms);
         let mut orders = self.give_up_culprits(now_ms, wall_ms);
+        orders.extend(self.order_recorded_starts(now_ms));
         let mut waiting_by_pool = self.waiting_jobs(now_ms, wall_ms, sole_until_ms);
         let waiting_gangs = self.waiting_gangs(&waiting_by_pool);
         orders.extend(self.stop_partial_gangs(&waiting_gangs, now_ms));
@@ -275,7 +276,7 @@
         let tasks = &state.tasks;
         let mut idle: Vec<u32> = (0u32..)
             .zip(tasks)
-            .filter(|(_, task)| task.is_idle() && !task.suspicion.awaits_record())
+            .filter(|(_, task)| task.is_idle())
             .map(|(index, _)| index)
             .collect();
         if self.suspects.contains(name) {
@@ -290,7 +291,7 @@
         } else {
             None
         };
-        let gang_checkpoint = tasks.iter().find_map(|task| task.checkpoint.clone());
+        let records_all = self.records_all_starts(job) || plan.gang && state.has_suspects();
         let task_of = |index| TaskName {
             job: name.clone(),
             occurrence,
@@ -317,7 +318,7 @@
             };
             let worker = chosen;
             candidates.reserve(&worker, plan.reserved());
-            let run = self.assign_run(&task, &worker, gang_run, now_ms);
+            let run = self.assign_run(&task, &worker, gang_run, records_all, now_ms);
             placed.push((task, worker, run));
         }
         let Some(job) = self.jobs.get_mut(name) else {
@@ -325,23 +326,13 @@
         };
         job.started |= !placed.is_empty();
         for (task, worker, run) in placed {
-            let checkpoint = if plan.gang {
-                gang_checkpoint.clone()
-            } else {
-                job.task(&task).and_then(|task| task.checkpoint.clone())
-            };
-            let ticket = self.workers.get(&worker).and_then(|status| {
-                let step = job.step(&task).filter(|_| job.record.advised)?;
-                step.advice.ticket(status, now_ms).cloned()
-            });
-            orders.push(WorkerOrder::Start(StartOrder {
-                worker,
-                task,
-                run,
-                body: Arc::clone(&job.record.plan.task_body),
-                checkpoint,
-                ticket,
-            }));
+            let known = self.find_run(&worker, &task, run);
+            if known.is_some_and(|known| known.phase == RunPhase::Planned) {
+                self.record_planned(name);
+                continue;
+            }
+            let order = self.start_order(task, worker, run, now_ms);
+            orders.extend(order.map(WorkerOrder::Start));
         }
         has_room
     }
@@ -415,18 +406,24 @@
         statuses.any(|status| step.advice.allows(status, now_ms))
     }
 
+    /// Adds a run of a task on a worker. Its start is planned if it has to be recorded first: if
+    /// `records_all`, or the task may have crashed a worker.
     fn assign_run(
         &mut self,
         task: &TaskName,
         worker: &WorkerName,
         gang_run: Option<u32>,
+        records_all: bool,
         now_ms: u64,
     ) -> u32 {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return 0;
         };
         let base = job.run_base;
-        let Some(state) = job.task_mut(task) else {
+        let Some(step) = job.step_mut(task) else {
+            return 0;
+        };
+        let Some(state) = step.tasks.get_mut(task.index as usize) else {
             return 0;
         };
         let run = gang_run
@@ -434,9 +431,13 @@
             .max(base)
             .saturating_add(1);
         state.last_run = run;
-        state
-            .runs
-            .push(TaskRun::ordered(worker.clone(), run, now_ms));
+        let is_recorded = records_all || state.suspicion.is_suspected();
+        let at = self.workers.get(worker).filter(|_| is_recorded);
+        state.runs.push(match at {
+            Some(status) => TaskRun::planned(status.listed.incarnation(), run, now_ms),
+            None => TaskRun::ordered(worker.clone(), run, now_ms),
+        });
+        step.has_progress |= is_recorded;
         self.reserve(task, worker, run);
         run
     }
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -271,6 +271,9 @@
                 orders.push(run.stop(&reported.task, now_ms));
             }
             let is_safe = run.age_ms(now_ms) >= SAFE_RUN_MS;
+            if is_safe && run.recorded_at.take().is_some() {
+                self.dirty.insert(reported.task.job.clone());
+            }
             if !reported.checkpoint.is_empty() {
                 task.checkpoint = Some(Arc::clone(&reported.checkpoint));
             }
@@ -293,6 +296,7 @@
             ordered_ms: now_ms,
             begun_ms: Some(now_ms),
             from_earlier_owner: true,
+            recorded_at: None,
             progress_percent: reported.progress_percent,
             progressed_ms: now_ms,
             pace_percent: None,
@@ -349,7 +353,7 @@
                 // A start order of an earlier owner is void now: the worker has seen this
                 // owner's fencing token.
                 RunPhase::Restored => true,
-                RunPhase::Ordered | RunPhase::Unconfirmed => false,
+                RunPhase::Planned | RunPhase::Ordered | RunPhase::Unconfirmed => false,
                 RunPhase::Running { clock_ms } => report.clock_ms > clock_ms,
                 RunPhase::Stopping { clock_ms, .. } => {
                     clock_ms.is_some_and(|clock_ms| report.clock_ms > clock_ms)
@@ -433,7 +437,8 @@
             ordered_ms,
             sent_ms,
         } => now_ms > ordered_ms.max(sent_ms.unwrap_or_default()) + STOP_RESEND_MS,
-        RunPhase::Restored
+        RunPhase::Planned
+        | RunPhase::Restored
         | RunPhase::Ordered
         | RunPhase::Running { .. }
         | RunPhase::Stopping { .. } => false,
--- a/crates/domain/src/schedule/run_tracking.rs
+++ b/crates/domain/src/schedule/run_tracking.rs
@@ -82,8 +82,11 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
-        if !job.remove_run(task, worker, run) {
+        let Some(removed) = job.remove_run(task, worker, run) else {
             return false;
+        };
+        if removed.recorded_at.is_some() && job.ended.is_none() {
+            self.dirty.insert(task.job.clone());
         }
         let step = &job.record.plan.steps[usize::from(task.step)];
         if let Some(status) = self.workers.get_mut(worker) {
--- a/crates/domain/src/schedule/step_state.rs
+++ b/crates/domain/src/schedule/step_state.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         crash_suspicion::CrashSuspicion,
-        job_progress::{StepProgress, TaskCrashes, TaskFailures},
+        job_progress::{RecordedAttempt, StepProgress, TaskCrashes, TaskFailures},
         step_advice::StepAdvice,
         task_run::TaskRun,
     },
@@ -100,6 +100,11 @@
                 task.suspicion.restore(&crashed.runs);
             }
         }
+        for attempt in &recorded.attempts {
+            if let Some(task) = self.tasks.get_mut(attempt.index as usize) {
+                task.last_run = task.last_run.max(attempt.run);
+            }
+        }
     }
 
     /// Returns the progress to be recorded.
@@ -109,6 +114,14 @@
         let done = indexed().filter(|(_, task)| task.done && !all_done);
         let failed = indexed().filter(|(_, task)| !task.failed_runs.is_empty() && !task.done);
         let suspected = indexed().filter(|(_, task)| task.suspicion.is_suspected() && !task.done);
+        let open_runs = indexed()
+            .filter(|(_, task)| !task.done)
+            .flat_map(|(index, task)| task.runs.iter().map(move |run| (index, run)));
+        let attempts = open_runs.filter_map(|(index, run)| {
+            let at = run.recorded_at.as_deref()?.clone();
+            let run = run.run;
+            Some(RecordedAttempt { index, run, at })
+        });
         StepProgress {
             occurrence,
             step,
@@ -126,6 +139,7 @@
                     runs: task.suspicion.crashes().to_vec(),
                 })
                 .collect(),
+            attempts: attempts.collect(),
         }
     }
 }
--- a/crates/domain/src/schedule/task_run.rs
+++ b/crates/domain/src/schedule/task_run.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        job_progress::WorkerIncarnation,
         task_name::TaskName,
         worker_order::{StopOrder, WorkerOrder},
         worker_status::ReportedRun,
@@ -21,6 +22,8 @@
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RunPhase {
+    /// Its start waits until it is recorded with the progress of its job.
+    Planned,
     /// An earlier owner recorded it. Its worker has not reported to this owner.
     Restored,
     /// The start order is in flight.
@@ -59,6 +62,9 @@
     pub(super) begun_ms: Option<u64>,
     /// Whether an earlier owner started it.
     pub(super) from_earlier_owner: bool,
+    /// Where it starts, if it is recorded with the progress of its job: its task may have crashed
+    /// a worker before.
+    pub(super) recorded_at: Option<Box<WorkerIncarnation>>,
     pub(super) progress_percent: f64,
     pub(super) progressed_ms: u64,
     /// The pace last sent to it, in percent; `None` if that is unknown.
@@ -79,6 +85,7 @@
             ordered_ms: now_ms,
             begun_ms: None,
             from_earlier_owner: false,
+            recorded_at: None,
             progress_percent: 0.0,
             progressed_ms: now_ms,
             pace_percent: Some(100),
@@ -86,6 +93,15 @@
         }
     }
 
+    /// Creates a run that starts once it is recorded.
+    pub(super) fn planned(at: WorkerIncarnation, run: u32, now_ms: u64) -> Self {
+        Self {
+            phase: RunPhase::Planned,
+            recorded_at: Some(Box::new(at.clone())),
+            ..Self::ordered(at.worker, run, now_ms)
+        }
+    }
+
     /// Creates a run that an earlier owner recorded. Its progress and pace are not known.
     pub(super) fn restored(worker: WorkerName, run: u32, now_ms: u64) -> Self {
         Self {
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -1,7 +1,10 @@
 //! A worker as the scheduler sees it.
 
 use {
-    super::{job_plan::Resources, pace_controller::PaceController, task_name::TaskName},
+    super::{
+        job_plan::Resources, job_progress::WorkerIncarnation, pace_controller::PaceController,
+        task_name::TaskName,
+    },
     crate::{
         collections::FastSet,
         names::{CentreName, InstanceName, JobName, PoolName, WorkerName},
@@ -42,6 +45,17 @@
     pub draining: bool,
 }
 
+impl ListedWorker {
+    /// Returns its incarnation.
+    pub(super) fn incarnation(&self) -> WorkerIncarnation {
+        WorkerIncarnation {
+            worker: self.name.clone(),
+            started_ms: self.started_ms,
+            instance: self.instance.clone(),
+        }
+    }
+}
+
 /// A run that a worker reports as running.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportedRun {
@@ -278,7 +292,12 @@
         } else {
             self.orphans_until_ms
         };
-        !self.has_listed_all && !self.runs_known && now_ms <= until_ms
+        !self.knows_runs() && now_ms <= until_ms
+    }
+
+    /// Whether all its runs are known, from a report or a snapshot.
+    pub(super) fn knows_runs(&self) -> bool {
+        self.has_listed_all || self.runs_known
     }
 
     /// Whether it does not answer, has no other runs than those known, and has listed no end that
--- a/crates/domain/tests/crash_blame_test.rs
+++ b/crates/domain/tests/crash_blame_test.rs
@@ -16,6 +16,12 @@
 
 /// Starts of a culprit after which the users' rule may be broken: two after three crashes.
 const STARTS_MAX: usize = 5;
+/// Starts by owners in touch, after three crashes, that break the rule.
+const STARTS_AFTER_CRASHES: usize = 3;
+/// Time from a crash until its owner notices the silence.
+const NOTICE_MS: u64 = 600;
+/// Owners in turn.
+const OWNERS: usize = 12;
 /// Jobs beside a culprit.
 const NEIGHBOURS: usize = 6;
 const WORKERS: usize = 4;
@@ -157,6 +163,35 @@
     crashes_are_counted_across_owners_that_change_each_5_s(5_300);
 }
 
+/// Crashes count although each owner in turn is out of touch with the store when they come, so that
+/// it can't record them: a task was started six times and more (review case 10).
+fn crashes_under_owners_out_of_touch_count(in_touch_ms: u64, out_of_touch_ms: u64) {
+    let mut fleet = CrashFleet::new(WORKERS, Restart::NewName, at_once);
+    fleet.notice_ms = NOTICE_MS;
+    fleet.submit(sample_job("culprit", step(3, 2_000)));
+    submit_neighbours(&mut fleet);
+    for _ in 0..OWNERS {
+        fleet.play(in_touch_ms);
+        // The last step of this owner is out of touch too.
+        fleet.store_out_until_ms = fleet.now_ms + out_of_touch_ms + 1;
+        fleet.play(out_of_touch_ms);
+        fleet.take_over();
+    }
+    let starts = fleet.most_starts_after_crashes();
+    assert!(starts < STARTS_AFTER_CRASHES, "{starts} starts");
+    fleet.play(VERDICT_MS);
+    assert_eq!(fleet.state("culprit"), Some(JobState::Failed));
+    assert!(fleet.most_starts_after_crashes() < STARTS_AFTER_CRASHES);
+    assert_neighbours_done(&fleet);
+}
+
+named_cases! { crashes_under_owners_out_of_touch_count:
+    crashes_under_owners_that_start_tasks_out_of_touch_count(500, 2_500);
+    crashes_under_owners_in_touch_for_a_second_count(1_000, 2_500);
+    crashes_under_owners_in_touch_for_seconds_count(2_500, 2_500);
+    crashes_under_owners_in_touch_for_longer_count(3_500, 2_000);
+}
+
 /// A task under which two workers have crashed starts only once that is recorded.
 #[test]
 fn suspected_task_starts_once_its_crashes_are_recorded() {
--- a/crates/domain/tests/crash_fleet/mod.rs
+++ b/crates/domain/tests/crash_fleet/mod.rs
@@ -7,6 +7,7 @@
         schedule::{
             EndReason, EndedRun, FleetSchedule, JobRecord, JobState, OrderRule, ProgressRecord,
             ReportedRun, StartOrder, StartReply, TaskName, WorkerOrder, WorkerReport,
+            WorkerSnapshot,
         },
     },
     std::{collections::BTreeMap, sync::Arc},
@@ -18,6 +19,8 @@
 const REPORT_MS: u64 = 50;
 /// Work of a task.
 const WORK_MS: u64 = 400;
+/// Crashes under a task after which its starts are counted.
+const CRASHES_MAX: usize = 3;
 /// Run numbers that an owner reserves.
 const RUNS_PER_TERM: u32 = 1_000;
 
@@ -45,6 +48,8 @@
     last_end: u64,
     /// When it is back, if it crashed.
     back_ms: Option<u64>,
+    /// When the owner notices that it is silent.
+    silent_from_ms: Option<u64>,
 }
 
 /// A pool with its owner's schedule.
@@ -55,13 +60,20 @@
     restart: Restart,
     jobs: Vec<JobRecord>,
     stored: BTreeMap<JobName, ProgressRecord>,
+    stored_snapshots: Vec<WorkerSnapshot>,
     /// Time from the start of a task to the crash that it causes; `None` if it causes none.
     crash_after_ms: fn(&TaskName) -> Option<u64>,
-    /// Until then no record is stored.
+    /// Time from a crash until the owner notices the silence.
+    pub(crate) notice_ms: u64,
+    /// Until then the owner is out of touch with the store.
     pub(crate) store_out_until_ms: u64,
     term: u32,
     /// Starts of each task.
     starts: BTreeMap<TaskName, usize>,
+    /// Crashes under each task that causes them.
+    crashes: BTreeMap<TaskName, usize>,
+    /// Starts of each task by owners in touch, after three crashes under it.
+    starts_after_crashes: BTreeMap<TaskName, usize>,
 }
 
 impl CrashFleet {
@@ -77,6 +89,7 @@
             ends: Vec::new(),
             last_end: 0,
             back_ms: Some(NOW_MS),
+            silent_from_ms: None,
         });
         let mut fleet = Self {
             schedule: FleetSchedule::new(OrderRule::default(), LEASE_MS, 0),
@@ -85,10 +98,14 @@
             restart,
             jobs: Vec::new(),
             stored: BTreeMap::new(),
+            stored_snapshots: Vec::new(),
             crash_after_ms,
+            notice_ms: 0,
             store_out_until_ms: 0,
             term: 0,
             starts: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            starts_after_crashes: BTreeMap::new(),
         };
         fleet.play(STEP_MS);
         fleet
@@ -112,6 +129,12 @@
         starts.map(|(_, starts)| *starts).max().unwrap_or_default()
     }
 
+    /// The most starts of one task by owners in touch, after three crashes under it.
+    pub(crate) fn most_starts_after_crashes(&self) -> usize {
+        let starts = self.starts_after_crashes.values();
+        starts.copied().max().unwrap_or_default()
+    }
+
     /// Number of runs at work of a job, by worker.
     pub(crate) fn runs_by_worker(&self, job: &str) -> Vec<usize> {
         let of_job = |run: &&SimRun| run.order.task.job.as_str() == job;
@@ -146,6 +169,13 @@
     fn advance(&mut self, number: usize) {
         let (now_ms, wall_ms) = (self.now_ms, self.wall_ms());
         let worker = &mut self.workers[number];
+        if worker
+            .silent_from_ms
+            .take_if(|from_ms| now_ms >= *from_ms)
+            .is_some()
+        {
+            self.schedule.mark_unreachable(&worker.name);
+        }
         if let Some(back_ms) = worker.back_ms {
             if now_ms < back_ms {
                 return;
@@ -163,7 +193,8 @@
             let after_ms = (self.crash_after_ms)(&run.order.task);
             after_ms.is_some_and(|after_ms| now_ms >= run.started_ms + after_ms)
         };
-        if self.workers[number].runs.iter().any(crashes) {
+        if let Some(run) = self.workers[number].runs.iter().find(|run| crashes(run)) {
+            *self.crashes.entry(run.order.task.clone()).or_default() += 1;
             self.crash(number);
             return;
         }
@@ -206,7 +237,11 @@
             3_000
         };
         worker.back_ms = Some(self.now_ms + down_ms);
-        self.schedule.mark_unreachable(&worker.name);
+        if self.notice_ms == 0 {
+            self.schedule.mark_unreachable(&worker.name);
+        } else {
+            worker.silent_from_ms = Some(self.now_ms + self.notice_ms);
+        }
         if self.restart == Restart::Late {
             self.schedule.unlist_worker(&worker.name, self.now_ms);
         }
@@ -255,6 +290,11 @@
                 let (task, run) = (order.task.clone(), order.run);
                 self.schedule
                     .apply_start_reply(&worker.name, &task, run, reply, self.now_ms);
+                let crashes = self.crashes.get(&task).copied().unwrap_or_default();
+                if crashes >= CRASHES_MAX && self.now_ms >= self.store_out_until_ms {
+                    let starts = self.starts_after_crashes.entry(task.clone());
+                    *starts.or_default() += 1;
+                }
                 *self.starts.entry(task).or_default() += 1;
                 worker.runs.push(SimRun {
                     order,
@@ -282,6 +322,7 @@
         }
         self.schedule.mark_progress_recorded(&batch);
         self.stored.extend(batch.records);
+        self.stored_snapshots = self.schedule.worker_snapshots(self.now_ms);
     }
 
     /// Another owner takes over, which knows what is stored and what the workers report. The runs
@@ -295,9 +336,10 @@
             let run_base = self.term * RUNS_PER_TERM;
             schedule.add_job(job.clone(), progress, run_base, now_ms, wall_ms);
         }
-        for snapshot in self.schedule.worker_snapshots(now_ms) {
-            schedule.restore_worker(snapshot, now_ms);
+        for snapshot in &self.stored_snapshots {
+            schedule.restore_worker(snapshot.clone(), now_ms);
         }
+        schedule.restore_attempts(now_ms);
         self.schedule = schedule;
         for number in 0..self.workers.len() {
             if self.workers[number].back_ms.is_none() {
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -1,5 +1,7 @@
 //! Tests of moving instances between pools and of maintenance waves.
 
+mod recorded_orders;
+
 use {
     dotterelshore_domain::{
         collections::FastMap,
@@ -11,6 +13,7 @@
         },
     },
     dotterelshore_testkit::named_cases,
+    recorded_orders::recorded_orders,
     std::sync::Arc,
 };
 
@@ -846,7 +849,7 @@
         worker: incarnation.map(|incarnation| worker_name(0, incarnation)),
     };
     fleet.schedule.remove_replaced_workers(&[row]);
-    let orders = fleet.schedule.plan_starts(NOW_MS, WALL_MS, u64::MAX);
+    let orders = recorded_orders(&mut fleet.schedule, NOW_MS, WALL_MS);
     assert_eq!(orders.len(), usize::from(starts));
 }
 
--- a/crates/domain/tests/lost_stop_test.rs
+++ b/crates/domain/tests/lost_stop_test.rs
@@ -1,6 +1,7 @@
 //! Tests of runs that stay at work after a stop, an end or a lease was lost from view.
 
 mod lasting_run;
+mod recorded_orders;
 mod samples;
 
 use {
@@ -9,6 +10,7 @@
     lasting_run::{
         JOB, WORKER_MILLI, job_name, lasting_step, report, stop_order, task, worker_name,
     },
+    recorded_orders::recorded_orders,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
@@ -89,7 +91,7 @@
     schedule.mark_unreachable(&worker_name("w-1"));
     let later_ms = NOW_MS + 2 * LEASE_MS;
     schedule.tick(later_ms, true);
-    let orders = schedule.plan_starts(later_ms, WALL_MS, u64::MAX);
+    let orders = recorded_orders(&mut schedule, later_ms, WALL_MS);
     assert_eq!(orders.len(), 1, "it starts elsewhere");
 }
 
--- a/crates/domain/tests/odd_worker_test.rs
+++ b/crates/domain/tests/odd_worker_test.rs
@@ -1,5 +1,6 @@
 //! Tests of listed workers that never report, and of numbers far beyond those of any worker or job.
 
+mod recorded_orders;
 mod samples;
 
 use {
@@ -12,6 +13,7 @@
         },
     },
     dotterelshore_testkit::named_cases,
+    recorded_orders::recorded_orders,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
@@ -61,7 +63,7 @@
 }
 
 fn starts(schedule: &mut FleetSchedule, now_ms: u64) -> Vec<StartOrder> {
-    let orders = schedule.plan_starts(now_ms, WALL_MS, u64::MAX).into_iter();
+    let orders = recorded_orders(schedule, now_ms, WALL_MS).into_iter();
     let starts = orders.filter_map(|order| match order {
         WorkerOrder::Start(start) => Some(start),
         WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
--- a/crates/domain/tests/restarted_worker_test.rs
+++ b/crates/domain/tests/restarted_worker_test.rs
@@ -1,5 +1,6 @@
 //! Tests of runs on a worker that starts again under its name.
 
+mod recorded_orders;
 mod samples;
 
 use {
@@ -11,6 +12,7 @@
         },
     },
     dotterelshore_testkit::named_cases,
+    recorded_orders::recorded_orders,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
@@ -48,7 +50,7 @@
 }
 
 fn starts(schedule: &mut FleetSchedule, now_ms: u64) -> Vec<StartOrder> {
-    let orders = schedule.plan_starts(now_ms, WALL_MS, u64::MAX).into_iter();
+    let orders = recorded_orders(schedule, now_ms, WALL_MS).into_iter();
     let starts = orders.filter_map(|order| match order {
         WorkerOrder::Start(start) => Some(start),
         WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
--- a/crates/domain/tests/schedule_model/owner_planning.rs
+++ b/crates/domain/tests/schedule_model/owner_planning.rs
@@ -56,7 +56,8 @@
         for notice in &notices {
             self.oracle.note(None, format!("owner {owner}: {notice:?}"));
         }
-        if !notices.is_empty() {
+        let has_planned = self.owners[owner].schedule.has_planned_starts();
+        if has_planned || !notices.is_empty() {
             self.notify_recorder(owner);
         }
         self.dispatch(owner, orders);
--- a/crates/domain/tests/schedule_model/owner_storage.rs
+++ b/crates/domain/tests/schedule_model/owner_storage.rs
@@ -127,6 +127,13 @@
             let schedule = &mut model.owners[owner].schedule;
             if recorded {
                 schedule.mark_progress_recorded(&batch);
+                if batch
+                    .records
+                    .iter()
+                    .any(|(_, record)| record.attempts() > 0)
+                {
+                    model.notify_planner(owner);
+                }
             } else {
                 for (job, _) in &batch.records {
                     schedule.requeue_progress(job);
--- a/crates/domain/tests/schedule_model/takeover.rs
+++ b/crates/domain/tests/schedule_model/takeover.rs
@@ -132,6 +132,7 @@
             }
             schedule.restore_worker(snapshot.clone(), now_ms);
         }
+        schedule.restore_attempts(now_ms);
         apply_listed(&mut schedule, &stored.workers.1, now_ms);
         schedule
     }
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -66,6 +66,10 @@
     rules_hold_under_late_orders(LATE_ORDERS, 1, 15);
     rules_hold_beside_culprits(CULPRITS, 1, 15);
     rules_hold_beside_culprits_and_faults(CULPRITS_AND_FAULTS, 6, 20);
+    crashes_that_no_owner_could_record_count_1(CULPRITS_AND_FAULTS, 5, 5);
+    crashes_that_no_owner_could_record_count_2(CULPRITS_AND_FAULTS, 43, 43);
+    crashes_that_no_owner_could_record_count_3(CULPRITS_AND_FAULTS, 154, 154);
+    crashes_that_no_owner_could_record_count_4(CULPRITS_AND_FAULTS, 167, 167);
     run_restored_after_its_cancellation_ends(MIXED_FAULTS, 162, 162);
     stop_is_sent_in_time_among_late_orders(LATE_ORDERS, 139, 139);
     worker_gets_tasks_after_a_failed_snapshot_write(LATE_ORDERS_AND_FAULTS, 738, 738);
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -1,5 +1,7 @@
 //! Tests of the schedule: starting, stopping and recording runs.
 
+mod recorded_orders;
+
 use {
     dotterelshore_domain::{
         names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
@@ -10,6 +12,7 @@
         },
     },
     dotterelshore_testkit::named_cases,
+    recorded_orders::recorded_orders,
     std::sync::Arc,
 };
 
@@ -113,7 +116,7 @@
 }
 
 fn starts(schedule: &mut FleetSchedule, now_ms: u64) -> Vec<StartOrder> {
-    let orders = schedule.plan_starts(now_ms, WALL_MS, u64::MAX).into_iter();
+    let orders = recorded_orders(schedule, now_ms, WALL_MS).into_iter();
     let starts = orders.filter_map(|order| match order {
         WorkerOrder::Start(start) => Some(start),
         WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
--- a/crates/domain/tests/start_samples/mod.rs
+++ b/crates/domain/tests/start_samples/mod.rs
@@ -1,6 +1,12 @@
 //! Sample steps, and the starts that a planning pass orders.
 
-use dotterelshore_domain::schedule::{FleetSchedule, Resources, StartOrder, StepPlan, WorkerOrder};
+#[path = "../recorded_orders/mod.rs"]
+mod recorded_orders;
+
+use {
+    dotterelshore_domain::schedule::{FleetSchedule, Resources, StartOrder, StepPlan, WorkerOrder},
+    recorded_orders::recorded_orders,
+};
 
 /// Returns a step of tasks with this processor need, in thousandths of a core.
 pub(crate) fn sample_step(count: u32, cpu_milli: u64) -> StepPlan {
@@ -22,7 +28,7 @@
     now_ms: u64,
     wall_ms: u64,
 ) -> Vec<StartOrder> {
-    let orders = schedule.plan_starts(now_ms, wall_ms, u64::MAX).into_iter();
+    let orders = recorded_orders(schedule, now_ms, wall_ms).into_iter();
     let starts = orders.filter_map(|order| match order {
         WorkerOrder::Start(start) => Some(start),
         WorkerOrder::Stop(_) | WorkerOrder::Pace(..) => None,
--- a/crates/domain/tests/step_advice_test.rs
+++ b/crates/domain/tests/step_advice_test.rs
@@ -1,5 +1,6 @@
 //! Tests of steps that run only on workers allowed by an adviser.
 
+mod recorded_orders;
 mod samples;
 
 use {
@@ -12,6 +13,7 @@
         },
     },
     dotterelshore_testkit::named_cases,
+    recorded_orders::recorded_orders,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     std::sync::Arc,
 };
@@ -106,7 +108,7 @@
     }
 
     fn starts(&mut self) -> Vec<StartOrder> {
-        let orders = self.schedule.plan_starts(self.now_ms, WALL_MS, u64::MAX);
+        let orders = recorded_orders(&mut self.schedule, self.now_ms, WALL_MS);
         let starts = orders.into_iter().filter_map(|order| match order {
             WorkerOrder::Start(start) => Some(start),
             _ => None,
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -164,9 +164,16 @@
             let state = format!("{ended:?}");
             log_event!(Info, "job-ended", job = record.job, state = state);
         }
-    }
-    if group.iter().any(|record| record.progress.has_crashes()) {
-        leadership.plan_notify.notify_one();
+        let attempts = record.progress.attempts();
+        if attempts > 0 {
+            log_event!(
+                Info,
+                "attempts-recorded",
+                job = record.job,
+                attempts = attempts
+            );
+            leadership.plan_notify.notify_one();
+        }
     }
 }
 
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -230,6 +230,7 @@
         log_restored(snapshot);
         schedule.restore_worker(snapshot.clone(), now_ms);
     }
+    schedule.restore_attempts(now_ms);
     apply_worker_rows(&mut schedule, &stored.workers.rows);
     *lock(&leadership.schedule) = schedule;
 }
@@ -288,7 +289,7 @@
         let began = Instant::now();
         let now_ms = uptime_ms();
         let sole_owner_until_ms = leadership.sole_owner_until_ms();
-        let (orders, dropped, notices) = {
+        let (orders, dropped, notices, has_planned) = {
             let mut schedule = lock(&leadership.schedule);
             let mut orders = if ticked {
                 schedule.tick(now_ms, now_ms < sole_owner_until_ms)
@@ -297,13 +298,14 @@
             };
             orders.extend(schedule.plan_starts(now_ms, unix_millis(), sole_owner_until_ms));
             let dropped = schedule.take_dropped_runs();
-            (orders, dropped, schedule.take_crash_notices())
+            let notices = schedule.take_crash_notices();
+            (orders, dropped, notices, schedule.has_planned_starts())
         };
         leadership.dispatch(orders);
         took = began.elapsed();
         log_dropped(&dropped);
-        if !notices.is_empty() {
-            log_crash_notices(&node, &notices);
+        log_crash_notices(&node, &notices);
+        if has_planned || !notices.is_empty() {
             leadership.record_notify.notify_one();
         }
     }
