--- a/crates/scheduler/src/delegation/call_carrier.rs
+++ b/crates/scheduler/src/delegation/call_carrier.rs
@@ -28,6 +28,9 @@
 const REPLY_PAUSE: Duration = Duration::from_millis(10);
 /// Most replies in one frame.
 const REPLIES_PER_FRAME: usize = 256;
+/// Bytes of checkpoints in one frame, unless one reply has more: the owner gives up a delegate that
+/// sends no whole frame for long.
+const CHECKPOINTS_PER_FRAME: usize = 256 * 1024;
 /// Time after which the connections of a worker without calls are closed, in milliseconds.
 const CLIENT_IDLE_MS: u64 = 10_000;
 
@@ -160,12 +163,16 @@
 ) -> Result<&'static str, PeerFault> {
     let mut replies = Vec::new();
     loop {
+        let later = replies.split_off(first_frame_len(&replies));
         let frame = ReplyFrame {
             stamp_ms: uptime_ms(),
             is_leaving: *node.shutdown.borrow(),
-            replies: std::mem::take(&mut replies),
+            replies: std::mem::replace(&mut replies, later),
         };
         write_frame(writer, &frame).await?;
+        if !replies.is_empty() {
+            continue;
+        }
         let received = reply_queue.recv_many(&mut replies, REPLIES_PER_FRAME);
         if tokio::time::timeout(STAMP_PERIOD, received).await == Ok(0) {
             return Ok("ended");
@@ -179,3 +186,13 @@
         }
     }
 }
+
+/// Returns how many of the replies go into the first frame.
+fn first_frame_len(replies: &[(u64, WorkerReply)]) -> usize {
+    let mut bytes = 0;
+    let fitting = replies.iter().take_while(|(_, reply)| {
+        bytes += reply.checkpoint_bytes();
+        bytes <= CHECKPOINTS_PER_FRAME
+    });
+    fitting.count().max(1).min(replies.len())
+}
--- a/crates/scheduler/src/delegation/link_frame.rs
+++ b/crates/scheduler/src/delegation/link_frame.rs
@@ -104,6 +104,21 @@
         }
     }
 
+    /// Returns the length of its checkpoints in bytes: what may make it long.
+    pub(super) fn checkpoint_bytes(&self) -> usize {
+        let report = match self {
+            Self::Polled(Ok(report)) | Self::PolledInPart(report) | Self::PolledEnds(report) => {
+                report
+            }
+            Self::Polled(Err(_)) | Self::Started(_) | Self::Confirmed(_) | Self::NotSent => {
+                return 0;
+            }
+        };
+        let running = report.running.iter().map(|run| run.checkpoint.len());
+        let ended = report.finished.iter().map(|run| run.checkpoint.len());
+        running.chain(ended).sum()
+    }
+
     /// Returns the outcome of a poll; `None` if it is the reply to another call.
     pub(crate) fn into_poll(self) -> Option<Result<WorkerReport, WorkerFault>> {
         match self {
--- a/crates/wire/src/http_client.rs
+++ b/crates/wire/src/http_client.rs
@@ -106,12 +106,25 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<HttpResponse, HttpFault> {
-        match tokio::time::timeout(
-            timeout,
-            self.send_with_idle_timeout(request, timeout, timeout),
-        )
-        .await
-        {
+        self.send_with_body_timeout(request, timeout, Duration::ZERO)
+            .await
+    }
+
+    /// Sends a request and reads the complete response, whose head has to arrive within
+    /// `head_timeout` and all of it within `body_timeout` more.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_with_body_timeout(
+        &self,
+        request: Request<Full<Bytes>>,
+        head_timeout: Duration,
+        body_timeout: Duration,
+    ) -> Result<HttpResponse, HttpFault> {
+        let timeout = head_timeout + body_timeout;
+        let reading = self.send_with_idle_timeout(request, head_timeout, timeout);
+        match tokio::time::timeout(timeout, reading).await {
             Ok(response) => response,
             Err(elapsed) => Err(timed_out(&elapsed)),
         }
