Carry no planned start over to the next incarnation of its worker

A start that waits for its record was never sent, so that the worker's next incarnation can't have it. It was carried over as an unanswered one, and a stop had to rule it out before the task could start elsewhere.

Measured: the tests of the domain pass; no test shows the delay.

--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -227,7 +227,8 @@
     pub(super) fn may_run_at_next(&self, task: &TaskName, worker: &WorkerName, run: u32) -> bool {
         let state = self.task(task);
         let known = state.and_then(|state| state.run_on(worker, run));
-        known.is_some_and(|run| !run.is_reported && run.phase != RunPhase::Restored)
+        let was_ordered = |phase| !matches!(phase, RunPhase::Planned | RunPhase::Restored);
+        known.is_some_and(|run| !run.is_reported && was_ordered(run.phase))
     }
 
     /// Whether a step's occurrence is due and the steps that it depends on are done.
