--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -70,7 +70,7 @@
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
     },
     run_tracking::{DropReason, DroppedRuns, LingeringRuns},
-    snapshot_shard::{SnapshotShard, StoredSnapshots},
+    snapshot_shard::{SnapshotShard, StoredSnapshots, storable_snapshots},
     start_replies::{StartRefusal, StartReply},
     step_advice::AdviceRequest,
     task_name::TaskName,
--- a/crates/domain/src/schedule/snapshot_shard.rs
+++ b/crates/domain/src/schedule/snapshot_shard.rs
@@ -13,6 +13,10 @@
 /// Number of shards. A shard of the largest planned fleet has some eighty workers.
 const SHARDS: u8 = 64;
 
+/// Most runs that one shard lists, some 60 bytes each: a shard has to fit in a value of the store, and
+/// those of one write in its link's time.
+const RUNS_MAX: usize = 2_000;
+
 /// A part of the worker snapshots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SnapshotShard(u8);
@@ -33,6 +37,33 @@
     }
 }
 
+/// Returns snapshots as they are stored: a shard whose workers have too many runs leaves out the
+/// longest lists. To the next owner these workers may have any runs until their leases end.
+pub fn storable_snapshots(snapshots: &[WorkerSnapshot]) -> Vec<WorkerSnapshot> {
+    let mut storable = snapshots.to_vec();
+    storable.sort_by_cached_key(|snapshot| {
+        let shard = SnapshotShard::of_worker(&snapshot.listed.name);
+        (shard, run_count(snapshot))
+    });
+    for shard in storable.chunk_by_mut(|one, next| {
+        SnapshotShard::of_worker(&one.listed.name) == SnapshotShard::of_worker(&next.listed.name)
+    }) {
+        let mut runs = 0;
+        for snapshot in shard {
+            runs += run_count(snapshot);
+            if runs > RUNS_MAX {
+                snapshot.unreachable = None;
+            }
+        }
+    }
+    storable
+}
+
+fn run_count(snapshot: &WorkerSnapshot) -> usize {
+    let unreachable = snapshot.unreachable.as_ref();
+    unreachable.map_or(0, |unreachable| unreachable.runs.len())
+}
+
 impl fmt::Display for SnapshotShard {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/domain/tests/stored_snapshots_test.rs
+++ b/crates/domain/tests/stored_snapshots_test.rs
@@ -7,7 +7,7 @@
         names::WorkerName,
         schedule::{
             FleetSchedule, ListedWorker, OrderRule, SnapshotShard, StepPlan, StoredSnapshots,
-            WorkerReport,
+            UnreachableRuns, WorkerReport, WorkerSnapshot, storable_snapshots,
         },
     },
     dotterelshore_testkit::named_cases,
@@ -118,3 +118,27 @@
     let runs = next.workers().map(|status| status.runs.len());
     assert_eq!(runs.sum::<usize>(), 50);
 }
+
+/// A shard with more runs than its record may list would be rejected by the store, and its workers would
+/// get no tasks: the longest lists are left out.
+#[test]
+fn shard_leaves_out_lists_that_are_too_long() {
+    let with_runs = |runs: u32| {
+        let task = |index| format!("job.0.0.{index}").parse().expect("a task");
+        WorkerSnapshot {
+            listed: listed(7),
+            unreachable: Some(UnreachableRuns {
+                runs: (0..runs).map(|index| (task(index), 1)).collect(),
+                lease_left_ms: 1_000,
+            }),
+        }
+    };
+    let short = [with_runs(100), with_runs(900)];
+    assert_eq!(storable_snapshots(&short), short, "nothing is left out");
+    let stored = storable_snapshots(&[with_runs(5_000), with_runs(100)]);
+    assert_eq!(stored[0], with_runs(100));
+    assert_eq!(
+        (&stored[1].listed, &stored[1].unreachable),
+        (&listed(7), &None)
+    );
+}
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -11,7 +11,9 @@
     dotterelshore_domain::{
         collections::FastSet,
         names::WorkerName,
-        schedule::{FleetSchedule, ListedWorker, SnapshotShard, StoredSnapshots},
+        schedule::{
+            FleetSchedule, ListedWorker, SnapshotShard, StoredSnapshots, storable_snapshots,
+        },
     },
     dotterelshore_platform::{
         KvFault, KvRow, KvTransaction, WORKER_PREFIX, WatchEvent, decode_worker, worker_of_key,
@@ -193,15 +195,16 @@
 ) -> Result<(), KvFault> {
     for shards in shards.chunks(SHARDS_PER_WRITE) {
         stored.begin_write(shards);
-        let snapshots = {
+        let (snapshots, storable) = {
             let mut schedule = lock(&leadership.schedule);
             let snapshots = schedule.snapshots_in(shards, uptime_ms());
-            schedule.begin_snapshot_write(&snapshots);
-            snapshots
+            let storable = storable_snapshots(&snapshots);
+            schedule.begin_snapshot_write(&storable);
+            (snapshots, storable)
         };
         let mut transaction = KvTransaction::default();
         for shard in shards {
-            let in_shard = snapshots.iter();
+            let in_shard = storable.iter();
             let in_shard = in_shard
                 .filter(|snapshot| SnapshotShard::of_worker(&snapshot.listed.name) == *shard);
             let in_shard: Vec<_> = in_shard.collect();
@@ -214,7 +217,7 @@
             .writes
             .commit(node, leadership, WriteChain::Roster, transaction)
             .await?;
-        lock(&leadership.schedule).finish_snapshot_write(&snapshots);
+        lock(&leadership.schedule).finish_snapshot_write(&storable);
         stored.finish_write(shards, &snapshots);
     }
     Ok(())
