Give state to a step's tasks as they may start

Change: a step has state for its first tasks, and a count of those behind them that nothing has touched. A planning pass opens up to 256 of the ready steps; a report or a record that names a task opens those up to it; a gang is opened as a whole. Load, ceilings and availability count the others too.

Why it works: a task without state is idle by definition, so that each look at idle tasks adds the count, and each look at runs need not.

Tests: job_removal_test and the tests of timed jobs use one fleet that runs jobs to their end, with the same assertions as before.

Measured: state_of_wide_jobs_follows_what_can_run (40 jobs, under 600 tasks each) and all_tasks_of_a_wide_job_run, new.

--- a/crates/domain/src/schedule/crash_trial.rs
+++ b/crates/domain/src/schedule/crash_trial.rs
@@ -9,7 +9,7 @@
         job_plan::{Resources, StepPlan},
         live_job::LiveJob,
         pool_candidates::{Candidate, use_of},
-        step_state::{StepState, TaskState},
+        step_state::StepState,
         task_name::TaskName,
         task_run::TaskRun,
         worker_status::WorkerStatus,
@@ -218,9 +218,7 @@
             let mut tasks = step.tasks.iter();
             tasks.any(|task| task.is_idle() && task.suspicion.is_suspected())
         };
-        let steps = job
-            .startable_steps()
-            .filter(|(_, _, step)| step.tasks.iter().any(TaskState::is_idle));
+        let steps = job.startable_steps().filter(|(_, _, step)| step.has_idle());
         let (occurrence, number, _) = steps.min_by_key(|(_, _, step)| !has_suspect(step))?;
         let member = TaskName {
             job: name.clone(),
--- a/crates/domain/src/schedule/job_occurrences.rs
+++ b/crates/domain/src/schedule/job_occurrences.rs
@@ -93,6 +93,12 @@
     /// Opens the next occurrences that are due at a time, as far as their tasks may start soon.
     /// Returns whether it opened one.
     pub(super) fn open_due(&mut self, plan: &JobPlan, wall_ms: u64) -> bool {
+        let has_opened = self.open_due_occurrences(plan, wall_ms);
+        self.open_startable_tasks(plan);
+        has_opened
+    }
+
+    fn open_due_occurrences(&mut self, plan: &JobPlan, wall_ms: u64) -> bool {
         self.due = self.due.max(plan.due_occurrences(wall_ms));
         let mut has_opened = false;
         while self.next < self.due {
@@ -112,6 +118,23 @@
         has_opened
     }
 
+    /// Gives state to the tasks of ready steps that may start soon; to those of a gang as a whole.
+    fn open_startable_tasks(&mut self, plan: &JobPlan) {
+        let mut startable = 0;
+        for steps in self.open.range_mut(..self.due).map(|(_, steps)| steps) {
+            for number in 0..steps.len() {
+                if !steps[number].has_untouched() || !is_ready(plan, steps, number) {
+                    continue;
+                }
+                let step = &mut steps[number];
+                startable += step.idle() - step.untouched;
+                let missing = STARTABLE_TASKS_MAX.saturating_sub(startable);
+                let is_gang = plan.steps[number].gang;
+                startable += step.open(if is_gang { usize::MAX } else { missing });
+            }
+        }
+    }
+
     /// Opens an occurrence that a worker or a record names, due or not, so that its runs and ends
     /// are tracked. One that is not due starts no more tasks, and one that has ended none at all.
     /// Returns whether it was opened now.
@@ -164,7 +187,7 @@
         for (_, steps) in self.open.range(..self.due).rev() {
             for (number, step) in steps.iter().enumerate() {
                 if is_ready(plan, steps, number) {
-                    startable += step.tasks.iter().filter(|task| task.is_idle()).count();
+                    startable += step.idle();
                 }
             }
             if startable >= STARTABLE_TASKS_MAX {
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -137,8 +137,15 @@
         }
     }
 
-    /// Opens an occurrence that a worker or a record names.
-    pub(super) fn open_occurrence(&mut self, occurrence: u32) {
+    /// Gives state to a task that a worker or a record names.
+    pub(super) fn open_task(&mut self, task: &TaskName) {
+        self.open_occurrence(task.occurrence);
+        if let Some(step) = self.step_mut(task) {
+            step.open_to(task.index);
+        }
+    }
+
+    fn open_occurrence(&mut self, occurrence: u32) {
         if self.occurrences.open_named(&self.record.plan, occurrence) {
             self.update_critical_path();
         }
@@ -293,8 +300,7 @@
     /// Whether some step may start a task that neither runs nor is done.
     pub(super) fn has_startable_task(&mut self) -> bool {
         if self.may_start {
-            let has_idle = |step: &StepState| step.tasks.iter().any(TaskState::is_idle);
-            let may_start = self.startable_steps().any(|(_, _, step)| has_idle(step));
+            let may_start = self.startable_steps().any(|(_, _, step)| step.has_idle());
             self.may_start = may_start;
         }
         self.may_start
@@ -332,7 +338,7 @@
                 if step.remaining == 0 || !self.is_ready(occurrence, number) {
                     continue;
                 }
-                let idle = step.tasks.iter().filter(|task| task.is_idle()).count() as u64;
+                let idle = step.idle() as u64;
                 load.add_waiting(idle, plan.reserved());
                 if plan.long_running {
                     load.long_running_waiting += usize::try_from(idle).unwrap_or(usize::MAX);
@@ -358,9 +364,7 @@
         let mut need = Resources::default();
         for (_, number, step) in self.ready_steps() {
             let task_need = self.record.plan.steps[number].need;
-            for _ in step.tasks.iter().filter(|task| task.is_idle()) {
-                need += task_need;
-            }
+            need += task_need.times(step.idle() as u64);
         }
         for (step, tasks) in self.unopened_tasks() {
             need += step.need.times(tasks);
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -283,7 +283,7 @@
             // A trial that has room for some of the tasks has it for the most suspected ones.
             idle.sort_by_key(|index| Reverse(tasks[*index as usize].suspicion.likelihood()));
         }
-        if plan.gang && idle.len() < tasks.len() {
+        if plan.gang && (idle.len() < tasks.len() || state.untouched > 0) {
             return true;
         }
         let gang_run = if plan.gang {
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -135,7 +135,7 @@
             return now_ms > self.orphans_until_ms;
         };
         if !job.is_closed(end.task.occurrence) {
-            job.open_occurrence(end.task.occurrence);
+            job.open_task(&end.task);
         }
         if job.task(&end.task).is_none() {
             return true;
@@ -258,7 +258,7 @@
         let ends = plan.filter(|step| !step.long_running);
         let estimate_ms = ends.map_or(0, |step| step.estimate_ms);
         job.mark_begun();
-        job.open_occurrence(reported.task.occurrence);
+        job.open_task(&reported.task);
         let Some(task) = job.task_mut(&reported.task) else {
             orders.push(unwanted());
             return true;
--- a/crates/domain/src/schedule/step_advice.rs
+++ b/crates/domain/src/schedule/step_advice.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule, live_job::LiveJob, step_state::TaskState,
-        task_name::TaskName, worker_status::WorkerStatus,
+        fleet_schedule::FleetSchedule, live_job::LiveJob, task_name::TaskName,
+        worker_status::WorkerStatus,
     },
     crate::{
         collections::FastMap,
@@ -92,7 +92,7 @@
     fn advice_request_for(&self, job: &LiveJob, now_ms: u64) -> Option<AdviceRequest> {
         for (occurrence, number, step) in job.ready_steps() {
             let plan = &job.record.plan.steps[number];
-            if !step.tasks.iter().any(TaskState::is_idle)
+            if !step.has_idle()
                 || !self.ceiling_allows(job.record.team.as_ref(), plan.least_start())
             {
                 continue;
--- a/crates/domain/src/schedule/step_state.rs
+++ b/crates/domain/src/schedule/step_state.rs
@@ -40,10 +40,14 @@
     }
 }
 
-/// The tasks of one step in one occurrence.
+/// The tasks of one step in one occurrence. Only the first ones have state: those that may start
+/// soon, and all before the last one that a worker or a record has named.
 #[derive(Debug, Clone)]
 pub(super) struct StepState {
     pub(super) tasks: Vec<TaskState>,
+    /// Tasks behind those, none of which has started.
+    pub(super) untouched: usize,
+    /// Tasks that are not done.
     pub(super) remaining: usize,
     pub(super) has_progress: bool,
     pub(super) advice: StepAdvice,
@@ -53,13 +57,54 @@
     /// Creates a step of which no task has run.
     pub(super) fn new(count: usize) -> Self {
         Self {
-            tasks: vec![TaskState::default(); count],
+            tasks: Vec::new(),
+            untouched: count,
             remaining: count,
             has_progress: false,
             advice: StepAdvice::default(),
         }
     }
 
+    /// Gives state to this many tasks more, as far as there are so many. Returns to how many.
+    pub(super) fn open(&mut self, count: usize) -> usize {
+        let opened = count.min(self.untouched);
+        self.untouched -= opened;
+        let task = TaskState {
+            done: self.remaining == 0,
+            ..TaskState::default()
+        };
+        self.tasks.extend(std::iter::repeat_n(task, opened));
+        opened
+    }
+
+    /// Gives state to a task and those before it.
+    pub(super) fn open_to(&mut self, index: u32) {
+        let needed = (index as usize + 1).saturating_sub(self.tasks.len());
+        if needed <= self.untouched {
+            self.open(needed);
+        }
+    }
+
+    /// Counts the tasks that neither run nor are done.
+    pub(super) fn idle(&self) -> usize {
+        let untouched = if self.has_untouched() {
+            self.untouched
+        } else {
+            0
+        };
+        self.tasks.iter().filter(|task| task.is_idle()).count() + untouched
+    }
+
+    /// Whether it is not done and has tasks without state.
+    pub(super) fn has_untouched(&self) -> bool {
+        self.remaining > 0 && self.untouched > 0
+    }
+
+    /// Whether a task neither runs nor is done.
+    pub(super) fn has_idle(&self) -> bool {
+        self.has_untouched() || self.tasks.iter().any(TaskState::is_idle)
+    }
+
     /// Marks all tasks as done.
     pub(super) fn mark_all_done(&mut self) {
         self.tasks.iter_mut().for_each(|task| task.done = true);
@@ -79,6 +124,7 @@
             return;
         }
         for index in &recorded.done {
+            self.open_to(*index);
             if let Some(task) = self.tasks.get_mut(*index as usize)
                 && !task.done
             {
@@ -87,6 +133,7 @@
             }
         }
         for failed in &recorded.failures {
+            self.open_to(failed.index);
             if let Some(task) = self.tasks.get_mut(failed.index as usize) {
                 let highest = failed.runs.iter().copied().max().unwrap_or_default();
                 task.last_run = task.last_run.max(highest);
@@ -94,6 +141,7 @@
             }
         }
         for crashed in &recorded.crashes {
+            self.open_to(crashed.index);
             if let Some(task) = self.tasks.get_mut(crashed.index as usize) {
                 let highest = crashed.runs.iter().map(|crash| crash.run).max();
                 task.last_run = task.last_run.max(highest.unwrap_or_default());
@@ -101,6 +149,7 @@
             }
         }
         for attempt in &recorded.attempts {
+            self.open_to(attempt.index);
             if let Some(task) = self.tasks.get_mut(attempt.index as usize) {
                 task.last_run = task.last_run.max(attempt.run);
             }
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -100,7 +100,8 @@
                     .iter()
                     .any(|run| self.is_available(run) && run.worker != *name)
             };
-            step.tasks.iter().filter(unavailable_after).count() <= max_unavailable as usize
+            let unavailable = step.tasks.iter().filter(unavailable_after).count() + step.untouched;
+            unavailable <= max_unavailable as usize
         })
     }
 
@@ -174,7 +175,9 @@
     fn count_unavailable(&self, task: &TaskName) -> usize {
         let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
         let unavailable = |task: &&TaskState| !task.runs.iter().any(|run| self.is_available(run));
-        step.map_or(0, |step| step.tasks.iter().filter(unavailable).count())
+        step.map_or(0, |step| {
+            step.tasks.iter().filter(unavailable).count() + step.untouched
+        })
     }
 
     /// Stops long-running tasks on a worker so that they move elsewhere, of each step as many
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -70,7 +70,7 @@
             if job.is_closed(task.occurrence) {
                 continue;
             }
-            job.open_occurrence(task.occurrence);
+            job.open_task(&task);
             let Some(state) = job.task_mut(&task) else {
                 continue;
             };
--- a/crates/domain/tests/due_occurrences_test.rs
+++ b/crates/domain/tests/due_occurrences_test.rs
@@ -1,4 +1,4 @@
-//! Tests of jobs with many due occurrences: what they cost follows what can run, not what is due.
+//! Tests of jobs with many due occurrences or many tasks: what they cost follows what can run.
 
 mod samples;
 mod start_samples;
@@ -76,25 +76,46 @@
     many_jobs_have_many_due_occurrences(40, u32::MAX, 0);
 }
 
-/// Occurrences that could not be opened at once all run, each once.
-fn all_occurrences_run(times: u32) {
+fn wide_job(steps: usize) -> JobRecord {
+    let mut job = sample_job("wide", sample_step(1_000, 400));
+    job.plan.steps = vec![sample_step(1_000, 400); steps];
+    job
+}
+
+/// Tasks that have no state at first all run, each once, whichever owner starts them.
+fn all_tasks_run(job: JobRecord, tasks: usize, owners_change: bool) {
+    let name = job.name.clone();
     let mut fleet = WorkingFleet::new(CPU_MILLI);
-    fleet.submit(timed_job("timed", times, 1));
-    while fleet.start() > 0 {
+    fleet.submit(job);
+    assert_eq!(fleet.finish(owners_change), tasks);
+    assert_eq!(fleet.schedule.state(&name), Some(JobState::Completed));
+}
+
+named_cases! { all_tasks_run:
+    few_due_occurrences_run(timed_job("timed", 3, 1), 48, false);
+    many_due_occurrences_run(timed_job("timed", 700, 1), 11_200, false);
+    all_tasks_of_a_wide_job_run(wide_job(2), 2_000, false);
+    all_tasks_of_a_wide_job_run_under_many_owners(wide_job(2), 2_000, true);
+}
+
+/// Jobs of 64,000 tasks, each a few kilobytes long, took 6 MB each.
+#[test]
+fn state_of_wide_jobs_follows_what_can_run() {
+    const JOBS: usize = 40;
+    let mut fleet = WorkingFleet::new(CPU_MILLI);
+    for number in 0..JOBS {
+        let mut job = wide_job(64);
+        job.name = name(&format!("wide-{number}"));
+        fleet.submit(job);
+    }
+    for _ in 0..3 {
+        assert!(fleet.start() > 0, "tasks start");
+        let tracked = fleet.schedule.tracked_tasks();
+        assert!(tracked < 600 * JOBS, "{tracked} tasks");
         fleet.end_all();
         fleet.record();
+        fleet.take_over();
     }
-    assert_eq!(
-        fleet.schedule.state(&name("timed")),
-        Some(JobState::Completed)
-    );
-    assert_eq!(fleet.ends.len(), 16 * times as usize);
-    assert!(fleet.ends.values().all(|ends| *ends == 1));
-}
-
-named_cases! { all_occurrences_run:
-    few_due_occurrences_run(3);
-    many_due_occurrences_run(700);
 }
 
 /// A worker that reports a run of a late occurrence makes the owner track that one alone.
--- a/crates/domain/tests/job_removal_test.rs
+++ b/crates/domain/tests/job_removal_test.rs
@@ -2,21 +2,19 @@
 
 mod samples;
 mod start_samples;
+mod working_fleet;
 
 use {
     dotterelshore_domain::{
         names::JobName,
-        schedule::{
-            EndReason, EndedRun, FleetSchedule, JobRecord, JobState, OrderRule, WorkerReport,
-        },
+        schedule::{FleetSchedule, JobRecord, JobState},
     },
     dotterelshore_testkit::named_cases,
-    samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
+    samples::{NOW_MS, WALL_MS, sample_job},
     start_samples::{ordered_starts, sample_step},
-    std::sync::Arc,
+    working_fleet::WorkingFleet,
 };
 
-const LEASE_MS: u64 = 4_000;
 const RETENTION_MS: u64 = 30_000;
 /// A time after the retention of the job.
 const LATER_MS: u64 = RETENTION_MS + 1_000;
@@ -29,32 +27,17 @@
     record().name
 }
 
-/// A schedule with a job that is completed and recorded, and was ordered to be removed.
+/// A fleet with a job that is completed and recorded, and was ordered to be removed.
+fn fleet_with_expired_job() -> WorkingFleet {
+    let mut fleet = WorkingFleet::new(64_000);
+    fleet.submit(record());
+    assert_eq!(fleet.finish(false), 1);
+    assert_eq!(expire(&mut fleet.schedule), vec![name()]);
+    fleet
+}
+
 fn with_expired_job() -> FleetSchedule {
-    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
-    let listed = sample_worker("w-0", 64_000);
-    let worker = listed.name.clone();
-    schedule.upsert_worker(listed);
-    schedule.apply_report(&worker, &WorkerReport::default(), NOW_MS, WALL_MS);
-    schedule.add_job(record(), None, 0, NOW_MS, WALL_MS);
-    let start = ordered_starts(&mut schedule, NOW_MS, WALL_MS).pop();
-    let start = start.expect("a start");
-    let end = EndedRun {
-        number: 1,
-        task: start.task,
-        run: start.run,
-        reason: EndReason::Done,
-        checkpoint: Arc::from(""),
-    };
-    let report = WorkerReport {
-        finished: vec![end],
-        ..WorkerReport::default()
-    };
-    schedule.apply_report(&worker, &report, NOW_MS, WALL_MS);
-    let batch = schedule.take_progress_batch();
-    schedule.mark_progress_recorded(&batch);
-    assert_eq!(expire(&mut schedule), vec![name()]);
-    schedule
+    fleet_with_expired_job().schedule
 }
 
 fn expire(schedule: &mut FleetSchedule) -> Vec<JobName> {
@@ -79,8 +62,10 @@
 
 #[test]
 fn refused_removal_is_ordered_again() {
-    let mut schedule = with_expired_job();
-    assert_eq!(expire(&mut schedule), vec![name()]);
+    let mut fleet = fleet_with_expired_job();
+    assert_eq!(expire(&mut fleet.schedule), vec![name()]);
+    fleet.take_over();
+    assert_eq!(expire(&mut fleet.schedule), vec![name()], "the next owner");
 }
 
 /// A job is forgotten once its record is gone.
@@ -110,7 +95,7 @@
 /// The loss of the record of a job that was not to be removed does not lose the job.
 #[test]
 fn job_is_known_although_its_record_is_lost() {
-    let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
+    let mut schedule = FleetSchedule::default();
     schedule.add_job(record(), None, 0, NOW_MS, WALL_MS);
     assert!(!schedule.forget_removed(&name()));
     schedule.forget_missing(&[].into_iter().collect());
--- a/crates/domain/tests/progress_record_test.rs
+++ b/crates/domain/tests/progress_record_test.rs
@@ -63,7 +63,7 @@
         Some(JobState::Completed)
     );
     assert_eq!(fleet.acknowledged_end(), fleet.last_end);
-    assert_eq!(fleet.ends.len(), STEPS * times as usize);
+    assert_eq!(fleet.finish(false), STEPS * times as usize);
 }
 
 named_cases! { record_stays_short:
@@ -76,13 +76,7 @@
 fn ended_occurrences_do_not_run_again_under_the_next_owner() {
     let mut fleet = WorkingFleet::new(700);
     fleet.submit(timed_job("timed", 3, 40));
-    while fleet.start() > 0 {
-        fleet.end_all();
-        fleet.record();
-        fleet.take_over();
-    }
-    assert_eq!(fleet.ends.len(), 3 * 40);
-    assert!(fleet.ends.values().all(|ends| *ends == 1));
+    assert_eq!(fleet.finish(true), 3 * 40);
     assert_eq!(
         fleet.schedule.state(&name("timed")),
         Some(JobState::Completed)
@@ -128,10 +122,7 @@
     }
     assert_eq!(fleet.acknowledged_end(), 0, "nothing is stored");
     fleet.rejected.clear();
-    while fleet.start() > 0 {
-        fleet.end_all();
-        fleet.record();
-    }
+    assert_eq!(fleet.finish(false), 10);
     let state = fleet.schedule.state(&name("timed"));
     assert_eq!(state, Some(JobState::Completed));
     assert_eq!(fleet.acknowledged_end(), fleet.last_end);
--- a/crates/domain/tests/working_fleet/mod.rs
+++ b/crates/domain/tests/working_fleet/mod.rs
@@ -31,7 +31,7 @@
     pub(crate) last_end: u64,
     term: u32,
     /// How often each task has ended.
-    pub(crate) ends: BTreeMap<TaskName, usize>,
+    ends: BTreeMap<TaskName, usize>,
 }
 
 impl WorkingFleet {
@@ -129,6 +129,20 @@
         self.schedule.mark_ends_recorded(&batch.ends, &unrecorded);
     }
 
+    /// Runs what starts until nothing does, under another owner each time if `owners_change`.
+    /// Returns how many tasks have ended, each once.
+    pub(crate) fn finish(&mut self, owners_change: bool) -> usize {
+        while self.start() > 0 {
+            self.end_all();
+            self.record();
+            if owners_change {
+                self.take_over();
+            }
+        }
+        assert!(self.ends.values().all(|ends| *ends == 1), "{:?}", self.ends);
+        self.ends.len()
+    }
+
     /// Another owner takes over from what is stored, while nothing runs.
     pub(crate) fn take_over(&mut self) {
         assert!(self.running.is_empty(), "runs would be lost");
