Let a record whose writes fail hold up no other, whatever the reason

Change: a write that fails while others take effect counts against its records. One that fails alone 20 times in a row, while others are stored, gives its job up, as after three rejections. While nothing is stored, as in an outage, nothing counts.

Why it works: what is stored never waits behind what has failed, and the ends of a worker wait for a record for a bounded time.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -34,6 +34,9 @@
 
 /// How often in a row the store rejects the record of a job before the job fails.
 const REJECTIONS_MAX: u32 = 3;
+/// How often in a row the write of a job's record alone fails, while others take effect, before the
+/// job fails. With the pauses between them that is longer than troubles of the store last.
+const FAILED_WRITES_MAX: u32 = 20;
 
 /// Resources that a team's runs use, and its ceiling.
 #[derive(Debug, Clone, Copy, Default)]
@@ -376,6 +379,7 @@
     pub fn mark_job_recorded(&mut self, name: &JobName, progress: &ProgressRecord) {
         if let Some(job) = self.jobs.get_untracked(name) {
             job.rejections = 0;
+            job.failed_writes = 0;
             job.end_recorded |= progress.ended.is_some();
         }
         self.mark_attempts_recorded(name, progress);
@@ -426,6 +430,31 @@
         self.end_job(name, JobState::Failed, now_ms, wall_ms)
     }
 
+    /// Returns how often in a row the write of a job's record has failed while others took effect.
+    pub fn failed_writes(&self, name: &JobName) -> u32 {
+        self.jobs.get(name).map_or(0, |job| job.failed_writes)
+    }
+
+    /// Notes that the write of a job's record failed while others took effect, by itself or with
+    /// others, and returns the orders that follow: as [`reject_progress`](Self::reject_progress),
+    /// a job whose record can't be stored fails in the end.
+    pub fn note_failed_write(
+        &mut self,
+        name: &JobName,
+        is_alone: bool,
+        now_ms: u64,
+        wall_ms: u64,
+    ) -> Vec<WorkerOrder> {
+        let Some(job) = self.jobs.get_untracked(name) else {
+            return Vec::new();
+        };
+        job.failed_writes += 1;
+        if !is_alone || job.failed_writes < FAILED_WRITES_MAX || job.ended.is_some() {
+            return Vec::new();
+        }
+        self.end_job(name, JobState::Failed, now_ms, wall_ms)
+    }
+
     /// Ends a job and returns the orders that stop its runs.
     pub(super) fn end_job(
         &mut self,
--- a/crates/domain/src/schedule/live_job.rs
+++ b/crates/domain/src/schedule/live_job.rs
@@ -39,6 +39,8 @@
     pub(super) end_recorded: bool,
     /// How often in a row the store has rejected the record of its progress.
     pub(super) rejections: u32,
+    /// How often in a row the write of that record has failed otherwise, while others took effect.
+    pub(super) failed_writes: u32,
     /// Whether its records are to be removed from the store.
     pub(super) removal_ordered: bool,
     pub(super) arrived_ms: u64,
@@ -76,6 +78,7 @@
             ended_ms: None,
             end_recorded: false,
             rejections: 0,
+            failed_writes: 0,
             removal_ordered: false,
             arrived_ms,
             added_ms,
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -28,6 +28,7 @@
 mod pool_demand;
 mod pool_load;
 mod queue_table;
+mod record_groups;
 mod recorded_start;
 mod run_reports;
 mod run_tracking;
@@ -69,6 +70,7 @@
     queue_table::{
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
     },
+    record_groups::{RecordCost, record_groups},
     run_tracking::{DropReason, DroppedRuns, LingeringRuns},
     snapshot_shard::{SnapshotShard, StoredSnapshots, storable_snapshots},
     start_replies::{StartRefusal, StartReply},
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -9,7 +9,7 @@
     dotterelshore_domain::{
         collections::{FastMap, FastSet},
         names::JobName,
-        schedule::{ProgressBatch, ProgressRecord},
+        schedule::{ProgressBatch, ProgressRecord, RecordCost, record_groups},
     },
     dotterelshore_platform::{KvFault, KvTransaction},
     dotterelshore_wire::{event_log::unix_millis, log_event, timer_hub::jittered_pause},
@@ -25,24 +25,39 @@
     job: JobName,
     progress: ProgressRecord,
     value: Vec<u8>,
+    failed_writes: u32,
 }
 
-impl From<(JobName, ProgressRecord)> for EncodedProgress {
-    fn from((job, progress): (JobName, ProgressRecord)) -> Self {
+impl EncodedProgress {
+    fn new(job: JobName, progress: ProgressRecord, failed_writes: u32) -> Self {
         let value = serde_json::to_vec(&progress).expect("a record has string keys");
         Self {
             job,
             progress,
             value,
+            failed_writes,
+        }
+    }
+
+    fn cost(&self) -> RecordCost {
+        RecordCost {
+            failed_writes: self.failed_writes,
+            bytes: self.value.len(),
         }
     }
 }
 
-/// Jobs recorded in one transaction. The store allows 32 rows, three of which order the write.
-const JOBS_PER_WRITE: usize = 28;
-/// Bytes of the records in one transaction, unless one record is longer. A tenth of a second on the
-/// slowest link.
-const BYTES_PER_WRITE: usize = 128 * 1024;
+/// What became of the records of one chain.
+#[derive(Default)]
+struct ChainOutcome {
+    /// Whether a write took effect.
+    has_recorded: bool,
+    /// The jobs of the write that failed, if one did.
+    failed: Vec<JobName>,
+    /// All jobs that are not recorded.
+    unrecorded: Vec<JobName>,
+}
+
 /// Jobs removed in one transaction, each with three keys.
 const JOBS_PER_REMOVAL: usize = 9;
 /// Pause before a write, so that jobs that end close together share it.
@@ -84,34 +99,53 @@
 
 /// Records all progress so far. Returns whether all of it is stored.
 pub(super) async fn record_once(node: &SchedulerNode, leadership: &Leadership) -> bool {
-    let ProgressBatch { records, ends } = lock(&leadership.schedule).take_progress_batch();
     let mut chains: FastMap<WriteChain, Vec<EncodedProgress>> = FastMap::default();
-    for record in records {
-        let chain = WriteChain::of_job(&record.0);
-        let encoded = EncodedProgress::from(record);
-        chains.entry(chain).or_default().push(encoded);
+    let ends = {
+        let mut schedule = lock(&leadership.schedule);
+        let ProgressBatch { records, ends } = schedule.take_progress_batch();
+        for (job, progress) in records {
+            let failed_writes = schedule.failed_writes(&job);
+            let chain = chains.entry(WriteChain::of_job(&job)).or_default();
+            chain.push(EncodedProgress::new(job, progress, failed_writes));
+        }
+        ends
+    };
+    for records in chains.values_mut() {
+        records.sort_by_key(|record| record.failed_writes);
     }
     let writes = chains
         .iter()
         .map(|(chain, records)| record_chain(node, leadership, *chain, records));
-    let unrecorded: FastSet<_> = join_all(writes).await.into_iter().flatten().collect();
+    let outcomes = join_all(writes).await;
+    if outcomes.iter().any(|outcome| outcome.has_recorded) {
+        for outcome in &outcomes {
+            note_failed_writes(leadership, &outcome.failed);
+        }
+    }
+    let unrecorded = outcomes.into_iter().flat_map(|outcome| outcome.unrecorded);
+    let unrecorded: FastSet<_> = unrecorded.collect();
     lock(&leadership.schedule).mark_ends_recorded(&ends, &unrecorded);
     unrecorded.is_empty()
 }
 
-/// Records the progress of the jobs of one chain, and returns the jobs that are not recorded. Each
-/// write that took effect counts at once, whatever becomes of the others.
+/// Records the progress of the jobs of one chain. Each write that took effect counts at once,
+/// whatever becomes of the others.
 async fn record_chain(
     node: &SchedulerNode,
     leadership: &Leadership,
     chain: WriteChain,
     records: &[EncodedProgress],
-) -> Vec<JobName> {
-    let mut unrecorded = Vec::new();
-    let mut groups = write_groups(records);
+) -> ChainOutcome {
+    let mut outcome = ChainOutcome::default();
+    let costs: Vec<_> = records.iter().map(EncodedProgress::cost).collect();
+    let ranges = record_groups(&costs).into_iter().rev();
+    let mut groups: Vec<_> = ranges.map(|range| &records[range]).collect();
     while let Some(group) = groups.pop() {
         match write_group(node, leadership, chain, group).await {
-            Ok(()) => mark_recorded(leadership, group),
+            Ok(()) => {
+                outcome.has_recorded = true;
+                mark_recorded(leadership, group);
+            }
             Err(KvFault::Rejected { .. }) if group.len() > 1 => {
                 // One of the records can't be stored. The others need not wait for it.
                 let (first, second) = group.split_at(group.len() / 2);
@@ -120,41 +154,36 @@
             Err(KvFault::Rejected { detail }) => {
                 for record in group {
                     reject(node, leadership, record, &detail);
-                    unrecorded.push(record.job.clone());
+                    outcome.unrecorded.push(record.job.clone());
                 }
             }
             Err(fault) => {
+                outcome.failed = group.iter().map(|record| record.job.clone()).collect();
                 groups.push(group);
                 let left: Vec<_> = groups.into_iter().flatten().collect();
                 log_event!(Warn, "recording-failed", jobs = left.len(), error = fault);
                 node.metrics.count_retry("recording");
                 for record in left {
                     lock(&leadership.schedule).requeue_progress(&record.job);
-                    unrecorded.push(record.job.clone());
+                    outcome.unrecorded.push(record.job.clone());
                 }
                 break;
             }
         }
     }
-    unrecorded
+    outcome
 }
 
-/// Divides records into groups for one transaction each, the first group last.
-fn write_groups(records: &[EncodedProgress]) -> Vec<&[EncodedProgress]> {
-    let mut groups = Vec::new();
-    let mut rest = records;
-    while !rest.is_empty() {
-        let mut bytes = 0;
-        let fitting = rest.iter().take(JOBS_PER_WRITE).take_while(|record| {
-            bytes += record.value.len();
-            bytes <= BYTES_PER_WRITE
-        });
-        let (group, others) = rest.split_at(fitting.count().max(1));
-        groups.push(group);
-        rest = others;
+/// Notes the jobs of a write that failed while others took effect: one of their records may be the
+/// cause.
+fn note_failed_writes(leadership: &Leadership, jobs: &[JobName]) {
+    let (now_ms, wall_ms) = (uptime_ms(), unix_millis());
+    for job in jobs {
+        let mut schedule = lock(&leadership.schedule);
+        let stops = schedule.note_failed_write(job, jobs.len() == 1, now_ms, wall_ms);
+        drop(schedule);
+        leadership.dispatch(stops);
     }
-    groups.reverse();
-    groups
 }
 
 fn mark_recorded(leadership: &Leadership, group: &[EncodedProgress]) {
