Model test: list a hidden worker again by its own row alone

The model's fault that unlists a worker for a while put back whatever row the store had, also that of the worker's life before, while the next life had not listed itself yet. No worker does that: it writes its own row. The fault is drawn only for a worker whose row is its own, as the fault that drains one was before; all checks stay as they are.

--- a/crates/domain/tests/schedule_model/fault_plan.rs
+++ b/crates/domain/tests/schedule_model/fault_plan.rs
@@ -221,10 +221,14 @@
     /// Removes a worker from the list for a while, though it is alive.
     fn hide_worker(&mut self) {
         let (_, name) = self.draw_worker();
-        if !self.workers.contains_key(&name) || !self.store.workers.contains_key(&name) {
+        let process = self.workers.get(&name);
+        let Some(listed) = process.map(|process| process.listed.clone()) else {
+            return;
+        };
+        // A worker is not listed again by the row of its life before.
+        if self.store.workers.get(&name) != Some(&listed) {
             return;
         }
-        let listed = self.store.workers[&name].clone();
         let duration_ms = self.draw(300..6_000);
         let text = format!("fault: {name} is unlisted for {duration_ms} ms");
         self.oracle.record_fault(duration_ms, text);
