--- a/crates/domain/src/schedule/crash_trial.rs
+++ b/crates/domain/src/schedule/crash_trial.rs
@@ -3,7 +3,8 @@
 
 use {
     super::{
-        crash_blame::{CrashNotice, SAFE_RUN_MS},
+        crash_blame::SAFE_RUN_MS,
+        crash_notice::CrashNotice,
         crash_suspicion::JUST_STARTED_MS,
         fleet_schedule::FleetSchedule,
         job_plan::{Resources, StepPlan},
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -3,6 +3,7 @@
 mod arrival_rate;
 mod backfill_limit;
 mod crash_blame;
+mod crash_notice;
 mod crash_suspicion;
 mod crash_trial;
 mod delegate_roster;
@@ -14,6 +15,7 @@
 mod job_order;
 mod job_plan;
 mod job_progress;
+mod job_removal;
 mod live_job;
 mod maintenance_wave;
 mod order_budget;
@@ -27,6 +29,7 @@
 mod pool_candidates;
 mod pool_demand;
 mod pool_load;
+mod progress_batch;
 mod queue_table;
 mod record_groups;
 mod recorded_start;
@@ -49,10 +52,10 @@
 mod worker_status;
 
 pub use {
-    crash_blame::CrashNotice,
+    crash_notice::CrashNotice,
     crash_suspicion::CrashedRun,
     delegate_roster::{DelegateRoster, EntryResources},
-    fleet_schedule::{FleetSchedule, ProgressBatch},
+    fleet_schedule::FleetSchedule,
     index_ranges::IndexRanges,
     instance_plan::{InstanceActivity, InstanceOrder, InstancePlan, ListedInstance},
     job_order::{JobUrgency, OrderRule},
@@ -67,6 +70,7 @@
     planning_work::PlanningWork,
     poll_scope::{PollScope, RunWatch},
     pool_load::PoolLoad,
+    progress_batch::ProgressBatch,
     queue_table::{
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
     },
