Test: let the entry that is to be frozen own the schedule first

Twenty copies of the test at a time showed it in 5 of 60 runs, with the owner by-door-0 or by-door-1. The test waits for the first entry's claim now; what it checks is the same.

--- a/crates/scheduler/tests/fleet_test.rs
+++ b/crates/scheduler/tests/fleet_test.rs
@@ -9,7 +9,7 @@
     cancel_rule::CANCEL_TIMEOUT,
     dotterelshore_emulator::{SchedulerProcess, StoreFaultMode},
     dotterelshore_testkit::named_cases,
-    fixture::{FleetFixture, long_running, program, run_test, two_steps},
+    fixture::{FleetFixture, SETTLE_TIMEOUT, long_running, program, run_test, two_steps},
     hyper::Method,
     nix::sys::signal::Signal,
     serde_json::json,
@@ -537,6 +537,9 @@
 fn entry_without_store_serves(mode: StoreFaultMode) {
     run_test(async {
         let mut fixture = FleetFixture::start(1, 1).await;
+        // The entries started below would claim the schedule too.
+        let owns = async || fixture.owner() == Some(0);
+        assert!(fixture.wait_until(SETTLE_TIMEOUT, owns).await, "an owner");
         let endpoints = [
             fixture.fleet.open_store_endpoint().await,
             fixture.fleet.open_store_endpoint().await,
