--- a/crates/domain/src/schedule/index_ranges.rs
+++ b/crates/domain/src/schedule/index_ranges.rs
@@ -67,9 +67,4 @@
     pub(super) fn has_all(&self, count: u32) -> bool {
         count == 0 || self.0.get(&0).is_some_and(|after| *after >= count)
     }
-
-    /// Returns the number of ranges.
-    pub fn range_count(&self) -> usize {
-        self.0.len()
-    }
 }
--- a/crates/domain/src/schedule/job_occurrences.rs
+++ b/crates/domain/src/schedule/job_occurrences.rs
@@ -11,7 +11,7 @@
 
 /// Most tasks in the open occurrences of a job, unless a single occurrence has more. Their progress
 /// is stored in one record, which grows by up to some 50 bytes a task.
-pub(super) const OPEN_TASKS_MAX: usize = 2_048;
+const OPEN_TASKS_MAX: usize = 2_048;
 /// Startable tasks beyond which a job opens no further occurrence. More than an entry starts between
 /// two planning passes.
 const STARTABLE_TASKS_MAX: usize = 256;
--- a/crates/domain/src/schedule/job_progress.rs
+++ b/crates/domain/src/schedule/job_progress.rs
@@ -1,7 +1,10 @@
 //! Stored records of a job and its progress.
 
 use {
-    super::{crash_suspicion::CrashedRun, index_ranges::IndexRanges, job_plan::JobPlan},
+    super::{
+        crash_suspicion::CrashedRun, index_ranges::IndexRanges, job_plan::JobPlan,
+        task_name::TaskName,
+    },
     crate::names::{InstanceName, JobName, PoolName, QueueName, TeamName, WorkerName},
     serde::{Deserialize, Serialize},
 };
@@ -122,6 +125,18 @@
     pub attempts: Vec<RecordedAttempt>,
 }
 
+impl StepProgress {
+    /// Returns the name of one of its tasks.
+    pub(super) fn task(&self, job: &JobName, index: u32) -> TaskName {
+        TaskName {
+            job: job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+}
+
 /// Progress of a job. The record is rewritten as its tasks end.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/domain/src/schedule/recorded_start.rs
+++ b/crates/domain/src/schedule/recorded_start.rs
@@ -50,12 +50,7 @@
     pub(super) fn mark_attempts_recorded(&mut self, name: &JobName, progress: &ProgressRecord) {
         for step in &progress.step_progress {
             let starts = step.attempts.iter().map(|attempt| RecordedStart {
-                task: TaskName {
-                    job: name.clone(),
-                    occurrence: step.occurrence,
-                    step: step.step,
-                    index: attempt.index,
-                },
+                task: step.task(name, attempt.index),
                 run: attempt.run,
                 worker: attempt.at.worker.clone(),
             });
@@ -125,12 +120,7 @@
         now_ms: u64,
     ) {
         for step in &progress.step_progress {
-            let task = |index| TaskName {
-                job: name.clone(),
-                occurrence: step.occurrence,
-                step: step.step,
-                index,
-            };
+            let task = |index| step.task(name, index);
             for crashed in &step.crashes {
                 for crash in &crashed.runs {
                     if let Some(at) = &crash.unconfirmed_at {
--- a/crates/domain/src/schedule/snapshot_shard.rs
+++ b/crates/domain/src/schedule/snapshot_shard.rs
@@ -7,7 +7,7 @@
         collections::{FastMap, FastSet},
         names::WorkerName,
     },
-    std::fmt,
+    std::{borrow::Cow, fmt},
 };
 
 /// Number of shards. A shard of the largest planned fleet has some eighty workers.
@@ -39,7 +39,10 @@
 
 /// Returns snapshots as they are stored: a shard whose workers have too many runs leaves out the
 /// longest lists. To the next owner these workers may have any runs until their leases end.
-pub fn storable_snapshots(snapshots: &[WorkerSnapshot]) -> Vec<WorkerSnapshot> {
+pub fn storable_snapshots(snapshots: &[WorkerSnapshot]) -> Cow<'_, [WorkerSnapshot]> {
+    if snapshots.iter().map(run_count).sum::<usize>() <= RUNS_MAX {
+        return Cow::Borrowed(snapshots);
+    }
     let mut storable = snapshots.to_vec();
     storable.sort_by_cached_key(|snapshot| {
         let shard = SnapshotShard::of_worker(&snapshot.listed.name);
@@ -56,7 +59,7 @@
             }
         }
     }
-    storable
+    Cow::Owned(storable)
 }
 
 fn run_count(snapshot: &WorkerSnapshot) -> usize {
--- a/crates/domain/tests/stored_snapshots_test.rs
+++ b/crates/domain/tests/stored_snapshots_test.rs
@@ -132,8 +132,9 @@
         }),
     };
     let short = [with_runs(100), with_runs(900)];
-    assert_eq!(storable_snapshots(&short), short, "nothing is left out");
-    let stored = storable_snapshots(&[with_runs(5_000), with_runs(100)]);
+    assert_eq!(*storable_snapshots(&short), short, "nothing is left out");
+    let long = [with_runs(5_000), with_runs(100)];
+    let stored = storable_snapshots(&long);
     assert_eq!(stored[0], with_runs(100));
     assert_eq!(
         (&stored[1].listed, &stored[1].unreachable),
--- a/crates/scheduler/src/leading/progress_recorder.rs
+++ b/crates/scheduler/src/leading/progress_recorder.rs
@@ -99,17 +99,18 @@
 
 /// Records all progress so far. Returns whether all of it is stored.
 pub(super) async fn record_once(node: &SchedulerNode, leadership: &Leadership) -> bool {
-    let mut chains: FastMap<WriteChain, Vec<EncodedProgress>> = FastMap::default();
-    let ends = {
+    let (ProgressBatch { records, ends }, failed_writes) = {
         let mut schedule = lock(&leadership.schedule);
-        let ProgressBatch { records, ends } = schedule.take_progress_batch();
-        for (job, progress) in records {
-            let failed_writes = schedule.failed_writes(&job);
-            let chain = chains.entry(WriteChain::of_job(&job)).or_default();
-            chain.push(EncodedProgress::new(job, progress, failed_writes));
-        }
-        ends
+        let batch = schedule.take_progress_batch();
+        let jobs = batch.records.iter();
+        let failed_writes: Vec<_> = jobs.map(|(job, _)| schedule.failed_writes(job)).collect();
+        (batch, failed_writes)
     };
+    let mut chains: FastMap<WriteChain, Vec<EncodedProgress>> = FastMap::default();
+    for ((job, progress), failed_writes) in records.into_iter().zip(failed_writes) {
+        let chain = chains.entry(WriteChain::of_job(&job)).or_default();
+        chain.push(EncodedProgress::new(job, progress, failed_writes));
+    }
     for records in chains.values_mut() {
         records.sort_by_key(|record| record.failed_writes);
     }
@@ -187,8 +188,13 @@
 }
 
 fn mark_recorded(leadership: &Leadership, group: &[EncodedProgress]) {
+    {
+        let mut schedule = lock(&leadership.schedule);
+        for record in group {
+            schedule.mark_job_recorded(&record.job, &record.progress);
+        }
+    }
     for record in group {
-        lock(&leadership.schedule).mark_job_recorded(&record.job, &record.progress);
         if let Some(ended) = record.progress.ended {
             let state = format!("{ended:?}");
             log_event!(Info, "job-ended", job = record.job, state = state);
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -195,12 +195,13 @@
 ) -> Result<(), KvFault> {
     for shards in shards.chunks(SHARDS_PER_WRITE) {
         stored.begin_write(shards);
-        let (snapshots, storable) = {
+        let snapshots;
+        let storable = {
             let mut schedule = lock(&leadership.schedule);
-            let snapshots = schedule.snapshots_in(shards, uptime_ms());
+            snapshots = schedule.snapshots_in(shards, uptime_ms());
             let storable = storable_snapshots(&snapshots);
             schedule.begin_snapshot_write(&storable);
-            (snapshots, storable)
+            storable
         };
         let mut transaction = KvTransaction::default();
         for shard in shards {
