--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -18,6 +18,7 @@
 mod job_removal;
 mod live_job;
 mod maintenance_wave;
+mod missing_tasks;
 mod order_budget;
 mod orphaned_runs;
 mod owner_pace;
@@ -65,6 +66,7 @@
         TaskFailures, WorkerIncarnation,
     },
     maintenance_wave::{WaveProgress, WaveSpec},
+    missing_tasks::{MissingReason, MissingTask, MissingTasks},
     owner_pace::OwnerPace,
     pace_controller::PaceController,
     planning_work::PlanningWork,
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -7,6 +7,7 @@
 mod instance_task;
 mod job_follow;
 mod leadership;
+mod missing_log;
 mod order_record;
 mod owner_writes;
 mod progress_recorder;
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -8,6 +8,7 @@
         instance_task::reconcile_instances,
         job_follow::{apply_job_rows, follow_jobs},
         leadership::{HandoverRecord, Leadership},
+        missing_log::watch_missing_tasks,
         progress_recorder::record_progress,
         worker_snapshots::{apply_worker_rows, follow_workers, maintain_worker_snapshots},
     },
@@ -113,6 +114,8 @@
     let (n, l) = clone_handles();
     tasks.spawn(leadership.guard_task("ended-jobs", remove_ended_jobs(n, l)));
     let (n, l) = clone_handles();
+    tasks.spawn(leadership.guard_task("missing-tasks", watch_missing_tasks(n, l)));
+    let (n, l) = clone_handles();
     tasks.spawn(leadership.guard_task("advice", request_advice(n, l)));
     let (n, l) = clone_handles();
     let reconciling = reconcile_instances(n, l, claim, stored.ordered);
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -6,6 +6,7 @@
         node::{SchedulerNode, lock, uptime_ms},
         work_meter::WorkMeter,
     },
+    dotterelshore_domain::schedule::MissingTask,
     dotterelshore_wire::{
         event_log::unix_millis,
         http_server::{content_response, serve},
@@ -34,6 +35,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabel {
+    reason: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabel {
     call: &'static str,
@@ -57,6 +63,8 @@
     tracked_tasks: Gauge,
     lingering_runs: Gauge,
     lingering_oldest_ms: Gauge,
+    missing_tasks: Family<WaitLabel, Gauge>,
+    missing_oldest_ms: Gauge,
     config_version: Gauge,
     store_age_ms: Gauge,
     lines_dropped: Gauge,
@@ -87,6 +95,12 @@
             "Time to the answer of a caller's call",
             answers.clone(),
         );
+        let missing_tasks = Family::default();
+        registry.register(
+            "missing_tasks",
+            "Tasks that are to last and are not at work for 3 s, by what they wait for, at the owner",
+            missing_tasks.clone(),
+        );
         let gauge = |registry: &mut Registry, name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -124,6 +138,11 @@
                 "lingering_oldest_milliseconds",
                 "Time since the earliest end of a job that still has runs, at the owner",
             ),
+            missing_oldest_ms: gauge(
+                &mut registry,
+                "missing_oldest_milliseconds",
+                "Longest time that a task which is to last is not at work, at the owner",
+            ),
             config_version: gauge(&mut registry, "config_version", "Version in force"),
             store_age_ms: gauge(
                 &mut registry,
@@ -140,6 +159,7 @@
             retries,
             starts,
             crashes,
+            missing_tasks,
             answers,
             log_counts,
         }
@@ -165,6 +185,19 @@
         self.crashes.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Sets the gauges of the tasks that are missing, the longest missing first.
+    pub(crate) fn set_missing(&self, missing: &[MissingTask]) {
+        self.missing_tasks.clear();
+        for task in missing {
+            let reason = format!("{:?}", task.reason);
+            self.missing_tasks
+                .get_or_create(&WaitLabel { reason })
+                .inc();
+        }
+        let oldest_ms = missing.first().map_or(0, |task| task.missing_ms);
+        self.missing_oldest_ms.set(gauge_value(oldest_ms));
+    }
+
     /// Counts an answered call and its latency.
     pub(crate) fn count_answer(&self, call: &'static str, status: u16, took: Duration) {
         self.answers
@@ -174,8 +207,10 @@
 
     /// Updates the gauges and encodes all metrics as `OpenMetrics` text.
     fn text(&self, node: &SchedulerNode) -> String {
-        let gauge_value = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         let leadership = node.leadership();
+        if leadership.is_none() {
+            self.set_missing(&[]);
+        }
         self.leading.set(i64::from(leadership.is_some()));
         let (open, suspected, tracked, lingering) =
             leadership.map_or_else(Default::default, |leadership| {
@@ -210,6 +245,10 @@
     }
 }
 
+fn gauge_value(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
 /// Serves the metrics page until the process shuts down.
 pub(crate) async fn serve_metrics(node: Arc<SchedulerNode>, listener: TcpListener) {
     let shutdown = node.shutdown.subscribe();
