Give up no task whose last crash has a likelier cause

Cause: four crashes condemned a task whatever else had run there. A task that lasts starts again beside others again and again, and meets their crashes.

Change: the last of these crashes has to point to the task: it was among the last to start there, or no other job can be the cause.

--- a/crates/domain/src/schedule/crash_suspicion.rs
+++ b/crates/domain/src/schedule/crash_suspicion.rs
@@ -127,13 +127,16 @@
     }
 
     /// Whether it counts as proven that the task crashes the workers that start it. While workers
-    /// also crash by other causes, every crash has to have come at the start of its run.
+    /// also crash by other causes, every crash has to have come at the start of its run. No
+    /// number of crashes is proof if the last one has a likelier cause.
     pub(super) fn is_proven(&self, has_other_causes: bool) -> bool {
         let count = |counts: fn(&&CrashedRun) -> bool| self.crashes().iter().filter(counts).count();
         let crashes = count(|crash| crash.confirmed);
         let proofs = count(|crash| crash.is_proof());
         let is_consistent = !has_other_causes || !self.has_late_crash();
         let has_proofs = proofs >= PROOFS_MIN && crashes >= CRASHES_MIN && is_consistent;
-        has_proofs || crashes >= CRASHES_MAX
+        let last = self.crashes().last();
+        let is_pointed_to = last.is_some_and(|crash| crash.likely || crash.alone);
+        has_proofs || is_pointed_to && crashes >= CRASHES_MAX
     }
 }
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -77,6 +77,8 @@
     task_that_lasts_is_not_lost_behind_trials_1(CULPRITS, 8, 8);
     task_that_lasts_is_not_lost_behind_trials_2(CULPRITS, 28, 29);
     task_that_lasts_is_not_lost_behind_trials_3(CULPRITS_AND_FAULTS, 33, 33);
+    sound_task_beside_likelier_causes_is_not_given_up_1(CULPRITS_AND_FAULTS, 345, 345);
+    sound_task_beside_likelier_causes_is_not_given_up_2(CULPRITS, 705, 705);
 }
 
 fn is_reproducible(profile: FaultProfile, seed: u64) {
