--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -18,6 +18,7 @@
 mod job_removal;
 mod live_job;
 mod maintenance_wave;
+mod missing_tasks;
 mod order_budget;
 mod orphaned_runs;
 mod owner_pace;
@@ -43,6 +44,7 @@
 mod task_name;
 mod task_run;
 mod tracked_table;
+mod trial_queue;
 mod unplaced_needs;
 mod worker_disruption;
 mod worker_listing;
@@ -65,6 +67,7 @@
         TaskFailures, WorkerIncarnation,
     },
     maintenance_wave::{WaveProgress, WaveSpec},
+    missing_tasks::{MissingReason, MissingTask, MissingTasks},
     owner_pace::OwnerPace,
     pace_controller::PaceController,
     planning_work::PlanningWork,
