Leave room to jobs that forgo their trial, and look at all deciding crashes

Cause: a job that starts without a trial counted neither as one to try nor as another that waits, so that likely culprits could take all free workers before it. And a fourth crash that points to the task, not confirmed yet, followed by a fifth that does not, would no longer give a culprit up.

Change: such a job counts as another that waits. Any crash from the fourth on may decide.

--- a/crates/domain/src/schedule/crash_suspicion.rs
+++ b/crates/domain/src/schedule/crash_suspicion.rs
@@ -9,7 +9,8 @@
 /// Crashes under a task after which it is the proven cause, if two of them are proofs.
 const CRASHES_MIN: usize = 3;
 const PROOFS_MIN: usize = 2;
-/// Crashes under a task after which it is the cause in any case. The platform's users allow two
+/// Crashes under a task after which it is the cause, unless those from this one on have likelier
+/// causes. The platform's users allow two
 /// starts after three crashes; one crash may be unknown, since it came while owners changed.
 const CRASHES_MAX: usize = 4;
 /// A run that began this long before a crash, or less, is a likely cause, in milliseconds.
@@ -127,16 +128,16 @@
     }
 
     /// Whether it counts as proven that the task crashes the workers that start it. While workers
-    /// also crash by other causes, every crash has to have come at the start of its run. No
-    /// number of crashes is proof if the last one has a likelier cause.
+    /// also crash by other causes, every crash has to have come at the start of its run. Many
+    /// crashes are proof only if one of those that decide has no likelier cause.
     pub(super) fn is_proven(&self, has_other_causes: bool) -> bool {
         let count = |counts: fn(&&CrashedRun) -> bool| self.crashes().iter().filter(counts).count();
         let crashes = count(|crash| crash.confirmed);
         let proofs = count(|crash| crash.is_proof());
         let is_consistent = !has_other_causes || !self.has_late_crash();
         let has_proofs = proofs >= PROOFS_MIN && crashes >= CRASHES_MIN && is_consistent;
-        let last = self.crashes().last();
-        let is_pointed_to = last.is_some_and(|crash| crash.likely || crash.alone);
+        let mut deciding = self.crashes().iter().skip(CRASHES_MAX - 1);
+        let is_pointed_to = deciding.any(|crash| crash.likely || crash.alone);
         has_proofs || is_pointed_to && crashes >= CRASHES_MAX
     }
 }
--- a/crates/domain/src/schedule/crash_trial.rs
+++ b/crates/domain/src/schedule/crash_trial.rs
@@ -71,6 +71,10 @@
         for name in &startable {
             self.trial_queue.enter(name, now_ms);
         }
+        let has_others = !others.is_empty()
+            || startable
+                .iter()
+                .any(|name| self.forgoes_trial(name, now_ms));
         startable.retain(|name| {
             !self.defers_last_trial(name, now_ms) && !self.forgoes_trial(name, now_ms)
         });
@@ -80,7 +84,7 @@
             self.needs_trial(&trial.job)
                 && (startable.contains(&&trial.job) || self.is_running(trial, now_ms))
         });
-        self.begin_trials(&mut trials, &startable, !others.is_empty(), candidates);
+        self.begin_trials(&mut trials, &startable, has_others, candidates);
         let is_startable = |trial: &CrashTrial| startable.contains(&&trial.job);
         for trial in trials.iter().filter(|trial| !is_startable(trial)) {
             candidates.retain(|candidate| !trial.workers.contains(&candidate.name));
--- a/crates/domain/src/schedule/trial_queue.rs
+++ b/crates/domain/src/schedule/trial_queue.rs
@@ -35,9 +35,9 @@
         self.since_ms.remove(name);
     }
 
-    /// Removes the jobs that need no trial any more.
-    pub(super) fn retain(&mut self, needs_trial: impl Fn(&JobName) -> bool) {
-        self.since_ms.retain(|name, _| needs_trial(name));
+    /// Removes the jobs that are not suspected any more.
+    pub(super) fn retain(&mut self, is_suspected: impl Fn(&JobName) -> bool) {
+        self.since_ms.retain(|name, _| is_suspected(name));
     }
 
     /// Returns since when a job waits, if that is longer than a time.
@@ -48,8 +48,9 @@
 }
 
 impl FleetSchedule {
-    /// Whether a job that needs a trial starts without one, since it has waited for too long. One that a
-    /// crash points to alone, or whose next crash may decide, waits on.
+    /// Whether a job that needs a trial starts without one, since it has waited for too long. One that
+    /// a crash points to alone, or whose next crash may decide, waits on. A job stays exempt until it
+    /// is cleared or one of these holds.
     pub(super) fn forgoes_trial(&self, name: &JobName, now_ms: u64) -> bool {
         let overdue_ms = self
             .trial_queue
