review: a wave blocks the queues of a pool that has lost an executor (LOST)

One executor leaves for good, so that a task that lasts has no place; then the operator orders upkeep of the two others of the pool. They are cordoned from half of the wave's time on and stay so, and no accepted job of the pool starts any more.

--- a/review/harness-3/world.py
+++ b/review/harness-3/world.py
@@ -265,7 +265,7 @@
     def __init__(self, record):
         self.record = record
         self.running = {}
-        self.done = set()
+        self.noted = set()
         self.broken = []
         self.starts = 0
         self.ended = 0
@@ -276,6 +276,8 @@
         if others:
             self.breach(f"TWICE: {task} run {run} starts on {place} while it runs on "
                         + ", ".join(f"{p} as run {r}" for p, r in others.items()))
+        if task in self.noted:
+            self.breach(f"TWICE: {task} run {run} starts on {place} after its end `done` was noted")
         others[place] = run
 
     def over(self, task, place, how):
@@ -304,6 +306,7 @@
         self.lease_until = 0.0
         self.sequence = 0
         self.alive = False
+        self.draining_until = None
         self.tasks = []
 
     async def start(self):
@@ -321,15 +324,33 @@
     async def beat(self):
         while self.alive:
             self.sequence += 1
-            self.world.store.put(f"servers/{self.name}", {
-                "service": self.facts["service"], "address": self.server.address,
-                "zone": self.facts["zone"], "version": "v1", "slots": 8, "state": "ready",
-                "cold_left_ms": 0, "capacity": {"cpu": self.facts["cpu"], "mem_mb": 65536, "gpu": 0},
-                "labels": ["a", self.facts["rack"]], "clock_ms": self.clock_ms(),
-                "sequence": self.sequence, "born": self.born, "machine": self.facts["machine"],
-            })
+            self.report()
             await asyncio.sleep(HEARTBEAT_S * random.uniform(0.97, 1.03))
 
+    def report(self):
+        row = {
+            "service": self.facts["service"], "address": self.server.address,
+            "zone": self.facts["zone"], "version": "v1", "slots": 8, "state": "ready",
+            "cold_left_ms": 0, "capacity": {"cpu": self.facts["cpu"], "mem_mb": 65536, "gpu": 0},
+            "labels": ["a", self.facts["rack"]], "clock_ms": self.clock_ms(),
+            "sequence": self.sequence, "born": self.born, "machine": self.facts["machine"],
+        }
+        if self.draining_until is not None:
+            left = max(0, int((self.draining_until - time.monotonic()) * 1000))
+            row |= {"state": "draining", "drain_remaining_ms": left}
+        self.world.store.put(f"servers/{self.name}", row)
+
+    async def leave(self):
+        """Reports that it drains, serves on for a while, and leaves for good with its machine."""
+        self.draining_until = time.monotonic() + 2.0
+        self.sequence += 1
+        self.report()
+        self.world.record.write(f"executor {self.place} drains")
+        await asyncio.sleep(2.5)
+        self.stop_life("leaves")
+        self.world.store.remove(f"servers/{self.name}")
+        del self.world.executors[self.name]
+
     async def work(self):
         while self.alive:
             now = self.clock_ms()
@@ -349,12 +370,15 @@
 
     def crash(self):
         """Ends this life: it says nothing more, and all that ran is gone."""
+        self.stop_life("crashes")
+
+    def stop_life(self, how):
         self.alive = False
         for task in self.tasks:
             task.cancel()
         for task in self.runs:
             self.world.judge.over(task, self.place, "lost")
-        self.world.record.write(f"executor {self.place} crashes with {len(self.runs)} runs")
+        self.world.record.write(f"executor {self.place} {how} with {len(self.runs)} runs")
         self.runs = {}
         self.server.end()
 
@@ -426,6 +450,9 @@
             return 409, {"reason": "fence"} | self.lists()
         self.extend(call)
         cursor = call.get("ack_cursor", 0)
+        for number, task, _, how, _ in self.ends:
+            if number <= cursor and how == "done":
+                self.world.judge.noted.add(task)
         self.ends = [end for end in self.ends if end[0] > cursor]
         until = time.monotonic() + min(2000, call.get("wait_ms", 0)) / 1000
         while self.alive and not self.ends and time.monotonic() < until:
@@ -442,10 +469,78 @@
         return {"running": running, "finished": self.ends[:500], "born": self.born}
 
 
+class Cloud:
+    """The interface to machines: their list, moves and upkeep."""
+
+    def __init__(self, world):
+        self.world = world
+        self.server = Server(self.answer, "cloud")
+        self.busy = {}
+        self.done = set()
+
+    async def answer(self, connection, method, target, headers, body):
+        await asyncio.sleep(STORE_ANSWER_S)
+        path = target.partition("?")[0]
+        if method == "GET" and path == "/machines":
+            return response(200, {"machines": self.rows(), "next_token": None})
+        call = json.loads(body or b"{}")
+        status, reply = self.order(path, call)
+        holder, token = headers.get("x-duty-holder"), headers.get("x-fencing-token")
+        self.world.record.write(f"{path} {call} by {holder} token {token}: {status} {reply}")
+        return response(status, reply)
+
+    def rows(self):
+        rows = [self.row(e, "up", e.name) for e in self.world.executors.values() if e.alive]
+        return rows + [self.row(e, state, None) for e, state in self.busy.values()]
+
+    def row(self, executor, state, name):
+        facts = executor.facts
+        return {"machine": facts["machine"], "pool": facts["service"], "state": state,
+                "zone": facts["zone"], "labels": ["a", facts["rack"]],
+                "capacity": {"cpu": facts["cpu"], "mem_mb": 65536, "gpu": 0}, "id": name}
+
+    def order(self, path, call):
+        machine = call["machine"]
+        executors = [e for e in self.world.executors.values() if e.facts["machine"] == machine]
+        if path == "/machine-upkeep" and (machine, call["wave"]) in self.done:
+            return 200, {}
+        if machine in self.busy or any(e.draining_until is not None for e in executors):
+            return 409, {"reason": "busy"}
+        if not executors:
+            return 400, {}
+        executor = executors[0]
+        if path == "/machine-upkeep":
+            wave = self.world.waves.get(call["wave"], ())
+            if machine not in wave:
+                return 409, {"reason": "wave"}
+            self.done.add((machine, call["wave"]))
+            self.begin(executor, executor.facts["service"], "upkeep", 2.0)
+            return 200, {}
+        if call["pool"] == executor.facts["service"]:
+            return 200, {}
+        self.begin(executor, call["pool"], "moving", 1.5)
+        return 200, {}
+
+    def begin(self, executor, pool, state, duration_s):
+        executor.stop_life(f"ends by {state}")
+        del self.world.executors[executor.name]
+        self.world.store.remove(f"servers/{executor.name}")
+        facts = executor.facts | {"service": pool}
+        executor.facts = facts
+        self.busy[facts["machine"]] = (executor, state)
+
+        async def back():
+            await asyncio.sleep(duration_s)
+            del self.busy[facts["machine"]]
+            await self.world.start_executor(f"i-{random.getrandbits(40):010x}", **facts)
+
+        self.task = asyncio.create_task(back())
+
+
 def free_ports(count):
     """Returns the first of `count` adjacent ports that are free now."""
     for _ in range(200):
-        first = random.randrange(20000, 60000)
+        first = random.SystemRandom().randrange(20000, 32000)
         try:
             for port in range(first, first + count):
                 with socket.socket() as probe:
@@ -467,6 +562,8 @@
         self.hold_max_ms = hold_max_ms
         self.stop_ms = stop_ms
         self.folder = tempfile.mkdtemp(prefix="case-")
+        self.cloud = Cloud(self)
+        self.waves = {}
         self.entries = {}
         self.fronts = {}
         self.executors = {}
@@ -498,6 +595,13 @@
                          "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}],
         })
 
+    def order_wave(self, number, machines, duration_s, cap):
+        """Asks for upkeep of machines, as the operator does."""
+        self.waves[number] = machines
+        self.store.put(f"op/wave/{number}", {
+            "wave": number, "machines": machines, "duration_s": duration_s, "cap": cap})
+        self.record.write(f"operator asks for wave {number} of {machines} in {duration_s} s, cap {cap}")
+
     async def start_executor(self, name, port=0, **facts):
         executor = Executor(self, name, port, **facts)
         await executor.start()
@@ -509,6 +613,8 @@
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/release/dotterelshore-scheduler is not built")
         address = await self.store.door(node)
+        if not self.cloud.server.server:
+            await self.cloud.server.start()
         port = free_ports(20)
         path = os.path.join(self.folder, f"{node}.toml")
         table = "\n".join(f'{name} = "region-1"' for name in zones)
@@ -591,7 +697,7 @@
 value_bytes = 1048576
 ttl_min_ms = 1000
 [cloud_api]
-address = "{address}"
+address = "{self.cloud.server.address}"
 rate_per_s = 64.0
 duties = []
 duty_per_s = 64.0
@@ -674,7 +780,7 @@
             if executor.alive:
                 executor.alive = False
                 executor.server.end()
-        for server in self.store.servers.values():
+        for server in [self.cloud.server, *self.store.servers.values()]:
             server.end()
         if not os.environ.get("KEEP_LOGS"):
             shutil.rmtree(self.folder, ignore_errors=True)
