--- a/crates/domain/src/schedule/crash_blame.rs
+++ b/crates/domain/src/schedule/crash_blame.rs
@@ -259,9 +259,9 @@
         };
         let (started_ms, instance) = (status.listed.started_ms, status.listed.instance.clone());
         self.confirm_lapsed(|known| {
-            let is_same =
-                known.worker == *name || known.instance.is_some() && known.instance == instance;
-            is_same && known.started_ms < started_ms
+            let is_replaced = known.worker == *name && known.started_ms != started_ms;
+            let is_same_instance = known.instance.is_some() && known.instance == instance;
+            is_replaced || is_same_instance && known.started_ms < started_ms
         });
         let alive = |known: &mut LapsedWorker| {
             known.at.worker == *name && known.at.started_ms == started_ms
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod crash_trial;
 mod delegate_roster;
 mod fleet_schedule;
+mod incarnation_order;
 mod index_ranges;
 mod instance_moves;
 mod instance_plan;
@@ -83,6 +84,7 @@
     start_replies::{StartRefusal, StartReply},
     step_advice::AdviceRequest,
     task_name::TaskName,
+    worker_listing::{RowOutcome, WorkerRow},
     worker_order::{StartOrder, StopOrder, WorkerOrder},
     worker_status::{
         EndReason, EndedRun, ListedWorker, PollRequest, ReportedRun, UnreachableRuns, WorkerReport,
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -34,26 +34,12 @@
         now_ms: u64,
         wall_ms: u64,
     ) -> Vec<WorkerOrder> {
-        let Some(status) = self.workers.get_mut(worker) else {
+        let Some(status) = self.workers.get(worker) else {
             return Vec::new();
         };
-        if report
-            .started_ms
-            .is_some_and(|started_ms| started_ms != status.listed.started_ms)
-        {
-            if report.started_ms < Some(status.listed.started_ms) {
-                return Vec::new();
-            }
-            let mut listed = status.listed.clone();
-            listed.started_ms = report.started_ms.unwrap_or_default();
-            let present = status.present;
-            self.upsert_worker(listed);
-            if let Some(status) = self.workers.get_mut(worker) {
-                status.has_current_row = false;
-            }
-            if !present {
-                self.unlist_worker(worker, now_ms);
-            }
+        let reported_ms = report.started_ms.unwrap_or(status.listed.started_ms);
+        if !self.apply_reported_start(worker, reported_ms) {
+            return Vec::new();
         }
         self.resolve_lapsed(worker);
         self.end_replaced_workers(worker);
@@ -389,7 +375,7 @@
         for (name, present) in expired {
             self.attribute_crash(&name, DropReason::LeaseExpired);
             self.drop_runs(&name, DropReason::LeaseExpired);
-            if !present {
+            if !self.adopt_held_row(&name) && !present {
                 self.workers.remove(&name);
             }
         }
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        job_plan::Resources, job_progress::WorkerIncarnation, pace_controller::PaceController,
-        task_name::TaskName,
+        incarnation_order::IncarnationOrder, job_plan::Resources, job_progress::WorkerIncarnation,
+        pace_controller::PaceController, task_name::TaskName,
     },
     crate::{
         collections::FastSet,
@@ -182,6 +182,10 @@
     pub runs_known: bool,
     /// Whether its row is of the incarnation that reports. Otherwise its capacity is not known.
     pub(super) has_current_row: bool,
+    /// What is known of the order of its incarnations.
+    pub(super) incarnations: IncarnationOrder,
+    /// Its newest row, if that is of another incarnation, which has not reported.
+    pub(super) held_row: Option<ListedWorker>,
     /// Whether it reports a run of a job that is not known, which uses an unknown part of its
     /// capacity.
     pub(super) has_unknown_runs: bool,
@@ -238,6 +242,8 @@
             reported: false,
             runs_known: false,
             has_current_row: true,
+            incarnations: IncarnationOrder::default(),
+            held_row: None,
             has_unknown_runs: false,
             runs_listed_ms: 0,
             has_listed_all: false,
--- a/crates/domain/tests/schedule_model/fault_plan.rs
+++ b/crates/domain/tests/schedule_model/fault_plan.rs
@@ -15,6 +15,10 @@
 
 /// Instances that host workers.
 const SLOTS: u64 = 4;
+/// Shortest time between two silences of the watches of workers, in milliseconds.
+const WATCH_PAUSE_MS: u64 = 2_500;
+/// How far the clock of a worker is set back, in milliseconds.
+const CLOCK_STEP_MS: u64 = 20_000;
 
 impl FleetModel {
     pub(super) fn start_workers(&mut self) {
@@ -37,7 +41,10 @@
 
     /// Starts an incarnation and lists it.
     fn start_worker(&mut self, slot: u64, name: &WorkerName) {
-        let started_ms = WALL_MS + self.now_ms;
+        let mut started_ms = WALL_MS + self.now_ms;
+        if self.profile.has_stale_rows && self.chance(0.2) {
+            started_ms -= CLOCK_STEP_MS;
+        }
         let label = |text: String| Arc::from(text);
         let listed = ListedWorker {
             name: name.clone(),
@@ -117,6 +124,9 @@
         if self.now_ms >= self.jobs_until_ms {
             return;
         }
+        if self.profile.has_stale_rows && self.now_ms < self.faults_until_ms {
+            self.restart_behind_silent_watch();
+        }
         let is_quiet = !self.profile.has_faults || self.now_ms >= self.faults_until_ms;
         match self.draw(0..14) {
             _ if is_quiet => self.drain_worker(),
@@ -135,6 +145,30 @@
         self.after(pause_ms, Self::inject_faults);
     }
 
+    /// Silences the owners' watches of the workers' rows, and restarts a worker meanwhile. Not again
+    /// soon: a task under which workers crash again and again may be given up.
+    fn restart_behind_silent_watch(&mut self) {
+        if self.now_ms < self.windows.worker_watch + WATCH_PAUSE_MS {
+            return;
+        }
+        let duration_ms = self.draw(1_000..3_200);
+        self.windows.worker_watch = self.now_ms + duration_ms;
+        let text = format!("fault: watches of workers are silent for {duration_ms} ms");
+        self.oracle.record_fault(duration_ms, text);
+        let delay_ms = self.draw(0..1_500);
+        self.after(delay_ms, |model| {
+            let (slot, name) = model.draw_worker();
+            if model.workers.contains_key(&name) {
+                model.end_worker(&name);
+                model
+                    .oracle
+                    .record_fault(0, format!("fault: {name} restarts"));
+                let restart_ms = model.draw(100..800);
+                model.after(restart_ms, move |model| model.start_worker(slot, &name));
+            }
+        });
+    }
+
     fn fault_network(&mut self) {
         let duration_ms = self.draw(500..4_000);
         self.windows.network = self.now_ms + duration_ms;
@@ -196,10 +230,11 @@
         let Some(process) = self.workers.get_mut(&name) else {
             return;
         };
-        if self.store.workers.get(&name) != Some(&process.listed) || self.is_store_out() {
+        let row = self.store.workers.get(&name);
+        if row.is_none_or(|row| row.listed != process.listed) || self.is_store_out() {
             return;
         }
-        let mut listed = self.store.workers[&name].clone();
+        let mut listed = self.store.workers[&name].listed.clone();
         listed.draining = true;
         let life = self.workers[&name].life;
         let (leave_ms, replace_ms) = (self.draw(500..4_000), self.draw(300..2_000));
@@ -226,7 +261,8 @@
             return;
         };
         // A worker is not listed again by the row of its life before.
-        if self.store.workers.get(&name) != Some(&listed) {
+        let row = self.store.workers.get(&name);
+        if row.is_none_or(|row| row.listed != listed) {
             return;
         }
         let duration_ms = self.draw(300..6_000);
--- a/crates/domain/tests/schedule_model/fleet_model.rs
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -42,6 +42,9 @@
     /// Share of the jobs with a task that crashes each worker that starts it, while faults are
     /// injected.
     pub(crate) culprits: f64,
+    /// Whether workers restart while the owner's watch of their rows is silent, some of them with
+    /// their clocks set back.
+    pub(crate) has_stale_rows: bool,
     /// Time after a fault from which the oracle's bounds count, in milliseconds.
     pub(crate) stable_window_ms: u64,
 }
@@ -53,6 +56,8 @@
     pub(super) network: u64,
     /// Until then writes to the store are lost or late, and watches slow.
     pub(super) store: u64,
+    /// Until then the owners' watches of the workers' rows deliver nothing.
+    pub(super) worker_watch: u64,
     /// Until then the store answers nothing.
     pub(super) outage: u64,
 }
@@ -218,7 +223,10 @@
         self.store.change(change);
         for owner in 0..self.owners.len() {
             if !self.owners[owner].is_ended {
-                let delay_ms = self.watch_delay();
+                let mut delay_ms = self.watch_delay();
+                if !of_jobs {
+                    delay_ms += self.windows.worker_watch.saturating_sub(self.now_ms);
+                }
                 self.after_in_owner(owner, delay_ms, move |model| {
                     if of_jobs {
                         model.deliver_jobs(owner);
--- a/crates/domain/tests/schedule_model/lasting_rule.rs
+++ b/crates/domain/tests/schedule_model/lasting_rule.rs
@@ -74,8 +74,8 @@
     fn open_workers(&self) -> BTreeSet<WorkerName> {
         let alive = self.workers.iter();
         let open = alive.filter(|(name, process)| {
-            let listed = self.store.workers.get(*name);
-            let is_open = listed.is_some_and(|listed| *listed == process.listed);
+            let row = self.store.workers.get(*name);
+            let is_open = row.is_some_and(|row| row.listed == process.listed);
             is_open && !process.listed.draining && !self.is_cut(name)
         });
         open.map(|(name, _)| name.clone()).collect()
--- a/crates/domain/tests/schedule_model/owner_storage.rs
+++ b/crates/domain/tests/schedule_model/owner_storage.rs
@@ -5,7 +5,7 @@
         fleet_model::FleetModel,
         store_model::{OwnerWrite, StoreChange},
     },
-    dotterelshore_domain::schedule::WorkerSnapshot,
+    dotterelshore_domain::schedule::{RowOutcome, WorkerRow, WorkerSnapshot},
     std::collections::BTreeSet,
 };
 
@@ -246,7 +246,7 @@
         }
         let changes = self.store.changes_after(process.job_revision);
         process.job_revision = self.store.revision;
-        for change in changes {
+        for (_, change) in changes {
             let schedule = &mut self.owners[owner].schedule;
             let orders = match change {
                 StoreChange::JobAdded(record) => {
@@ -277,13 +277,14 @@
         let changes = self.store.changes_after(process.worker_revision);
         process.worker_revision = self.store.revision;
         let mut is_listed = false;
-        for change in changes {
+        for (revision, change) in changes {
             match change {
                 StoreChange::WorkerListed(listed) => {
-                    is_listed |= process.schedule.upsert_worker(listed);
+                    let row = WorkerRow { listed, revision };
+                    is_listed |= process.schedule.apply_row(row) == RowOutcome::Applied;
                 }
                 StoreChange::WorkerUnlisted(name) => {
-                    process.schedule.unlist_worker(&name, now_ms);
+                    process.schedule.remove_row(&name, revision, now_ms);
                 }
                 _ => {}
             }
--- a/crates/domain/tests/schedule_model/store_model.rs
+++ b/crates/domain/tests/schedule_model/store_model.rs
@@ -3,7 +3,7 @@
 use {
     dotterelshore_domain::{
         names::{JobName, WorkerName},
-        schedule::{JobRecord, ListedWorker, ProgressRecord, WorkerSnapshot},
+        schedule::{JobRecord, ListedWorker, ProgressRecord, WorkerRow, WorkerSnapshot},
     },
     std::collections::BTreeMap,
 };
@@ -56,7 +56,7 @@
     pub(super) jobs: BTreeMap<JobName, JobRecord>,
     pub(super) cancelled: Vec<JobName>,
     pub(super) progress: BTreeMap<JobName, ProgressRecord>,
-    pub(super) workers: BTreeMap<WorkerName, ListedWorker>,
+    pub(super) workers: BTreeMap<WorkerName, WorkerRow>,
     pub(super) snapshots: Vec<WorkerSnapshot>,
     pub(super) handover: Option<(u32, u64)>,
     changes: Vec<(u64, StoreChange)>,
@@ -73,7 +73,9 @@
             }
             StoreChange::JobCancelled(job) => self.cancelled.push(job),
             StoreChange::WorkerListed(listed) => {
-                self.workers.insert(listed.name.clone(), listed);
+                let revision = self.revision;
+                self.workers
+                    .insert(listed.name.clone(), WorkerRow { listed, revision });
             }
             StoreChange::WorkerUnlisted(name) => {
                 self.workers.remove(&name);
@@ -82,10 +84,10 @@
         self.changes.push((self.revision, change));
     }
 
-    pub(super) fn changes_after(&self, revision: u64) -> Vec<StoreChange> {
+    /// Returns the changes after a revision, each with its own.
+    pub(super) fn changes_after(&self, revision: u64) -> Vec<(u64, StoreChange)> {
         let first = self.changes.partition_point(|(at, _)| *at <= revision);
-        let changes = self.changes[first..].iter();
-        changes.map(|(_, change)| change.clone()).collect()
+        self.changes[first..].to_vec()
     }
 
     /// Claims ownership and returns the fencing token.
--- a/crates/domain/tests/schedule_model/takeover.rs
+++ b/crates/domain/tests/schedule_model/takeover.rs
@@ -5,10 +5,9 @@
         fleet_model::FleetModel, owner_process::AUTHORITY_OVERLAP_MS, worker_tasks::WORKER_LEASE_MS,
     },
     dotterelshore_domain::{
-        collections::FastSet,
-        names::{JobName, WorkerName},
+        names::JobName,
         schedule::{
-            FleetSchedule, JobRecord, ListedWorker, OrderRule, ProgressRecord, WorkerSnapshot,
+            FleetSchedule, JobRecord, OrderRule, ProgressRecord, WorkerRow, WorkerSnapshot,
         },
     },
     std::collections::BTreeMap,
@@ -26,7 +25,7 @@
 struct StoredSchedule {
     snapshots: Vec<WorkerSnapshot>,
     handover: Option<(u32, u64)>,
-    workers: (u64, Vec<ListedWorker>),
+    workers: (u64, Vec<WorkerRow>),
     progress: BTreeMap<JobName, ProgressRecord>,
     jobs: (u64, Vec<JobRecord>, Vec<JobName>),
     pending: usize,
@@ -133,23 +132,8 @@
             schedule.restore_worker(snapshot.clone(), now_ms);
         }
         schedule.restore_attempts(now_ms);
-        apply_listed(&mut schedule, &stored.workers.1, now_ms);
+        let (revision, rows) = &stored.workers;
+        schedule.apply_row_list(rows.clone(), *revision, now_ms);
         schedule
     }
 }
-
-/// Updates the listed workers and marks those that are no longer listed.
-fn apply_listed(schedule: &mut FleetSchedule, listed: &[ListedWorker], now_ms: u64) {
-    for worker in listed {
-        schedule.upsert_worker(worker.clone());
-    }
-    let names: FastSet<&WorkerName> = listed.iter().map(|worker| &worker.name).collect();
-    let missing: Vec<_> = schedule
-        .workers()
-        .filter(|status| status.present && !names.contains(&status.listed.name))
-        .map(|status| status.listed.name.clone())
-        .collect();
-    for name in missing {
-        schedule.unlist_worker(&name, now_ms);
-    }
-}
--- a/crates/domain/tests/schedule_model/worker_tasks.rs
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -23,6 +23,8 @@
 const STOPS_IN_FLIGHT: usize = 4;
 /// Pause after a poll, in milliseconds.
 const POLL_PAUSE_MS: u64 = 35;
+/// Time to read a row, in milliseconds.
+const ROW_READ_MS: u64 = 8;
 /// Pause after a failed poll, and while authority is missing, in milliseconds.
 const POLL_RETRY_PAUSE_MS: u64 = 200;
 
@@ -186,7 +188,11 @@
         let orders = process
             .schedule
             .apply_report(worker, report, now_ms, wall_ms);
+        let lacks_row = process.schedule.lacks_current_row(worker);
         self.dispatch(owner, orders);
+        if lacks_row && self.profile.has_stale_rows {
+            self.refresh_row(owner, worker);
+        }
         if !report.finished.is_empty() {
             self.notify_recorder(owner);
             self.notify_planner(owner);
@@ -195,6 +201,22 @@
         }
     }
 
+    /// Reads the row of a worker that reports as another incarnation.
+    fn refresh_row(&mut self, owner: usize, worker: &WorkerName) {
+        let row = self.store.workers.get(worker).cloned();
+        let Some(row) = row.filter(|_| !self.is_store_out()) else {
+            return;
+        };
+        self.after_in_owner(owner, ROW_READ_MS, move |model| {
+            let schedule = &mut model.owners[owner].schedule;
+            let known = schedule.worker(&row.listed.name);
+            if known.is_some_and(|known| known.listed.started_ms == row.listed.started_ms) {
+                schedule.apply_row(row);
+                model.notify_planner(owner);
+            }
+        });
+    }
+
     fn apply_order_answer(&mut self, call: &PendingCall, answer: &WorkerAnswer) {
         let owner = call.owner;
         match &call.request {
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -19,6 +19,7 @@
     has_faults: true,
     late_orders: 0.0,
     culprits: 0.0,
+    has_stale_rows: false,
     stable_window_ms: 3_000,
 };
 /// The same beside late orders.
@@ -44,6 +45,18 @@
     ..CULPRITS
 };
 
+/// Workers that restart behind silent watches, alone.
+const STALE_ROWS: FaultProfile = FaultProfile {
+    has_faults: false,
+    has_stale_rows: true,
+    ..MIXED_FAULTS
+};
+/// The same beside faults of processes, links and the store.
+const STALE_ROWS_AND_FAULTS: FaultProfile = FaultProfile {
+    has_faults: true,
+    ..STALE_ROWS
+};
+
 /// Plays the seeds and returns the first violation of each that fails.
 fn failures(profile: FaultProfile, first: u64, last: u64) -> Vec<(u64, String)> {
     (first..=last)
@@ -64,6 +77,10 @@
     rules_hold_under_mixed_faults_2(MIXED_FAULTS, 16, 30);
     rules_hold_under_late_orders_and_faults(LATE_ORDERS_AND_FAULTS, 1, 15);
     rules_hold_under_late_orders(LATE_ORDERS, 1, 15);
+    rules_hold_behind_stale_rows(STALE_ROWS, 1, 20);
+    runs_behind_an_older_row_are_kept_1(STALE_ROWS, 84, 84);
+    runs_behind_an_older_row_are_kept_2(STALE_ROWS, 89, 89);
+    rules_hold_behind_stale_rows_and_faults(STALE_ROWS_AND_FAULTS, 1, 15);
     rules_hold_beside_culprits(CULPRITS, 1, 15);
     rules_hold_beside_culprits_and_faults(CULPRITS_AND_FAULTS, 6, 20);
     crashes_that_no_owner_could_record_count_1(CULPRITS_AND_FAULTS, 5, 5);
@@ -111,6 +128,8 @@
         ("late orders", LATE_ORDERS),
         ("culprits", CULPRITS),
         ("culprits and faults", CULPRITS_AND_FAULTS),
+        ("stale rows", STALE_ROWS),
+        ("stale rows and faults", STALE_ROWS_AND_FAULTS),
     ];
     let mut failed = Vec::new();
     for (name, profile) in profiles {
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -7,8 +7,9 @@
         names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
         schedule::{
             EndReason, EndedRun, FleetSchedule, JobPlan, JobRecord, JobState, ListedWorker,
-            OrderRule, QueueTable, ReportedRun, Resources, StartOrder, StartReply, StepPlan,
-            TaskName, TeamRow, UnreachableRuns, WorkerOrder, WorkerReport, WorkerSnapshot,
+            OrderRule, QueueTable, ReportedRun, Resources, RowOutcome, StartOrder, StartReply,
+            StepPlan, TaskName, TeamRow, UnreachableRuns, WorkerOrder, WorkerReport,
+            WorkerSnapshot,
         },
     },
     dotterelshore_testkit::named_cases,
@@ -717,10 +718,14 @@
 /// A listing that repeats the previous one changes nothing; any other does.
 fn listing_changes_worker(change: fn(&mut ListedWorker), changed: bool) {
     let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
-    assert!(schedule.upsert_worker(worker("w-1")), "the first listing");
+    assert_eq!(
+        schedule.upsert_worker(worker("w-1")),
+        RowOutcome::Applied,
+        "the first listing"
+    );
     let mut next = worker("w-1");
     change(&mut next);
-    assert_eq!(schedule.upsert_worker(next), changed);
+    assert_eq!(schedule.upsert_worker(next) == RowOutcome::Applied, changed);
 }
 
 named_cases! { listing_changes_worker:
--- a/crates/scheduler/src/leading/delegates.rs
+++ b/crates/scheduler/src/leading/delegates.rs
@@ -178,7 +178,7 @@
         ResumeMode::CatchUp,
         None,
         |update| match update {
-            PrefixUpdate::Snapshot(rows) => delegates.apply_rows(own_name, &rows, true),
+            PrefixUpdate::Snapshot(page) => delegates.apply_rows(own_name, &page.rows, true),
             PrefixUpdate::Change(WatchEvent::Written(row)) => {
                 delegates.apply_rows(own_name, &[row], false);
             }
--- a/crates/scheduler/src/leading/job_follow.rs
+++ b/crates/scheduler/src/leading/job_follow.rs
@@ -114,9 +114,9 @@
         Some(revision),
         |update| {
             let rows = match update {
-                PrefixUpdate::Snapshot(rows) => {
-                    lock(&leadership.schedule).forget_missing(&recorded_jobs(&rows));
-                    rows
+                PrefixUpdate::Snapshot(page) => {
+                    lock(&leadership.schedule).forget_missing(&recorded_jobs(&page.rows));
+                    page.rows
                 }
                 PrefixUpdate::Change(WatchEvent::Written(row)) => vec![row],
                 PrefixUpdate::Change(WatchEvent::Removed { key, .. }) => {
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -234,7 +234,7 @@
         schedule.restore_worker(snapshot.clone(), now_ms);
     }
     schedule.restore_attempts(now_ms);
-    apply_worker_rows(&mut schedule, &stored.workers.rows);
+    apply_worker_rows(&mut schedule, &stored.workers);
     *lock(&leadership.schedule) = schedule;
 }
 
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -9,14 +9,15 @@
         },
     },
     dotterelshore_domain::{
-        collections::FastSet,
         names::WorkerName,
         schedule::{
-            FleetSchedule, ListedWorker, SnapshotShard, StoredSnapshots, storable_snapshots,
+            FleetSchedule, RowOutcome, SnapshotShard, StoredSnapshots, WorkerRow,
+            storable_snapshots,
         },
     },
     dotterelshore_platform::{
-        KvFault, KvRow, KvTransaction, WORKER_PREFIX, WatchEvent, decode_worker, worker_of_key,
+        KvFault, KvPage, KvRow, KvTransaction, WORKER_PREFIX, WatchEvent, decode_worker,
+        worker_of_key,
     },
     dotterelshore_wire::log_event,
     std::{sync::Arc, time::Duration},
@@ -30,23 +31,10 @@
 /// Longest time between comparisons of the stored snapshots with the schedule.
 const SNAPSHOT_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
-/// Updates the listed workers and marks those that are no longer listed.
-pub(super) fn apply_worker_rows(schedule: &mut FleetSchedule, rows: &[KvRow]) {
-    let mut listed = FastSet::default();
-    for row in rows {
-        if let Some(worker) = parse_worker(row) {
-            listed.insert(worker.name.clone());
-            schedule.upsert_worker(worker);
-        }
-    }
-    let missing: Vec<_> = schedule
-        .workers()
-        .filter(|status| status.present && !listed.contains(&status.listed.name))
-        .map(|status| status.listed.name.clone())
-        .collect();
-    for name in missing {
-        schedule.unlist_worker(&name, uptime_ms());
-    }
+/// Applies the platform's list of workers.
+pub(super) fn apply_worker_rows(schedule: &mut FleetSchedule, page: &KvPage) {
+    let rows = page.rows.iter().filter_map(parse_worker).collect();
+    schedule.apply_row_list(rows, page.revision, uptime_ms());
 }
 
 /// Reads the row of a worker that reports as another incarnation, if the watch of the rows has not
@@ -54,12 +42,12 @@
 pub(super) async fn refresh_row(node: &SchedulerNode, leadership: &Leadership, name: &WorkerName) {
     match node.kv.read(&format!("{WORKER_PREFIX}{name}")).await {
         Ok(row) => {
-            if let Some(worker) = parse_worker(&row) {
+            if let Some(row) = parse_worker(&row) {
                 let mut schedule = lock(&leadership.schedule);
                 if schedule.worker(name).map(|status| status.listed.started_ms)
-                    == Some(worker.started_ms)
+                    == Some(row.listed.started_ms)
                 {
-                    schedule.upsert_worker(worker);
+                    schedule.apply_row(row);
                     leadership.plan_notify.notify_one();
                 }
             }
@@ -71,13 +59,62 @@
     }
 }
 
-fn parse_worker(row: &KvRow) -> Option<ListedWorker> {
+fn parse_worker(row: &KvRow) -> Option<WorkerRow> {
     let name = worker_of_key(&row.key)?;
-    decode_worker(name, &row.value)
+    let listed = decode_worker(name, &row.value)
         .inspect_err(|error| {
             log_event!(Warn, "worker-unreadable", key = row.key, error = error);
         })
-        .ok()
+        .ok()?;
+    Some(WorkerRow {
+        listed,
+        revision: row.revision,
+    })
+}
+
+/// Applies one change of the list of workers. Returns whether the schedule may have changed.
+fn apply_worker_change(schedule: &mut FleetSchedule, event: &WatchEvent) -> bool {
+    let (key, revision) = match event {
+        WatchEvent::Written(row) => {
+            if let Some(row) = parse_worker(row) {
+                return apply_written_row(schedule, row);
+            }
+            (&row.key, row.revision)
+        }
+        WatchEvent::Removed { key, revision } => (key, *revision),
+    };
+    let Some(name) = worker_of_key(key) else {
+        return false;
+    };
+    let is_applied = schedule.remove_row(&name, revision, uptime_ms());
+    log_event!(Info, "worker-unlisted", worker = name, applied = is_applied);
+    is_applied
+}
+
+fn apply_written_row(schedule: &mut FleetSchedule, row: WorkerRow) -> bool {
+    let WorkerRow { listed, revision } = row.clone();
+    let outcome = schedule.apply_row(row);
+    match outcome {
+        RowOutcome::Unchanged => {}
+        RowOutcome::Applied => log_event!(
+            Info,
+            "worker-listed",
+            worker = listed.name,
+            pool = listed.pool,
+            born = listed.started_ms,
+            draining = listed.draining,
+            revision = revision
+        ),
+        RowOutcome::Outdated | RowOutcome::Held => log_event!(
+            Info,
+            "worker-row-ignored",
+            worker = listed.name,
+            reason = format!("{outcome:?}"),
+            born = listed.started_ms,
+            revision = revision
+        ),
+    }
+    outcome == RowOutcome::Applied
 }
 
 /// Applies changes to the list of workers from a store revision on, until aborted.
@@ -94,29 +131,13 @@
         |update| {
             let mut schedule = lock(&leadership.schedule);
             match update {
-                PrefixUpdate::Snapshot(rows) => apply_worker_rows(&mut schedule, &rows),
-                PrefixUpdate::Change(WatchEvent::Written(row)) => {
-                    if let Some(worker) = parse_worker(&row) {
-                        if !schedule.upsert_worker(worker.clone()) {
-                            return;
-                        }
-                        log_event!(
-                            Info,
-                            "worker-listed",
-                            worker = worker.name,
-                            pool = worker.pool,
-                            born = worker.started_ms,
-                            draining = worker.draining
-                        );
-                        leadership.snapshot_notify.notify_one();
-                    } else if let Some(name) = worker_of_key(&row.key) {
-                        schedule.unlist_worker(&name, uptime_ms());
+                PrefixUpdate::Snapshot(page) => apply_worker_rows(&mut schedule, &page),
+                PrefixUpdate::Change(event) => {
+                    if !apply_worker_change(&mut schedule, &event) {
+                        return;
                     }
-                }
-                PrefixUpdate::Change(WatchEvent::Removed { key, .. }) => {
-                    if let Some(name) = worker_of_key(&key) {
-                        log_event!(Info, "worker-unlisted", worker = name);
-                        schedule.unlist_worker(&name, uptime_ms());
+                    if matches!(event, WatchEvent::Written(_)) {
+                        leadership.snapshot_notify.notify_one();
                     }
                 }
             }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -100,7 +100,7 @@
 /// Publishes the owner that an update of the owner's key names.
 fn apply_update(node: &SchedulerNode, update: PrefixUpdate) {
     let owner = match update {
-        PrefixUpdate::Snapshot(rows) => rows.first().and_then(parse_owner),
+        PrefixUpdate::Snapshot(page) => page.rows.first().and_then(parse_owner),
         PrefixUpdate::Change(WatchEvent::Written(row)) => parse_owner(&row),
         PrefixUpdate::Change(WatchEvent::Removed { .. }) => None,
     };
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -3,7 +3,7 @@
 use {
     crate::node::{SchedulerNode, uptime_ms},
     dotterelshore_domain::{names::JobName, schedule::SnapshotShard},
-    dotterelshore_platform::{KvFault, KvRow, WatchEvent},
+    dotterelshore_platform::{KvFault, KvPage, WatchEvent},
     dotterelshore_wire::{log_event, timer_hub::jittered_pause},
     std::time::Duration,
 };
@@ -93,7 +93,7 @@
 #[derive(Debug)]
 pub(crate) enum PrefixUpdate {
     /// All rows, after a complete read.
-    Snapshot(Vec<KvRow>),
+    Snapshot(KvPage),
     /// One change.
     Change(WatchEvent),
 }
@@ -163,8 +163,9 @@
     apply: &mut impl FnMut(PrefixUpdate),
 ) -> Result<u64, KvFault> {
     let page = node.kv.read_all(prefix).await?;
-    apply(PrefixUpdate::Snapshot(page.rows));
-    Ok(page.revision)
+    let revision = page.revision;
+    apply(PrefixUpdate::Snapshot(page));
+    Ok(revision)
 }
 
 async fn watch_once(
--- a/crates/scheduler/src/table_follow.rs
+++ b/crates/scheduler/src/table_follow.rs
@@ -23,7 +23,9 @@
             ResumeMode::Reread,
             None,
             move |update| match update {
-                PrefixUpdate::Snapshot(rows) => rows.iter().for_each(|row| apply_row(&shared, row)),
+                PrefixUpdate::Snapshot(page) => {
+                    page.rows.iter().for_each(|row| apply_row(&shared, row));
+                }
                 PrefixUpdate::Change(WatchEvent::Written(row)) => apply_row(&shared, &row),
                 PrefixUpdate::Change(WatchEvent::Removed { key, revision }) => {
                     log_event!(Info, "operator-key-removed", key = key, revision = revision);
