--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -100,6 +100,8 @@
     pub(super) lease_ms: u64,
     lease_max_ms: u64,
     pub(super) orphans_until_ms: u64,
+    /// Instances that may be moved to a pool that lacks room.
+    pub(super) spare_instances: usize,
     /// Whether a job with a gang was added.
     pub(super) has_gangs: bool,
     /// Whether the last planning pass found workers that may have orphaned runs.
--- a/crates/domain/src/schedule/instance_moves.rs
+++ b/crates/domain/src/schedule/instance_moves.rs
@@ -117,7 +117,8 @@
         peak.saturating_sub(self.moves_per_wait).min(equal_share)
     }
 
-    fn free_instances(&self, spare: &PoolName) -> Vec<InstanceName> {
+    /// Returns the instances of the spare pool that may be moved.
+    pub(super) fn free_instances(&self, spare: &PoolName) -> Vec<InstanceName> {
         let mut free: Vec<InstanceName> = self
             .instances
             .iter()
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -4,6 +4,7 @@
     super::{
         fleet_schedule::FleetSchedule,
         instance_plan::{InstanceOrder, InstancePlan, InstanceStatus},
+        wave_cordon::{PoolCordons, WaveCordon},
         worker_order::WorkerOrder,
     },
     crate::{
@@ -24,10 +25,6 @@
 /// it elsewhere and get it ready there, and half as much for relocations that have to wait.
 const RELOCATION_MS: u64 = 3_000;
 
-/// How long a cordoned instance waits for its tasks to end before they are cut off, in
-/// milliseconds. Longer than most of the users' tasks, which take some two seconds.
-const DRAIN_TIMEOUT_MS: u64 = 2_500;
-
 /// A maintenance wave as operators specify it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaveSpec {
@@ -71,7 +68,10 @@
     /// and the order is resent until it is answered.
     pub(super) unanswered: FastSet<InstanceName>,
     pub(super) returned: FastSet<InstanceName>,
-    pub(super) cordoned: FastMap<InstanceName, u64>,
+    cordons: FastMap<InstanceName, WaveCordon>,
+    /// Instances whose cordon was lifted since it made no progress, each with the time from which on
+    /// its worker may be cordoned again.
+    cordon_retries: FastMap<InstanceName, u64>,
     pub(super) completed: bool,
     pub(super) since_wall_ms: u64,
     pub(super) second_phase_ms: u64,
@@ -113,7 +113,8 @@
             confirmed: started.iter().cloned().collect(),
             unanswered: unconfirmed.iter().cloned().collect(),
             returned: FastSet::default(),
-            cordoned: FastMap::default(),
+            cordons: FastMap::default(),
+            cordon_retries: FastMap::default(),
             completed: recorded.is_some_and(|progress| progress.completed),
             since_wall_ms,
             second_phase_ms: now_ms.saturating_add(first_phase_ms.saturating_sub(elapsed_ms)),
@@ -140,7 +141,7 @@
             } else {
                 wave.unanswered.insert(instance.clone());
             }
-            wave.cordoned.remove(instance);
+            wave.cordons.remove(instance);
         }
         if let Some(status) = self.instances.get_mut(instance) {
             status.up = false;
@@ -173,7 +174,7 @@
             wave.unanswered.remove(instance);
             wave.started.remove(instance);
             wave.returned.remove(instance);
-            wave.cordoned.remove(instance);
+            wave.cordons.remove(instance);
             if removed {
                 wave.members.retain(|member| member != instance);
             }
@@ -223,8 +224,9 @@
                     .worker(worker)
                     .map_or(0, |status| status.runs.len());
                 let allowed = schedule.allows_disruption(worker);
-                let cordoned = wave.cordoned.contains_key(name);
-                format!("{name}:runs={runs},missable={allowed},cordoned={cordoned}")
+                let cordoned = wave.cordons.contains_key(name);
+                let lifted = wave.cordon_retries.contains_key(name);
+                format!("{name}:runs={runs},missable={allowed},cordoned={cordoned},lifted={lifted}")
             })
             .collect()
     }
@@ -303,6 +305,9 @@
         let mut orders = Vec::new();
         let mut stops = Vec::new();
         schedule.set_pending_maintenance(&self.pending_workers());
+        let spare = self.spare.as_ref();
+        schedule.set_spare_instances(spare.map_or(0, |spare| self.free_instances(spare).len()));
+        let mut pool_cordons = PoolCordons::of(schedule);
         let relocated_by_ms = now_ms + schedule.max_relocation_rounds() * RELOCATION_MS;
         let Self {
             waves,
@@ -319,7 +324,9 @@
                     .get(name)
                     .and_then(|status| status.worker.as_ref());
                 if let Some(worker) = worker.filter(|worker| !schedule.allows_disruption(worker)) {
-                    stops.extend(wave.drain(name, worker, schedule, now_ms));
+                    // Its order has cordoned it.
+                    wave.keep_cordon(name, worker, schedule, now_ms);
+                    stops.extend(wave.drain(name, worker, schedule, &mut pool_cordons, now_ms));
                 }
             }
             let mut room = wave.at_once.saturating_sub(wave.down_count());
@@ -331,22 +338,53 @@
                     if orders.len() >= limit {
                         break;
                     }
-                    room -= 1;
                     if let Some(worker) = &worker {
+                        if !pool_cordons.admit(schedule.worker(worker)) {
+                            continue;
+                        }
                         schedule.begin_disruption(worker);
                     }
+                    room -= 1;
                     wave.started.insert(name.clone(), now_ms);
                     orders.push(InstanceOrder::Maintain {
                         instance: name,
                         wave: wave.number,
                     });
                 } else if let Some(worker) = &worker {
-                    stops.extend(wave.drain(&name, worker, schedule, now_ms));
+                    stops.extend(wave.drain(&name, worker, schedule, &mut pool_cordons, now_ms));
                 }
             }
         }
+        self.lift_stalled_cordons(schedule, now_ms);
         (orders, stops)
     }
+
+    /// Lifts the cordons that have made no progress, unless another wave keeps the worker.
+    fn lift_stalled_cordons(&mut self, schedule: &mut FleetSchedule, now_ms: u64) {
+        let mut lifted = Vec::new();
+        for wave in &mut self.waves {
+            wave.cordon_retries.retain(|_, retry_ms| now_ms < *retry_ms);
+            let stalled = wave
+                .cordons
+                .extract_if(|_, cordon| cordon.is_stalled(now_ms));
+            let stalled: Vec<_> = stalled.map(|(name, _)| name).collect();
+            for name in &stalled {
+                let retry_ms = WaveCordon::retry_ms(now_ms);
+                wave.cordon_retries.insert(name.clone(), retry_ms);
+            }
+            lifted.extend(stalled);
+        }
+        for name in lifted {
+            let is_kept = self.in_flight.contains(&name)
+                || self
+                    .waves
+                    .iter()
+                    .any(|wave| wave.cordons.contains_key(&name));
+            if let Some(worker) = self.worker_of(&name).filter(|_| !is_kept) {
+                schedule.lift_cordon(worker);
+            }
+        }
+    }
 }
 
 impl WaveState {
@@ -377,7 +415,7 @@
                 let worker = status.worker.as_ref();
                 let runs = worker.and_then(|worker| schedule.worker(worker));
                 let runs = runs.map_or(0, |status| status.runs.len());
-                let draining = self.cordoned.contains_key(name);
+                let draining = self.cordons.contains_key(name);
                 Some((!draining, runs, name.clone(), status.worker.clone()))
             })
             .collect();
@@ -402,23 +440,23 @@
         let reachable = schedule
             .worker(worker)
             .is_none_or(|status| status.reachable);
-        let since = self.cordoned.get(name);
-        let timed_out = since.is_some_and(|since| now_ms > since + DRAIN_TIMEOUT_MS);
+        let cordon = self.cordons.get(name);
+        let timed_out = cordon.is_some_and(|cordon| cordon.is_drained(now_ms));
         reachable
             && schedule.allows_disruption(worker)
-            && !self.relocates_first(worker, schedule)
+            && !self.relocates_first(worker, schedule, now_ms)
             && (timed_out || schedule.runs_only_long_running(worker))
     }
 
     /// Whether a worker's tasks are stopped and start elsewhere before its instance is disrupted,
     /// although their steps allow a disruption. A stopped task starts elsewhere at once, one that
     /// an order for its instance ended only when the worker is unlisted.
-    fn relocates_first(&self, worker: &WorkerName, schedule: &FleetSchedule) -> bool {
-        self.deadline_at_risk && schedule.has_limited_task(worker)
+    fn relocates_first(&self, worker: &WorkerName, schedule: &FleetSchedule, now_ms: u64) -> bool {
+        self.deadline_at_risk && schedule.has_relocatable_task(worker, now_ms)
     }
 
-    /// Cordons an instance's worker, if not too many are being drained, and stops long-running
-    /// tasks there within the limits of their steps.
+    /// Stops long-running tasks on an instance's worker within the limits of their steps, and cordons
+    /// the worker if that brings its disruption closer and not too many are being drained.
     ///
     /// In the first phase, a worker that runs nothing else is drained as soon as one of its
     /// tasks may be unavailable: these tasks have to move once in any case, and few of a step
@@ -429,46 +467,81 @@
         name: &InstanceName,
         worker: &WorkerName,
         schedule: &mut FleetSchedule,
+        pool_cordons: &mut PoolCordons,
         now_ms: u64,
     ) -> Vec<WorkerOrder> {
         let allows_disruption =
-            schedule.allows_disruption(worker) && !self.relocates_first(worker, schedule);
-        if !self.cordoned.contains_key(name) {
-            let second_phase = now_ms >= self.second_phase_ms;
-            let limit = if second_phase {
-                self.at_once
-            } else {
-                FIRST_PHASE_DRAINS_MAX
-            };
-            let drains_early = !second_phase
-                && !allows_disruption
-                && (self.deadline_at_risk || schedule.runs_only_long_running(worker));
-            if drains_early {
-                let stops = schedule.drain_worker(worker, now_ms);
-                if !stops.is_empty() {
-                    self.cordon(name, worker, schedule, now_ms);
-                }
-                return stops;
-            }
-            if self.cordoned.len() >= limit {
-                return Vec::new();
+            schedule.allows_disruption(worker) && !self.relocates_first(worker, schedule, now_ms);
+        let is_cordoned = self.cordons.contains_key(name);
+        if !is_cordoned
+            && !self.may_cordon(
+                name,
+                worker,
+                allows_disruption,
+                schedule,
+                pool_cordons,
+                now_ms,
+            )
+        {
+            return Vec::new();
+        }
+        let stops = if allows_disruption {
+            Vec::new()
+        } else {
+            schedule.drain_worker(worker, now_ms)
+        };
+        if let Some(cordon) = self.cordons.get_mut(name) {
+            if !stops.is_empty() || allows_disruption && !cordon.is_drained(now_ms) {
+                cordon.record_progress(now_ms);
             }
-            self.cordon(name, worker, schedule, now_ms);
+        } else if allows_disruption || !stops.is_empty() {
+            pool_cordons.admit(schedule.worker(worker));
+            self.cordons.insert(name.clone(), WaveCordon::new(now_ms));
+            schedule.set_cordon(worker, true);
         }
-        if allows_disruption {
-            return Vec::new();
+        stops
+    }
+
+    /// Whether an instance's worker may be cordoned, as far as others are.
+    fn may_cordon(
+        &self,
+        name: &InstanceName,
+        worker: &WorkerName,
+        allows_disruption: bool,
+        schedule: &FleetSchedule,
+        pool_cordons: &PoolCordons,
+        now_ms: u64,
+    ) -> bool {
+        if self.cordon_retries.contains_key(name) || !pool_cordons.allows(schedule.worker(worker)) {
+            return false;
         }
-        schedule.drain_worker(worker, now_ms)
+        let second_phase = now_ms >= self.second_phase_ms;
+        let limit = if second_phase {
+            self.at_once
+        } else {
+            FIRST_PHASE_DRAINS_MAX
+        };
+        let drains_early = !second_phase
+            && !allows_disruption
+            && (self.deadline_at_risk || schedule.runs_only_long_running(worker));
+        drains_early || self.cordons.len() < limit
     }
 
-    fn cordon(
+    /// Takes over the cordon of a worker for which an order was sent, to lift it if need be.
+    fn keep_cordon(
         &mut self,
         name: &InstanceName,
         worker: &WorkerName,
-        schedule: &mut FleetSchedule,
+        schedule: &FleetSchedule,
         now_ms: u64,
     ) {
-        self.cordoned.insert(name.clone(), now_ms);
-        schedule.set_cordon(worker, true);
+        if schedule
+            .worker(worker)
+            .is_some_and(|status| status.cordoned)
+        {
+            self.cordons
+                .entry(name.clone())
+                .or_insert_with(|| WaveCordon::new(now_ms));
+        }
     }
 }
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -47,6 +47,7 @@
 mod tracked_table;
 mod trial_queue;
 mod unplaced_needs;
+mod wave_cordon;
 mod worker_disruption;
 mod worker_listing;
 mod worker_order;
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -22,7 +22,7 @@
 /// in milliseconds. Some tens of round trips.
 const UNCONFIRMED_START_MS: u64 = 200;
 /// A worker that still answers with less than this left of its disruption window, in
-/// milliseconds, was not disrupted by the order.
+/// milliseconds, or later, was not disrupted by the order.
 const SURVIVAL_WINDOW_MS: u64 = 1_000;
 
 impl FleetSchedule {
@@ -68,7 +68,7 @@
             status.reachable = true;
             status.contact_ms = now_ms;
             status.silent_since_ms = None;
-            if now_ms < status.disrupted_until_ms
+            if status.disrupted_until_ms > 0
                 && now_ms + SURVIVAL_WINDOW_MS > status.disrupted_until_ms
             {
                 // The worker answers long after the order: the order was carried out before
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        fleet_schedule::FleetSchedule, live_job::LiveJob, step_state::TaskState,
-        task_name::TaskName, task_run::TaskRun, worker_order::WorkerOrder,
+        fleet_schedule::FleetSchedule, job_plan::Resources, live_job::LiveJob,
+        step_state::TaskState, task_name::TaskName, task_run::TaskRun, worker_order::WorkerOrder,
         worker_status::WorkerStatus,
     },
     crate::{
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Sets how many instances may be moved to a pool that lacks room.
+    pub(super) fn set_spare_instances(&mut self, count: usize) {
+        self.spare_instances = count;
+    }
+
     /// Marks an order for a worker's instance as confirmed. The worker's incarnation is over
     /// once it is unlisted; it goes on if the order was carried out before it started.
     pub fn confirm_disruption(&mut self, name: &WorkerName, now_ms: u64) {
@@ -129,9 +134,9 @@
         rounds.max().unwrap_or_default()
     }
 
-    /// Whether a worker has a run of a step that limits its unavailable tasks, which is ready or
-    /// being stopped.
-    pub(super) fn has_limited_task(&self, name: &WorkerName) -> bool {
+    /// Whether a worker has a run of a step that limits its unavailable tasks, which is being stopped,
+    /// or is ready and may go to another worker.
+    pub(super) fn has_relocatable_task(&self, name: &WorkerName, now_ms: u64) -> bool {
         let Some(status) = self.workers.get(name) else {
             return false;
         };
@@ -142,10 +147,59 @@
             };
             let job = self.jobs.get(&task.job).filter(is_limited);
             let run = job.and_then(|job| job.task(task)?.run_on(name, *number));
-            run.is_some_and(|run| run.is_serving() || run.is_stopping())
+            run.is_some_and(|run| {
+                run.is_stopping()
+                    || run.is_serving() && self.has_place_elsewhere(task, name, now_ms)
+            })
         })
     }
 
+    /// Whether a long-running task may be stopped so that it moves to another worker.
+    fn may_relocate(&self, task: &TaskName, name: &WorkerName, now_ms: u64) -> bool {
+        let job = self.jobs.get(&task.job);
+        let plan = job.map(|job| &job.record.plan.steps[usize::from(task.step)]);
+        let Some(plan) = plan.filter(|plan| plan.long_running) else {
+            return false;
+        };
+        let max_unavailable = plan.max_unavailable.map_or(usize::MAX, |max| max as usize);
+        self.count_unavailable(task) < max_unavailable
+            && self.has_place_elsewhere(task, name, now_ms)
+    }
+
+    /// Whether another worker may take a long-running task from this one, once the tasks there that
+    /// end by themselves have ended, or a spare instance may join the pool.
+    fn has_place_elsewhere(&self, task: &TaskName, name: &WorkerName, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let plan = &job.record.plan.steps[usize::from(task.step)];
+        let mut others = self.workers.values();
+        let has_place = others.any(|other| {
+            other.listed.name != *name
+                && other.listed.pool == job.record.pool
+                && other.accepts_tasks(now_ms)
+                && other.is_eligible(plan, task)
+                && plan
+                    .reserved()
+                    .count_in(self.reserved_for_good(other), other.listed.capacity)
+                    > 0
+        });
+        has_place || self.spare_instances > 0
+    }
+
+    /// Returns what the long-running tasks on a worker reserve.
+    fn reserved_for_good(&self, worker: &WorkerStatus) -> Resources {
+        let mut reserved = Resources::default();
+        for task in worker.tasks() {
+            let job = self.jobs.get(&task.job);
+            let plan = job.map(|job| &job.record.plan.steps[usize::from(task.step)]);
+            if let Some(plan) = plan.filter(|plan| plan.long_running) {
+                reserved += plan.reserved();
+            }
+        }
+        reserved
+    }
+
     /// Whether a long-running task on a worker, best-effort ones aside, has started and is not
     /// ready yet. Once it is, the next task of its step may be relocated.
     pub fn has_unready_task(&self, name: &WorkerName) -> bool {
@@ -180,8 +234,8 @@
         })
     }
 
-    /// Stops long-running tasks on a worker so that they move elsewhere, of each step as many
-    /// as may be unavailable.
+    /// Stops long-running tasks on a worker that may move elsewhere, of each step as many as may be
+    /// unavailable.
     pub fn drain_worker(&mut self, name: &WorkerName, now_ms: u64) -> Vec<WorkerOrder> {
         let Some(status) = self.workers.get(name) else {
             return Vec::new();
@@ -189,24 +243,15 @@
         let tasks: FastSet<_> = status.tasks().cloned().collect();
         let mut orders = Vec::new();
         for task in tasks {
-            let unavailable = self.count_unavailable(&task);
-            let Some(job) = self.jobs.get_mut(&task.job) else {
-                continue;
-            };
-            let plan = &job.record.plan.steps[usize::from(task.step)];
-            if !plan.long_running {
+            if !self.may_relocate(&task, name, now_ms) {
                 continue;
             }
-            let max_unavailable = plan
-                .max_unavailable
-                .map_or(usize::MAX, |max_unavailable| max_unavailable as usize);
-            let Some(state) = job.task_mut(&task) else {
+            let job = self.jobs.get_mut(&task.job);
+            let Some(state) = job.and_then(|job| job.task_mut(&task)) else {
                 continue;
             };
             let stoppable = |run: &&mut TaskRun| run.worker == *name && run.is_serving();
-            if let Some(run) = state.runs.iter_mut().find(stoppable)
-                && unavailable < max_unavailable
-            {
+            if let Some(run) = state.runs.iter_mut().find(stoppable) {
                 orders.push(run.stop(&task, now_ms));
             }
         }
--- a/crates/domain/tests/schedule_test.rs
+++ b/crates/domain/tests/schedule_test.rs
@@ -349,7 +349,7 @@
 }
 
 /// Draining a worker stops no more long-running tasks of a step at a time than may be
-/// unavailable.
+/// unavailable, beside another worker that may take them.
 fn drain_keeps_max_unavailable(tasks: u32, max_unavailable: u32, stopped: usize) {
     let mut schedule = schedule(&["w-1"]);
     add(
@@ -369,6 +369,8 @@
         ..WorkerReport::default()
     };
     send_report(&mut schedule, "w-1", &report);
+    schedule.upsert_worker(worker("w-2"));
+    send_report(&mut schedule, "w-2", &WorkerReport::default());
     let host = name::<WorkerName>("w-1");
     let fits = started.len() <= max_unavailable as usize;
     assert_eq!(schedule.allows_disruption(&host), fits);
