Log and count lifted cordons and ignored rows; use the test fixtures that exist

An operator could not see that a wave gave a worker back, or that a row of a worker was not applied, other than by reading the log: `cordon-lifted` and the counters `cordons_lifted` and `worker_rows_ignored` show both. A cordon is not lifted while a confirmed order for the instance is about to end its worker.

--- a/crates/domain/src/schedule/instance_plan.rs
+++ b/crates/domain/src/schedule/instance_plan.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         fleet_schedule::FleetSchedule, maintenance_wave::WaveState, order_budget::OrderBudget,
-        pool_demand::wanted_instances, worker_order::WorkerOrder, worker_status::WorkerStatus,
+        pool_demand::wanted_instances, wave_cordon::LiftedCordon, worker_order::WorkerOrder,
+        worker_status::WorkerStatus,
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -95,6 +96,8 @@
     pub(super) moves_per_wait: usize,
     /// Instances with an unanswered order.
     pub(super) in_flight: FastSet<InstanceName>,
+    /// Cordons that were lifted since they were last asked for.
+    pub(super) lifted_cordons: Vec<LiftedCordon>,
     budget: OrderBudget,
 }
 
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -4,7 +4,7 @@
     super::{
         fleet_schedule::FleetSchedule,
         instance_plan::{InstanceOrder, InstancePlan, InstanceStatus},
-        wave_cordon::{PoolCordons, WaveCordon},
+        wave_cordon::{LiftedCordon, PoolCordons, WaveCordon},
         worker_order::WorkerOrder,
     },
     crate::{
@@ -380,11 +380,20 @@
                     .waves
                     .iter()
                     .any(|wave| wave.cordons.contains_key(&name));
-            if let Some(worker) = self.worker_of(&name).filter(|_| !is_kept) {
-                schedule.lift_cordon(worker);
+            if let Some(worker) = self.worker_of(&name).filter(|_| !is_kept).cloned() {
+                schedule.lift_cordon(&worker);
+                self.lifted_cordons.push(LiftedCordon {
+                    instance: name,
+                    worker,
+                });
             }
         }
     }
+
+    /// Takes the cordons that were lifted since the last call.
+    pub fn take_lifted_cordons(&mut self) -> Vec<LiftedCordon> {
+        std::mem::take(&mut self.lifted_cordons)
+    }
 }
 
 impl WaveState {
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -85,6 +85,7 @@
     start_replies::{StartRefusal, StartReply},
     step_advice::AdviceRequest,
     task_name::TaskName,
+    wave_cordon::LiftedCordon,
     worker_listing::{RowOutcome, WorkerRow},
     worker_order::{StartOrder, StopOrder, WorkerOrder},
     worker_status::{
--- a/crates/domain/src/schedule/wave_cordon.rs
+++ b/crates/domain/src/schedule/wave_cordon.rs
@@ -4,7 +4,7 @@
     super::{fleet_schedule::FleetSchedule, worker_status::WorkerStatus},
     crate::{
         collections::FastMap,
-        names::{PoolName, WorkerName},
+        names::{InstanceName, PoolName, WorkerName},
     },
 };
 
@@ -56,6 +56,15 @@
     }
 }
 
+/// A worker that gets tasks again, since its wave came no closer to its maintenance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiftedCordon {
+    /// The instance that the wave names.
+    pub instance: InstanceName,
+    /// Its worker.
+    pub worker: WorkerName,
+}
+
 /// The listed workers of each pool, and how many of them are cordoned.
 #[derive(Debug, Default)]
 pub(super) struct PoolCordons {
@@ -96,10 +105,11 @@
 }
 
 impl FleetSchedule {
-    /// Lets a worker get tasks again. The mark of an unanswered order for its instance stays.
+    /// Lets a worker get tasks again, unless an order for its instance was confirmed. The mark of an
+    /// unanswered order stays.
     pub(super) fn lift_cordon(&mut self, name: &WorkerName) {
         if let Some(status) = self.workers.get_mut(name) {
-            status.cordoned = false;
+            status.cordoned = status.disrupted_until_ms > 0;
         }
     }
 }
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -174,17 +174,17 @@
         };
         let plan = &job.record.plan.steps[usize::from(task.step)];
         let mut others = self.workers.values();
-        let has_place = others.any(|other| {
-            other.listed.name != *name
-                && other.listed.pool == job.record.pool
-                && other.accepts_tasks(now_ms)
-                && other.is_eligible(plan, task)
-                && plan
-                    .reserved()
-                    .count_in(self.reserved_for_good(other), other.listed.capacity)
-                    > 0
-        });
-        has_place || self.spare_instances > 0
+        self.spare_instances > 0
+            || others.any(|other| {
+                other.listed.name != *name
+                    && other.listed.pool == job.record.pool
+                    && other.accepts_tasks(now_ms)
+                    && other.is_eligible(plan, task)
+                    && plan
+                        .reserved()
+                        .count_in(self.reserved_for_good(other), other.listed.capacity)
+                        > 0
+            })
     }
 
     /// Returns what the long-running tasks on a worker reserve.
--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -1014,3 +1014,115 @@
     late_wave_relocates_single_tasks_first(6, 1);
     late_wave_relocates_pairs_of_tasks_first(12, 2);
 }
+
+/// Longest time that a wave may keep a worker from tasks while its instance is up, in milliseconds:
+/// its other tasks end, and one that lasts is relocated.
+const CORDON_MAX_MS: u64 = 6_000;
+
+/// A pool whose workers run a lasting job, without spare instances.
+fn lasting_fleet(hosts: usize, count: u32, max_unavailable: u32) -> SimulatedFleet {
+    let mut fleet = SimulatedFleet::new(hosts, 0);
+    fleet.send_reports(&[]);
+    let lasting = StepPlan {
+        max_unavailable: Some(max_unavailable),
+        ..long_running_step(count, 1_000, Some(2))
+    };
+    fleet
+        .schedule
+        .add_job(job("lasting", lasting), None, 0, NOW_MS, WALL_MS);
+    for _ in 0..10 {
+        fleet.step();
+    }
+    fleet
+}
+
+/// Guards against LOST of review/12: a wave that can't be kept keeps no worker from tasks for good,
+/// and jobs start all the while. The first workers have left.
+fn cordon_ends(mut fleet: SimulatedFleet, left: usize) {
+    let hosts = fleet.pools.len();
+    for host in 0..left {
+        fleet
+            .schedule
+            .confirm_disruption(&worker_name(host, 1), fleet.now_ms);
+        fleet
+            .schedule
+            .unlist_worker(&worker_name(host, 1), fleet.now_ms);
+        fleet.pools[host].2 = Some(u64::MAX);
+    }
+    fleet
+        .plan
+        .add_wave(wave(hosts, hosts), None, fleet.now_ms, WALL_MS);
+    let mut since_ms: FastMap<WorkerName, u64> = FastMap::default();
+    for pass in 0..200 {
+        if pass % 7 == 0 {
+            let short = job(&format!("short-{pass}"), step(1, 1_000));
+            fleet
+                .schedule
+                .add_job(short, None, 0, fleet.now_ms, WALL_MS);
+        }
+        fleet.step();
+        let cordoned = fleet.schedule.workers().filter(|status| status.cordoned);
+        let cordoned: Vec<_> = cordoned.map(|status| status.listed.name.clone()).collect();
+        since_ms.retain(|name, _| cordoned.contains(name));
+        for name in cordoned {
+            let since_ms = *since_ms.entry(name.clone()).or_insert(fleet.now_ms);
+            assert!(
+                fleet.now_ms - since_ms <= CORDON_MAX_MS,
+                "{name} is cordoned"
+            );
+        }
+    }
+    assert!(
+        fleet.schedule.pending(&job("short", step(1, 1)).queue) <= 1,
+        "jobs wait"
+    );
+}
+
+named_cases! { cordon_ends:
+    cordon_ends_beside_a_task_without_place(lasting_fleet(3, 6, 1), 1);
+    cordon_ends_with_no_task_that_may_be_unavailable(lasting_fleet(3, 3, 0), 0);
+    cordon_ends_where_tasks_have_no_other_place(lasting_fleet(2, 4, 1), 0);
+}
+
+/// A task that lasts is not stopped for a wave if no other worker may take it.
+#[test]
+fn task_without_other_place_is_not_stopped() {
+    let mut fleet = lasting_fleet(1, 2, 1);
+    fleet.plan.add_wave(wave(1, 1), None, fleet.now_ms, WALL_MS);
+    for _ in 0..200 {
+        fleet.step();
+    }
+    let status = fleet
+        .schedule
+        .worker(&worker_name(0, 1))
+        .expect("the worker");
+    assert_eq!(
+        (status.runs.len(), fleet.started.len()),
+        (2, 2),
+        "both run on"
+    );
+}
+
+/// Orders that are not answered keep no more than half of a pool from tasks.
+#[test]
+fn unanswered_orders_keep_half_of_a_pool_at_most() {
+    let mut fleet = lasting_fleet(4, 4, 4);
+    fleet.plan.add_wave(wave(4, 4), None, fleet.now_ms, WALL_MS);
+    let orders = fleet.plan.plan(&mut fleet.schedule, fleet.now_ms).0;
+    assert_eq!(orders.len(), 2, "of four");
+}
+
+/// A worker that was silent after an order for its instance was confirmed, and outlives it, gets tasks.
+#[test]
+fn worker_that_outlives_a_confirmed_order_gets_tasks() {
+    let mut fleet = lasting_fleet(1, 1, 1);
+    let worker = worker_name(0, 1);
+    fleet
+        .schedule
+        .confirm_repeated_disruption(&worker, fleet.now_ms);
+    fleet.schedule.mark_unreachable(&worker);
+    fleet.now_ms += 3_000;
+    fleet.send_reports(&[]);
+    let status = fleet.schedule.worker(&worker).expect("the worker");
+    assert!(status.accepts_tasks(fleet.now_ms), "it answers");
+}
--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -104,6 +104,7 @@
             (orders, stops)
         };
         leadership.dispatch(stops);
+        log_lifted_cordons(&node, &mut plan);
         plan.complete_waves();
         let recorded = record.store(&node, &leadership, &plan, &orders).await;
         for order in orders {
@@ -116,6 +117,19 @@
     }
 }
 
+/// Logs and counts the workers that get tasks again although a wave still waits for them.
+fn log_lifted_cordons(node: &SchedulerNode, plan: &mut InstancePlan) {
+    for lifted in plan.take_lifted_cordons() {
+        node.metrics.cordons_lifted.inc();
+        log_event!(
+            Info,
+            "cordon-lifted",
+            worker = lifted.worker,
+            instance = lifted.instance
+        );
+    }
+}
+
 /// Reverts an order that was planned and not sent.
 fn withdraw(leadership: &Leadership, plan: &mut InstancePlan, order: &InstanceOrder) {
     let worker = plan.worker_of(order.instance()).cloned();
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -73,11 +73,15 @@
 }
 
 /// Applies one change of the list of workers. Returns whether the schedule may have changed.
-fn apply_worker_change(schedule: &mut FleetSchedule, event: &WatchEvent) -> bool {
+fn apply_worker_change(
+    node: &SchedulerNode,
+    schedule: &mut FleetSchedule,
+    event: &WatchEvent,
+) -> bool {
     let (key, revision) = match event {
         WatchEvent::Written(row) => {
             if let Some(row) = parse_worker(row) {
-                return apply_written_row(schedule, row);
+                return apply_written_row(node, schedule, row);
             }
             (&row.key, row.revision)
         }
@@ -91,28 +95,36 @@
     is_applied
 }
 
-fn apply_written_row(schedule: &mut FleetSchedule, row: WorkerRow) -> bool {
+fn apply_written_row(node: &SchedulerNode, schedule: &mut FleetSchedule, row: WorkerRow) -> bool {
     let WorkerRow { listed, revision } = row.clone();
     let outcome = schedule.apply_row(row);
-    match outcome {
-        RowOutcome::Unchanged => {}
-        RowOutcome::Applied => log_event!(
-            Info,
-            "worker-listed",
-            worker = listed.name,
-            pool = listed.pool,
-            born = listed.started_ms,
-            draining = listed.draining,
-            revision = revision
-        ),
-        RowOutcome::Outdated | RowOutcome::Held => log_event!(
+    let ignored = match outcome {
+        RowOutcome::Unchanged => None,
+        RowOutcome::Applied => {
+            log_event!(
+                Info,
+                "worker-listed",
+                worker = listed.name,
+                pool = listed.pool,
+                born = listed.started_ms,
+                draining = listed.draining,
+                revision = revision
+            );
+            None
+        }
+        RowOutcome::Outdated => Some("outdated"),
+        RowOutcome::Held => Some("held"),
+    };
+    if let Some(reason) = ignored {
+        node.metrics.count_ignored_row(reason);
+        log_event!(
             Info,
             "worker-row-ignored",
             worker = listed.name,
-            reason = format!("{outcome:?}"),
+            reason = reason,
             born = listed.started_ms,
             revision = revision
-        ),
+        );
     }
     outcome == RowOutcome::Applied
 }
@@ -133,7 +145,7 @@
             match update {
                 PrefixUpdate::Snapshot(page) => apply_worker_rows(&mut schedule, &page),
                 PrefixUpdate::Change(event) => {
-                    if !apply_worker_change(&mut schedule, &event) {
+                    if !apply_worker_change(&node, &mut schedule, &event) {
                         return;
                     }
                     if matches!(event, WatchEvent::Written(_)) {
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -46,6 +46,17 @@
     status: u16,
 }
 
+/// Registers a counter for each reason.
+fn counters_by_reason(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+) -> Family<ReasonLabel, Counter> {
+    let counters = Family::default();
+    registry.register(name, help, counters.clone());
+    counters
+}
+
 /// The metrics of one process.
 #[derive(Debug)]
 pub(crate) struct NodeMetrics {
@@ -57,6 +68,9 @@
     answers: Family<CallLabel, Histogram>,
     /// What the process's time goes into.
     pub(crate) work: Arc<WorkMeter>,
+    /// Workers that get tasks again although a wave still waits for them.
+    pub(crate) cordons_lifted: Counter,
+    rows_ignored: Family<ReasonLabel, Counter>,
     leading: Gauge,
     open_jobs: Gauge,
     suspected_tasks: Gauge,
@@ -75,17 +89,19 @@
     /// Registers all metrics, at zero.
     pub(crate) fn new(log_counts: LogCounts) -> Self {
         let mut registry = Registry::with_prefix("dotterelshore");
-        let refusals = Family::default();
-        registry.register("refusals", "Refused calls by reason", refusals.clone());
-        let retries = Family::default();
-        registry.register("retries", "Retries by reason", retries.clone());
-        let starts = Family::default();
-        registry.register("starts", "Orders to start tasks, by answer", starts.clone());
-        let crashes = Family::default();
-        registry.register(
+        let refusals = counters_by_reason(&mut registry, "refusals", "Refused calls by reason");
+        let retries = counters_by_reason(&mut registry, "retries", "Retries by reason");
+        let starts =
+            counters_by_reason(&mut registry, "starts", "Orders to start tasks, by answer");
+        let crashes = counters_by_reason(
+            &mut registry,
             "crash_notices",
             "What was learned about crashes of workers and their causes",
-            crashes.clone(),
+        );
+        let rows_ignored = counters_by_reason(
+            &mut registry,
+            "worker_rows_ignored",
+            "Changes of workers' rows that were not applied, by reason",
         );
         let answers = Family::<CallLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT))
@@ -101,6 +117,12 @@
             "Tasks that are to last and are not at work for 3 s, by what they wait for, at the owner",
             missing_tasks.clone(),
         );
+        let cordons_lifted = Counter::default();
+        registry.register(
+            "cordons_lifted",
+            "Workers that got tasks again although a wave still waited for them",
+            cordons_lifted.clone(),
+        );
         let gauge = |registry: &mut Registry, name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -108,6 +130,8 @@
         };
         Self {
             work: Arc::new(WorkMeter::new(&mut registry)),
+            cordons_lifted,
+            rows_ignored,
             leading: gauge(
                 &mut registry,
                 "leading",
@@ -175,6 +199,13 @@
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a change of a worker's row that was not applied.
+    pub(crate) fn count_ignored_row(&self, reason: &'static str) {
+        self.rows_ignored
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Counts a start order by its answer.
     pub(crate) fn count_start(&self, reason: &'static str) {
         self.starts.get_or_create(&ReasonLabel { reason }).inc();
