--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -1052,6 +1052,11 @@
     fleet
         .plan
         .add_wave(wave(hosts, hosts), None, fleet.now_ms, WALL_MS);
+    let second = WaveSpec {
+        number: 2,
+        ..wave(hosts, hosts)
+    };
+    fleet.plan.add_wave(second, None, fleet.now_ms, WALL_MS);
     let mut since_ms: FastMap<WorkerName, u64> = FastMap::default();
     for pass in 0..200 {
         if pass % 7 == 0 {
@@ -1108,8 +1113,29 @@
 fn unanswered_orders_keep_half_of_a_pool_at_most() {
     let mut fleet = lasting_fleet(4, 4, 4);
     fleet.plan.add_wave(wave(4, 4), None, fleet.now_ms, WALL_MS);
-    let orders = fleet.plan.plan(&mut fleet.schedule, fleet.now_ms).0;
-    assert_eq!(orders.len(), 2, "of four");
+    for pass in 0..200 {
+        if pass % 7 == 0 {
+            let short = job(&format!("short-{pass}"), step(1, 1_000));
+            fleet
+                .schedule
+                .add_job(short, None, 0, fleet.now_ms, WALL_MS);
+        }
+        fleet.now_ms += STEP_MS;
+        let now_ms = fleet.now_ms;
+        let mut orders = fleet.plan.resend_unanswered(&mut fleet.schedule, now_ms);
+        orders.extend(fleet.plan.plan(&mut fleet.schedule, now_ms).0);
+        for order in orders {
+            fleet
+                .plan
+                .record_maintenance_start(order.instance(), 1, false, now_ms);
+        }
+        fleet.send_reports(&[]);
+        fleet.start_tasks();
+        let cordoned = fleet.schedule.workers().filter(|status| status.cordoned);
+        assert_eq!(cordoned.count(), 2, "of four");
+    }
+    let queue = job("short", step(1, 1)).queue;
+    assert!(fleet.schedule.pending(&queue) <= 1, "jobs wait");
 }
 
 /// A worker that was silent after an order for its instance was confirmed, and outlives it, gets tasks.
