--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -14,6 +14,7 @@
         pool_candidates::FleetCandidates,
         queue_table::QueueTable,
         recorded_start::RecordedStart,
+        run_notice::RunNotice,
         run_tracking::DroppedRuns,
         share_bucket::ShareBucket,
         task_name::TaskName,
@@ -78,6 +79,7 @@
     pub(super) arrivals: FastMap<PoolName, ArrivalRate>,
     pub(super) dirty: FastSet<JobName>,
     pub(super) dropped: Vec<DroppedRuns>,
+    pub(super) run_notices: Vec<RunNotice>,
     /// Jobs with a task under which a worker crashed.
     pub(super) suspects: FastSet<JobName>,
     pub(super) trials: FastMap<PoolName, Vec<CrashTrial>>,
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -35,6 +35,7 @@
 mod queue_table;
 mod record_groups;
 mod recorded_start;
+mod run_notice;
 mod run_reports;
 mod run_tracking;
 mod share_bucket;
@@ -80,6 +81,7 @@
         AdviceSettings, PoolRow, QueueRow, QueueTable, RequestLimits, RouteFault, TeamRow,
     },
     record_groups::{RecordCost, record_groups},
+    run_notice::{KnownRun, RunNotice},
     run_tracking::{DropReason, DroppedRuns, LingeringRuns},
     snapshot_shard::{SnapshotShard, StoredSnapshots, storable_snapshots},
     start_replies::{StartRefusal, StartReply},
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -5,6 +5,7 @@
         crash_blame::SAFE_RUN_MS,
         fleet_schedule::FleetSchedule,
         job_progress::JobState,
+        run_notice::{KnownRun, RunNotice},
         run_tracking::DropReason,
         task_name::TaskName,
         task_run::{RunPhase, TaskRun},
@@ -129,7 +130,9 @@
         let step = &job.record.plan.steps[usize::from(end.task.step)];
         let (long_running, gang) = (step.long_running, step.gang);
         let attempts = job.record.attempts;
-        self.release(&end.task, worker, end.run);
+        if !self.release(&end.task, worker, end.run) {
+            self.note_unknown_end(worker, end);
+        }
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return true;
         };
@@ -293,9 +296,37 @@
         }
         task.runs.push(run);
         self.reserve(&reported.task, worker, reported.run);
+        self.note_second_run(worker, reported);
         true
     }
 
+    fn note_second_run(&mut self, worker: &WorkerName, reported: &ReportedRun) {
+        let found = KnownRun {
+            task: reported.task.clone(),
+            run: reported.run,
+            worker: worker.clone(),
+        };
+        if let Some(known) = self.known_beside(&found) {
+            self.run_notices.push(RunNotice::SecondRun { found, known });
+        }
+    }
+
+    fn note_unknown_end(&mut self, worker: &WorkerName, end: &EndedRun) {
+        let found = KnownRun {
+            task: end.task.clone(),
+            run: end.run,
+            worker: worker.clone(),
+        };
+        if let Some(known) = self.known_beside(&found) {
+            let reason = end.reason;
+            self.run_notices.push(RunNotice::UnknownEnd {
+                found,
+                reason,
+                known,
+            });
+        }
+    }
+
     /// Releases runs that are known only from a snapshot and were replaced by the newer run
     /// that a worker reports.
     fn release_superseded(&mut self, reported: &ReportedRun) {
@@ -315,6 +346,14 @@
         let superseded: Vec<_> = task.runs.iter().filter(recorded_only).cloned().collect();
         for run in superseded {
             self.release(&reported.task, &run.worker, run.run);
+            let released = KnownRun {
+                task: reported.task.clone(),
+                run: run.run,
+                worker: run.worker,
+            };
+            let by_run = reported.run;
+            self.run_notices
+                .push(RunNotice::Superseded { released, by_run });
         }
     }
 
@@ -351,6 +390,9 @@
         }
         for (task, run) in missing {
             self.release(&task, worker, run);
+            let worker = worker.clone();
+            let released = KnownRun { task, run, worker };
+            self.run_notices.push(RunNotice::NotListed { released });
         }
     }
 
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -11,6 +11,7 @@
 mod order_record;
 mod owner_writes;
 mod progress_recorder;
+mod run_log;
 mod takeover;
 mod worker_orders;
 mod worker_route;
--- a/crates/scheduler/src/leading/takeover.rs
+++ b/crates/scheduler/src/leading/takeover.rs
@@ -10,6 +10,7 @@
         leadership::{HandoverRecord, Leadership},
         missing_log::watch_missing_tasks,
         progress_recorder::record_progress,
+        run_log::{log_dropped, log_run_notices, run_lists},
         worker_snapshots::{apply_worker_rows, follow_workers, maintain_worker_snapshots},
     },
     crate::{
@@ -23,9 +24,7 @@
     dotterelshore_domain::{
         collections::FastMap,
         names::{InstanceName, JobName},
-        schedule::{
-            DroppedRuns, FleetSchedule, OrderRule, ProgressRecord, TaskName, WorkerSnapshot,
-        },
+        schedule::{FleetSchedule, OrderRule, ProgressRecord, WorkerSnapshot},
     },
     dotterelshore_platform::{KvFault, KvPage, KvRow, WORKER_PREFIX},
     dotterelshore_wire::{event_log::unix_millis, log_event, timer_hub::jittered_pause},
@@ -58,9 +57,6 @@
 /// submission finds the job.
 const RETENTION_FACTOR: u64 = 2;
 
-/// Runs that one log line names, so that no line is too long for a reader.
-const RUNS_PER_LINE: usize = 8;
-
 /// All records of the schedule in the store.
 struct StoredSchedule {
     snapshots: Vec<WorkerSnapshot>,
@@ -243,38 +239,17 @@
     let Some(unreachable) = &snapshot.unreachable else {
         return;
     };
-    for chunk in unreachable.runs.chunks(RUNS_PER_LINE) {
+    for runs in run_lists(&unreachable.runs) {
         log_event!(
             Info,
             "runs-restored",
             worker = snapshot.listed.name,
-            runs = run_list(chunk),
+            runs = runs,
             lease_left_ms = unreachable.lease_left_ms
         );
     }
 }
 
-/// Joins tasks and their run numbers for a log line.
-fn run_list(runs: &[(TaskName, u32)]) -> String {
-    let runs = runs.iter().map(|(task, run)| format!("{task}:{run}"));
-    runs.collect::<Vec<_>>().join(",")
-}
-
-fn log_dropped(dropped: &[DroppedRuns]) {
-    for dropped in dropped {
-        for chunk in dropped.runs.chunks(RUNS_PER_LINE) {
-            log_event!(
-                Info,
-                "runs-dropped",
-                worker = dropped.worker,
-                reason = format!("{:?}", dropped.reason),
-                runs = dropped.runs.len(),
-                tasks = run_list(chunk)
-            );
-        }
-    }
-}
-
 async fn run_planner(node: Arc<SchedulerNode>, leadership: Arc<Leadership>) {
     let mut interval = node.timer.interval(TICK_PERIOD);
     let mut took = Duration::ZERO;
@@ -292,7 +267,7 @@
         let began = Instant::now();
         let now_ms = uptime_ms();
         let sole_owner_until_ms = leadership.sole_owner_until_ms();
-        let (orders, dropped, notices, has_planned) = {
+        let (orders, dropped, notices, run_notices, has_planned) = {
             let mut schedule = lock(&leadership.schedule);
             let mut orders = if ticked {
                 schedule.tick(now_ms, now_ms < sole_owner_until_ms)
@@ -302,12 +277,15 @@
             orders.extend(schedule.plan_starts(now_ms, unix_millis(), sole_owner_until_ms));
             let dropped = schedule.take_dropped_runs();
             let notices = schedule.take_crash_notices();
-            (orders, dropped, notices, schedule.has_planned_starts())
+            let run_notices = schedule.take_run_notices();
+            let has_planned = schedule.has_planned_starts();
+            (orders, dropped, notices, run_notices, has_planned)
         };
         leadership.dispatch(orders);
         took = began.elapsed();
         log_dropped(&dropped);
         log_crash_notices(&node, &notices);
+        log_run_notices(&node, &run_notices);
         if has_planned || !notices.is_empty() {
             leadership.record_notify.notify_one();
         }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -65,6 +65,7 @@
     retries: Family<ReasonLabel, Counter>,
     starts: Family<ReasonLabel, Counter>,
     crashes: Family<ReasonLabel, Counter>,
+    run_notices: Family<ReasonLabel, Counter>,
     answers: Family<CallLabel, Histogram>,
     /// What the process's time goes into.
     pub(crate) work: Arc<WorkMeter>,
@@ -98,19 +99,17 @@
             "crash_notices",
             "What was learned about crashes of workers and their causes",
         );
+        let run_notices = counters_by_reason(
+            &mut registry,
+            "run_notices",
+            "News of runs that the owner did not expect",
+        );
         let rows_ignored = counters_by_reason(
             &mut registry,
             "worker_rows_ignored",
             "Changes of workers' rows that were not applied, by reason",
         );
-        let answers = Family::<CallLabel, Histogram>::new_with_constructor(|| {
-            Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT))
-        });
-        registry.register(
-            "answer_seconds",
-            "Time to the answer of a caller's call",
-            answers.clone(),
-        );
+        let answers = answer_histograms(&mut registry);
         let missing_tasks = Family::default();
         registry.register(
             "missing_tasks",
@@ -183,6 +182,7 @@
             retries,
             starts,
             crashes,
+            run_notices,
             missing_tasks,
             answers,
             log_counts,
@@ -216,6 +216,13 @@
         self.crashes.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts news of a run that was not expected by its kind.
+    pub(crate) fn count_run_notice(&self, reason: &'static str) {
+        self.run_notices
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Sets the gauges of the tasks that are missing, the longest missing first.
     pub(crate) fn set_missing(&self, missing: &[MissingTask]) {
         self.missing_tasks.clear();
@@ -276,6 +283,18 @@
     }
 }
 
+fn answer_histograms(registry: &mut Registry) -> Family<CallLabel, Histogram> {
+    let answers = Family::<CallLabel, Histogram>::new_with_constructor(|| {
+        Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT))
+    });
+    registry.register(
+        "answer_seconds",
+        "Time to the answer of a caller's call",
+        answers.clone(),
+    );
+    answers
+}
+
 fn gauge_value(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -245,7 +245,7 @@
 /// Leads the schedule until ownership ends, then hands over if the process shuts down.
 async fn hold_ownership(node: &Arc<SchedulerNode>, mut claim: OwnerClaim) {
     log_event!(
-        Info,
+        Warn,
         "ownership-won",
         token = claim.token,
         term = claim.term
@@ -257,7 +257,7 @@
     node.leading.send_replace(None);
     leading.abort();
     log_event!(
-        Info,
+        Warn,
         "ownership-ended",
         token = claim.token,
         reason = reason
@@ -310,7 +310,7 @@
             }
             Err(KvFault::LeaseEnded) => match self::claim(node, Some(claim)).await {
                 Ok(new_claim) => {
-                    log_event!(Info, "ownership-won-back", token = new_claim.token);
+                    log_event!(Warn, "ownership-won-back", token = new_claim.token);
                     *claim = new_claim;
                     leadership.resume_under_claim(new_claim);
                 }
