--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -67,6 +67,8 @@
     /// Of these, the jobs that may have a startable task, or will at some time.
     pub(super) waiting: FastMap<PoolName, FastSet<JobName>>,
     pub(super) workers: TrackedTable<WorkerName, WorkerStatus>,
+    /// Workers that left the schedule while a stored snapshot may list them as unreachable.
+    pub(super) departed_unreachable: FastSet<WorkerName>,
     /// The workers that accept tasks, as of the last planning pass.
     pub(super) candidates: FleetCandidates,
     /// Workers that may have orphaned runs until some time.
--- a/crates/domain/src/schedule/orphaned_runs.rs
+++ b/crates/domain/src/schedule/orphaned_runs.rs
@@ -48,7 +48,7 @@
                 self.attribute_crash(name, DropReason::InstanceGone);
             }
             self.drop_runs(name, DropReason::InstanceGone);
-            self.workers.remove(name);
+            self.remove_worker(name);
         }
         ended.into_iter().map(|(name, _)| name).collect()
     }
--- a/crates/domain/src/schedule/run_reports.rs
+++ b/crates/domain/src/schedule/run_reports.rs
@@ -418,7 +418,7 @@
             self.attribute_crash(&name, DropReason::LeaseExpired);
             self.drop_runs(&name, DropReason::LeaseExpired);
             if !self.adopt_held_row(&name) && !present {
-                self.workers.remove(&name);
+                self.remove_worker(&name);
             }
         }
         let due: Vec<_> = self
--- a/crates/domain/src/schedule/snapshot_shard.rs
+++ b/crates/domain/src/schedule/snapshot_shard.rs
@@ -92,9 +92,11 @@
         self.written.len() == usize::from(SHARDS)
     }
 
-    /// Returns the shards of those of some workers that no stored snapshot has.
+    /// Returns the shards of those of some workers that no stored snapshot has as reachable.
     pub fn shards_without(&self, workers: &[WorkerName]) -> Vec<SnapshotShard> {
-        let missing = workers.iter().filter(|name| !self.contains(name));
+        let missing = workers
+            .iter()
+            .filter(|name| self.workers.get(*name) != Some(&false));
         let mut shards: Vec<_> = missing.map(SnapshotShard::of_worker).collect();
         shards.sort_unstable();
         shards.dedup();
--- a/crates/domain/src/schedule/worker_listing.rs
+++ b/crates/domain/src/schedule/worker_listing.rs
@@ -101,9 +101,11 @@
             }
         }
         let orphans_until_ms = self.orphans_until_ms;
+        let is_recorded = self.departed_unreachable.remove(&listed.name);
         let status = self.workers.get_or_insert_with(listed.name.clone(), || {
             WorkerStatus::new(listed.clone(), orphans_until_ms)
         });
+        status.recorded_unreachable |= is_recorded;
         if !status.present || !status.reported {
             self.newly_listed.push(listed.name.clone());
         }
@@ -151,6 +153,7 @@
         };
         let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
         status.incarnations = std::mem::take(&mut earlier.incarnations);
+        status.recorded_unreachable = earlier.recorded_unreachable;
         self.workers.insert(name.clone(), status);
         self.newly_listed.push(name.clone());
         true
@@ -173,10 +176,12 @@
             job.is_some_and(|job| job.may_run_at_next(task, &name, *run))
         };
         let lease_until_ms = earlier.lease_until_ms;
+        let recorded_unreachable = earlier.recorded_unreachable;
         let incarnations = std::mem::take(&mut earlier.incarnations);
         let carried: Vec<_> = earlier.runs.extract_if(may_go_on).collect();
         let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
         status.incarnations = incarnations;
+        status.recorded_unreachable = recorded_unreachable;
         status.runs_known = !carried.is_empty();
         status.lease_until_ms = status
             .lease_until_ms
@@ -224,7 +229,7 @@
         for name in replaced {
             self.attribute_crash(&name, DropReason::Replaced);
             self.drop_runs(&name, DropReason::Replaced);
-            self.workers.remove(&name);
+            self.remove_worker(&name);
         }
     }
 
@@ -238,7 +243,7 @@
         status.held_row = None;
         if now_ms < status.disrupted_until_ms && !status.may_outlive_order {
             self.drop_runs(name, DropReason::Disrupted);
-            self.workers.remove(name);
+            self.remove_worker(name);
         }
     }
 }
--- a/crates/domain/src/schedule/worker_snapshots.rs
+++ b/crates/domain/src/schedule/worker_snapshots.rs
@@ -1,10 +1,13 @@
 //! Snapshots of the workers for the next owner.
 
-use super::{
-    fleet_schedule::FleetSchedule,
-    snapshot_shard::SnapshotShard,
-    task_run::TaskRun,
-    worker_status::{ListedWorker, UnreachableRuns, WorkerSnapshot, WorkerStatus},
+use {
+    super::{
+        fleet_schedule::FleetSchedule,
+        snapshot_shard::SnapshotShard,
+        task_run::TaskRun,
+        worker_status::{ListedWorker, UnreachableRuns, WorkerSnapshot, WorkerStatus},
+    },
+    crate::{collections::FastSet, names::WorkerName},
 };
 
 impl FleetSchedule {
@@ -38,8 +41,20 @@
     }
 
     /// Marks a snapshot as stored, which lets the workers that it does not list as unreachable
-    /// get tasks again.
+    /// get tasks again. It holds all workers of its shards.
     pub fn finish_snapshot_write(&mut self, snapshots: &[WorkerSnapshot]) {
+        let stored = snapshots.iter();
+        let shards: FastSet<_> = stored
+            .map(|snapshot| SnapshotShard::of_worker(&snapshot.listed.name))
+            .collect();
+        let unreachable: FastSet<_> = snapshots
+            .iter()
+            .filter(|snapshot| snapshot.unreachable.is_some())
+            .map(|snapshot| &snapshot.listed.name)
+            .collect();
+        self.departed_unreachable.retain(|name| {
+            !shards.contains(&SnapshotShard::of_worker(name)) || unreachable.contains(name)
+        });
         for snapshot in snapshots
             .iter()
             .filter(|snapshot| snapshot.unreachable.is_none())
@@ -50,6 +65,15 @@
         }
     }
 
+    /// Removes a worker. A stored snapshot may still list it as unreachable.
+    pub(super) fn remove_worker(&mut self, name: &WorkerName) {
+        let status = self.workers.get(name);
+        if status.is_some_and(|status| status.recorded_unreachable) {
+            self.departed_unreachable.insert(name.clone());
+        }
+        self.workers.remove(name);
+    }
+
     /// Restores a worker and the runs that an earlier owner may have left there.
     pub fn restore_worker(&mut self, snapshot: WorkerSnapshot, now_ms: u64) {
         let name = snapshot.listed.name.clone();
