Record progress again whose write was given up when the owner leaves

Callers see a task started again after a run of it had ended as done, and its end acknowledged later.

Cause: an owner that leaves aborts its tasks and then records its final state. A batch of progress whose write was open at that moment had been taken from the schedule, and was neither marked as recorded nor queued again: the final record left its jobs out, and yet marked all ends as recorded. A worker that had fallen silent was then stored with its runs as all that it has, without the run that had ended. The next owner started that task elsewhere; the worker still listed the end.

Evidence: task_whose_record_was_given_up_is_not_restarted failed before ("j-1.0.0.0 starts again though the silent worker lists its end"). done_task_is_not_restarted has a third case; the other two are as before.

Change: progress that was taken stays with the schedule until the outcome of its write is known, and is taken again with the next batch. A record is written whole, so that writing it twice changes nothing.

Why it works: ends count as recorded only with a batch that has the progress of each of them.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -79,7 +79,10 @@
     pub(super) teams: FastMap<TeamName, TeamUsage>,
     pub(super) shares: FastMap<TeamName, ShareBucket>,
     pub(super) arrivals: FastMap<PoolName, ArrivalRate>,
+    /// Jobs whose progress has changed since it was last taken to be recorded.
     pub(super) dirty: FastSet<JobName>,
+    /// Jobs whose progress was taken, until the outcome of its write is known.
+    pub(super) recording: FastSet<JobName>,
     pub(super) dropped: Vec<DroppedRuns>,
     pub(super) run_notices: Vec<RunNotice>,
     /// Jobs with a task under which a worker crashed.
--- a/crates/domain/src/schedule/progress_batch.rs
+++ b/crates/domain/src/schedule/progress_batch.rs
@@ -39,14 +39,17 @@
             .any(|name| ended(name) || self.suspects.contains(name) || self.planned.contains(name))
     }
 
-    /// Takes the progress that is not recorded yet. Run ends are acknowledged after
-    /// [`mark_ends_recorded`](Self::mark_ends_recorded).
+    /// Takes the progress that is not recorded yet, also that of writes whose outcome was not
+    /// learned. Run ends are acknowledged after [`mark_ends_recorded`](Self::mark_ends_recorded).
     pub fn take_progress_batch(&mut self) -> ProgressBatch {
-        let dirty = std::mem::take(&mut self.dirty);
+        self.recording.extend(self.dirty.drain());
+        let jobs = &self.jobs;
+        self.recording.retain(|name| jobs.get(name).is_some());
         self.planned.clear();
-        let records = dirty
-            .into_iter()
-            .filter_map(|name| Some((name.clone(), self.jobs.get(&name)?.progress())))
+        let records = self
+            .recording
+            .iter()
+            .filter_map(|name| Some((name.clone(), self.jobs.get(name)?.progress())))
             .collect();
         let ends = self
             .workers
@@ -73,6 +76,7 @@
 
     /// Marks the progress of a job as recorded.
     pub fn mark_job_recorded(&mut self, name: &JobName, progress: &ProgressRecord) {
+        self.recording.remove(name);
         if let Some(job) = self.jobs.get_untracked(name) {
             job.rejections = 0;
             job.failed_writes = 0;
@@ -102,6 +106,7 @@
         if job.is_some_and(LiveJob::has_planned_runs) {
             self.planned.insert(name.clone());
         }
+        self.recording.remove(name);
         self.dirty.insert(name.clone());
     }
 
@@ -115,6 +120,7 @@
         now_ms: u64,
         wall_ms: u64,
     ) -> Vec<WorkerOrder> {
+        self.recording.remove(name);
         self.dirty.insert(name.clone());
         let Some(job) = self.jobs.get_untracked(name) else {
             return Vec::new();
--- a/crates/domain/tests/snapshot_handover_test.rs
+++ b/crates/domain/tests/snapshot_handover_test.rs
@@ -19,9 +19,18 @@
 const LEASE_MS: u64 = 3_600;
 const ORPHANS_MS: u64 = 6_000;
 
+/// What became of the record of the end before the owner leaves.
+#[derive(Clone, Copy, PartialEq)]
+enum EndRecord {
+    Stored,
+    NotWritten,
+    /// Its write was given up when the owner began to leave; the owner then writes its final state.
+    GivenUp,
+}
+
 /// A task is done on a worker that then falls silent, and the owner leaves. The next owner must
 /// not start it again while the worker may still list that end.
-fn done_task_is_not_restarted(recorded: bool) {
+fn done_task_is_not_restarted(record_state: EndRecord) {
     let step = sample_step(1, 1_000);
     let later = StepPlan {
         after: vec![0],
@@ -54,7 +63,11 @@
         ..WorkerReport::default()
     };
     earlier.apply_report(&worker, &report, NOW_MS, WALL_MS);
-    let batch = earlier.take_progress_batch();
+    let mut batch = earlier.take_progress_batch();
+    if record_state == EndRecord::GivenUp {
+        batch = earlier.take_progress_batch();
+        earlier.mark_progress_recorded(&batch);
+    }
     let progress = batch.records.first().map(|(_, progress)| progress);
     earlier.mark_unreachable(&worker);
     let snapshots = earlier.worker_snapshots(NOW_MS);
@@ -62,7 +75,7 @@
     let mut next = FleetSchedule::new(OrderRule::default(), LEASE_MS, NOW_MS + ORPHANS_MS);
     next.add_job(
         record,
-        progress.filter(|_| recorded),
+        progress.filter(|_| record_state != EndRecord::NotWritten),
         1_000,
         NOW_MS,
         WALL_MS,
@@ -84,6 +97,7 @@
 }
 
 named_cases! { done_task_is_not_restarted:
-    recorded_task_is_not_restarted(true);
-    unrecorded_task_is_not_restarted(false);
+    recorded_task_is_not_restarted(EndRecord::Stored);
+    unrecorded_task_is_not_restarted(EndRecord::NotWritten);
+    task_whose_record_was_given_up_is_not_restarted(EndRecord::GivenUp);
 }
