Give a worker that restarted its tasks at once if its row tells it from the one before

The hold now follows the name only where the row can't tell: the worker is listed again as it was, or restarted with its clock set back. Left open: a restarted worker whose row is gone again when the next owner reads the rows, within half a second of its restart.

--- a/crates/domain/src/schedule/worker_listing.rs
+++ b/crates/domain/src/schedule/worker_listing.rs
@@ -151,9 +151,10 @@
         let Some(listed) = earlier.held_row.take() else {
             return false;
         };
+        let recorded_unreachable = earlier.is_recorded_for(&listed);
         let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
+        status.recorded_unreachable = recorded_unreachable;
         status.incarnations = std::mem::take(&mut earlier.incarnations);
-        status.recorded_unreachable = earlier.recorded_unreachable;
         self.workers.insert(name.clone(), status);
         self.newly_listed.push(name.clone());
         true
@@ -176,7 +177,7 @@
             job.is_some_and(|job| job.may_run_at_next(task, &name, *run))
         };
         let lease_until_ms = earlier.lease_until_ms;
-        let recorded_unreachable = earlier.recorded_unreachable;
+        let recorded_unreachable = earlier.is_recorded_for(&listed);
         let incarnations = std::mem::take(&mut earlier.incarnations);
         let carried: Vec<_> = earlier.runs.extract_if(may_go_on).collect();
         let mut status = WorkerStatus::new(listed, self.orphans_until_ms);
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -301,6 +301,12 @@
         !self.knows_runs() && now_ms <= until_ms
     }
 
+    /// Whether the next owner may take the stored runs for those of this next incarnation. It tells
+    /// them apart by the row if that has a later start.
+    pub(super) fn is_recorded_for(&self, next: &ListedWorker) -> bool {
+        self.recorded_unreachable && next.started_ms <= self.listed.started_ms
+    }
+
     /// Whether all its runs are known, from a report or a snapshot.
     pub(super) fn knows_runs(&self) -> bool {
         self.has_listed_all || self.runs_known
--- a/crates/scheduler/src/leading/worker_snapshots.rs
+++ b/crates/scheduler/src/leading/worker_snapshots.rs
@@ -49,7 +49,6 @@
                 {
                     schedule.apply_row(row);
                     leadership.plan_notify.notify_one();
-                    leadership.snapshot_notify.notify_one();
                 }
             }
         }
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -181,6 +181,7 @@
                     leadership.plan_notify.notify_one();
                 }
                 if lacks_row {
+                    leadership.snapshot_notify.notify_one();
                     refresh_row(&node, &leadership, &clock.name).await;
                 }
                 tokio::time::sleep(leadership.poll_pause()).await;
