End the wait for orphaned runs only while no other owner can renew them

Callers see two runs of a task at once after two changes of the owner within some seconds: an owner that has lost the store starts a task again whose run goes on under its successor.

Cause: after a takeover, tasks of earlier owners wait until the runs that those may have left on a worker out of reach have surely ended. That wait ended by time alone. An owner whose lease in the store has run out goes on for up to 2.6 s, beside its successor; if the wait ends then, the successor may have reached the worker meanwhile and renewed its lease. The run goes on there, or ends as done and is acknowledged, and the old owner starts the task on a worker that only it reaches. Neither sends a stop.

Change: the wait counts as over only if its time passed while this was certainly the only owner, as the lease of a silent worker already does.

Why it works: an owner that can't be sure starts nothing of earlier owners; one that renews its own lease in the store knows that nobody came between.

--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -26,15 +26,17 @@
     /// start orders.
     ///
     /// Until `sole_until_ms` this was certainly the only owner. A job that was added later may
-    /// be started by another owner too, and waits until ownership is confirmed again.
+    /// be started by another owner too, and orphaned runs that would end later may be renewed by it:
+    /// what depends on either waits until ownership is confirmed again.
     pub fn plan_starts(
         &mut self,
         now_ms: u64,
         wall_ms: u64,
         sole_until_ms: u64,
     ) -> Vec<WorkerOrder> {
-        self.update_candidates(now_ms);
-        self.count_orphaned_runs(now_ms);
+        let sole_ms = now_ms.min(sole_until_ms);
+        self.update_candidates(now_ms, sole_ms);
+        self.count_orphaned_runs(sole_ms);
         let mut orders = self.give_up_culprits(now_ms, wall_ms);
         orders.extend(self.order_recorded_starts(now_ms));
         let mut waiting_by_pool = self.waiting_jobs(now_ms, wall_ms, sole_until_ms);
@@ -57,14 +59,14 @@
     }
 
     /// Looks again at the workers that may have changed since the last pass.
-    fn update_candidates(&mut self, now_ms: u64) {
+    fn update_candidates(&mut self, now_ms: u64, sole_ms: u64) {
         let mut changed = self.workers.take_changed();
         changed.extend(self.candidates.take_ejected());
         self.planning_work.passes += 1;
         self.planning_work.workers += changed.len() as u64;
         for name in changed {
             let status = self.workers.get(&name);
-            if status.is_some_and(|status| status.may_have_orphans(now_ms)) {
+            if status.is_some_and(|status| status.may_have_orphans(sole_ms)) {
                 self.unsettled.insert(name.clone());
             }
             self.candidates.update(&name, status, now_ms);
@@ -92,12 +94,13 @@
     }
 
     /// Holds back jobs of earlier owners in pools that may have orphaned runs. Each of their
-    /// ready tasks that is not known to run counts towards the ceiling of its team.
-    fn count_orphaned_runs(&mut self, now_ms: u64) {
+    /// ready tasks that is not known to run counts towards the ceiling of its team. `sole_ms` is the
+    /// newest time at which this was certainly the only owner.
+    fn count_orphaned_runs(&mut self, sole_ms: u64) {
         let workers = &self.workers;
         self.unsettled.retain(|name| {
             let status = workers.get(name);
-            status.is_some_and(|status| status.may_have_orphans(now_ms))
+            status.is_some_and(|status| status.may_have_orphans(sole_ms))
         });
         let may_have = self.unsettled.iter().filter_map(|name| workers.get(name));
         let orphaned: FastSet<PoolName> = may_have.map(|w| w.listed.pool.clone()).collect();
