Check authority after a poll's lease is timed

A process that is stopped between the check and the clock's reading gave a worker a lease that began after its authority had ended. Starts already check in this order. Found by reading; no run shows it.

--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -140,13 +140,6 @@
     let mut is_unreachable = false;
     let mut is_rerouted = false;
     loop {
-        if !leadership.has_authority() {
-            if leadership.is_ended() {
-                return;
-            }
-            tokio::time::sleep(POLL_RETRY_PAUSE).await;
-            continue;
-        }
         let started_ms = client.listed.started_ms;
         let Some(current) = client.current(&leadership) else {
             log_event!(Info, "worker-gone", worker = clock.name);
@@ -158,6 +151,14 @@
         }
         let token = leadership.token();
         let (request, scope) = next_poll_request(&node, &leadership, &clock, token, is_unreachable);
+        // Checked last: the process may have been paused before the lease was timed.
+        if !leadership.has_authority() {
+            if leadership.is_ended() {
+                return;
+            }
+            tokio::time::sleep(POLL_RETRY_PAUSE).await;
+            continue;
+        }
         match current.poll(&request, scope).await {
             Ok(report) => {
                 is_unreachable = false;
