--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -7,7 +7,9 @@
 
 mod cancel_rule;
 mod fixture;
+mod overlap_soak;
 mod owner_lookup;
+mod zoned_fleet;
 
 use {
     cancel_rule::CANCEL_TIMEOUT,
