Test: runs whose lease outlives what an owner knows of it (red)

- cut_off_owner_leaves_runs_that_the_next_owner_renews: an owner that took over counts the runs of the one before as gone by its own clock, after its successor has reached their worker and renewed them, and starts their tasks again with the rest of its authority.
- worker_that_restarts_unnoticed_and_falls_silent_is_waited_for, and ..._by_the_next_owner: a start timed by the clock of the life before gives the next one the longest lease, which neither the owner's count of the lease nor the next owner's wait includes.

--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -7,6 +7,7 @@
 
 mod cancel_rule;
 mod fixture;
+mod overlap_cases;
 mod overlap_soak;
 mod owner_lookup;
 mod zoned_fleet;
