Drain the worker that an instance hosts now, and order an instance for one wave at a time

Cause: the cordon of a wave belonged to the instance, not to its worker. A worker that came up after another wave's maintenance got tasks, since it was not cordoned itself, and yet counted as drained by a cordon that was set for the worker before: it was disrupted 0.7 to 2 s after its start, full of short tasks. Ends that it had not been asked for yet went with it; the users' rule counts an end as taken note of 100 ms after it is listed, and the task started again. Two waves could also order one instance in the same planning pass.

Change: a cordon names its worker and ends when the instance hosts another; an instance that one wave orders in a pass is left to it.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -318,6 +318,7 @@
         } = self;
         for wave in waves.iter_mut().filter(|wave| !wave.completed) {
             wave.deadline_at_risk = relocated_by_ms >= wave.deadline_ms;
+            wave.drop_earlier_cordons(instances);
             let unanswered: Vec<_> = wave.unanswered.iter().cloned().collect();
             for name in unanswered.iter().filter(|name| !in_flight.contains(*name)) {
                 let worker = instances
@@ -334,6 +335,10 @@
                 if room == 0 {
                     break;
                 }
+                let is_ordered = |order: &InstanceOrder| *order.instance() == name;
+                if orders.iter().any(is_ordered) {
+                    continue;
+                }
                 if wave.is_ready(&name, worker.as_ref(), schedule, now_ms) {
                     if orders.len() >= limit {
                         break;
@@ -397,6 +402,15 @@
 }
 
 impl WaveState {
+    /// Drops the cordons of workers whose instances host others now.
+    fn drop_earlier_cordons(&mut self, instances: &FastMap<InstanceName, InstanceStatus>) {
+        self.cordons.retain(|name, cordon| {
+            let status = instances.get(name);
+            let worker = status.and_then(|status| status.worker.as_ref());
+            worker.is_none_or(|worker| cordon.is_of(worker))
+        });
+    }
+
     /// Counts the instances that are or may be down for this wave.
     fn down_count(&self) -> usize {
         let started = self.started.keys();
@@ -505,7 +519,8 @@
             }
         } else if allows_disruption || !stops.is_empty() {
             pool_cordons.admit(schedule.worker(worker));
-            self.cordons.insert(name.clone(), WaveCordon::new(now_ms));
+            let cordon = WaveCordon::new(worker, now_ms);
+            self.cordons.insert(name.clone(), cordon);
             schedule.set_cordon(worker, true);
         }
         stops
@@ -550,7 +565,7 @@
         {
             self.cordons
                 .entry(name.clone())
-                .or_insert_with(|| WaveCordon::new(now_ms));
+                .or_insert_with(|| WaveCordon::new(worker, now_ms));
         }
     }
 }
--- a/crates/domain/src/schedule/wave_cordon.rs
+++ b/crates/domain/src/schedule/wave_cordon.rs
@@ -21,20 +21,27 @@
 const CORDONED_PERCENT: usize = 50;
 
 /// Keeps a worker from new tasks until its instance is disrupted, as long as that gets closer.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct WaveCordon {
+    worker: WorkerName,
     since_ms: u64,
     progress_ms: u64,
 }
 
 impl WaveCordon {
-    pub(super) fn new(now_ms: u64) -> Self {
+    pub(super) fn new(worker: &WorkerName, now_ms: u64) -> Self {
         Self {
+            worker: worker.clone(),
             since_ms: now_ms,
             progress_ms: now_ms,
         }
     }
 
+    /// Whether it is that of this worker, and not of one that its instance hosted before.
+    pub(super) fn is_of(&self, worker: &WorkerName) -> bool {
+        self.worker == *worker
+    }
+
     /// Whether the tasks that end by themselves have had their time to do so.
     pub(super) fn is_drained(&self, now_ms: u64) -> bool {
         now_ms > self.since_ms + DRAIN_TIMEOUT_MS
