Time leases by a clock that was read just before

Callers see two runs of a task at once: one at a worker that restarted under its name, until its lease ends, and one elsewhere. Nobody sends a stop, and no line of a log names the first run.

Cause: a start names the end of the lease on the worker's clock, as it was last read. While a poll waits at the worker, up to 1.5 s, the reading gets old; if the worker restarts in that time, as behind a cut, its clock begins anew, the end lies far ahead, and the next incarnation grants its longest lease, 10 s instead of 3.6 s. An owner that finds the worker silent before its first report counts 4 s, one that takes over 6.8 s.

Change: a call sets a lease only if the clock was read within the last 0.5 s. Before a start the clock is read by a poll beside the one that waits; such polls are numbered, and a report that a later poll's has overtaken is left out. A worker that does not answer gets no start, so that its task is free at once instead of waiting for a stop or for the lease. A reply whose clock can't be that of the last reading shows a restart: the longest lease is counted. A poll that follows a pause of the process first reads the clock.

Why it works: a call reaches the incarnation whose clock was read, unless the worker restarts within the half second.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -184,7 +184,7 @@
     /// worker that the newest stored snapshot lists as unreachable: an owner that takes over
     /// relies on the lease end given there.
     pub fn renew_lease(&mut self, name: &WorkerName, now_ms: u64) -> bool {
-        let lease = self.lease_ms + self.lease_ms * CLOCK_DRIFT_PERCENT / 100 + LEASE_SLACK_MS;
+        let lease = self.lease_bound_ms();
         let status = self.workers.get_untracked(name);
         let Some(status) = status.filter(|status| status.reachable && !status.recorded_unreachable)
         else {
@@ -194,6 +194,20 @@
         true
     }
 
+    /// Counts the longest lease for a worker: a call timed by the clock of the incarnation before seems to
+    /// have reached its next one.
+    pub fn suspect_restart(&mut self, name: &WorkerName, now_ms: u64) {
+        let longest_ms = self.lease_bound_ms() + self.unnoticed_restart_ms();
+        if let Some(status) = self.workers.get_untracked(name) {
+            status.lease_until_ms = status.lease_until_ms.max(now_ms + longest_ms);
+        }
+    }
+
+    /// Returns how long the lease that a call sets may last, counted from its sending, in milliseconds.
+    fn lease_bound_ms(&self) -> u64 {
+        self.lease_ms + self.lease_ms * CLOCK_DRIFT_PERCENT / 100 + LEASE_SLACK_MS
+    }
+
     /// Returns the highest run end that a worker may discard. It is 0 after an unanswered
     /// call: another incarnation, whose ends have the same numbers, may answer the next one.
     pub fn acknowledged_end(&self, name: &WorkerName) -> u64 {
--- a/crates/domain/src/schedule/poll_scope.rs
+++ b/crates/domain/src/schedule/poll_scope.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Returns what a poll asks for that reads a worker's clock: no more than its new ends.
+    pub fn ends_scope(&self, worker: &WorkerName) -> PollScope {
+        let status = self.workers.get(worker);
+        PollScope::EndsAfter(status.map_or(0, |status| status.applied_end))
+    }
+
     /// Returns what the next poll of a worker asks for. Its runs are listed now and then, and
     /// whenever they are followed closely.
     pub fn poll_scope(&self, worker: &WorkerName, watch: RunWatch, now_ms: u64) -> PollScope {
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -13,6 +13,7 @@
 mod progress_recorder;
 mod run_log;
 mod takeover;
+mod worker_clock;
 mod worker_orders;
 mod worker_route;
 mod worker_snapshots;
--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         leadership::{Leadership, RunOrder},
+        worker_clock::WorkerClock,
         worker_route::WorkerRoute,
-        worker_task::{ListedClient, WorkerClock},
+        worker_task::{ListedClient, read_clock},
     },
     crate::node::{SchedulerNode, lock, uptime_ms},
     dotterelshore_domain::schedule::{StartOrder, StartRefusal, StartReply, StopOrder},
@@ -69,18 +70,16 @@
     client: &WorkerRoute,
     order: &StartOrder,
 ) {
-    let (is_pending, is_admitted) = {
-        let schedule = lock(&leadership.schedule);
-        (
-            schedule.is_start_pending(order),
-            schedule.admits_start(order),
-        )
-    };
-    if !is_pending {
+    let is_pending = || lock(&leadership.schedule).is_start_pending(order);
+    if is_pending() && !clock.is_read(uptime_ms()) {
+        read_clock(node, leadership, clock, client).await;
+    }
+    if !is_pending() {
         log_event!(Info, "start-superseded", task = order.task, run = order.run);
         return;
     }
-    let lease_until_ms = clock.lease_until(node);
+    let is_admitted = lock(&leadership.schedule).admits_start(order);
+    let lease_until_ms = clock.lease_until(node, uptime_ms());
     let reply = match lease_until_ms {
         _ if !is_admitted => StartReply::Refused(StartRefusal::Withheld),
         Some(until)
@@ -93,7 +92,14 @@
         _ => StartReply::Refused(StartRefusal::Late),
     };
     match reply {
-        StartReply::Started { .. } => node.metrics.count_start("started"),
+        StartReply::Started { clock_ms } => {
+            node.metrics.count_start("started");
+            if !clock.agrees(clock_ms, uptime_ms()) {
+                log_event!(Warn, "worker-clock-stepped", worker = order.worker);
+                clock.forget();
+                lock(&leadership.schedule).suspect_restart(&order.worker, uptime_ms());
+            }
+        }
         StartReply::Refused(refusal) => {
             node.metrics.count_start("refused");
             log_event!(
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         leadership::Leadership,
-        takeover::WORKER_LEASE,
+        worker_clock::WorkerClock,
         worker_orders::deliver_orders,
         worker_route::{RouteFault, WorkerRoute},
         worker_snapshots::refresh_row,
@@ -11,16 +11,15 @@
     },
     crate::{
         delegation::WorkerTarget,
-        node::{SchedulerNode, lock, millis, uptime_ms},
+        node::{SchedulerNode, lock, uptime_ms},
     },
-    dotterelshore_domain::{
-        names::WorkerName,
-        schedule::{ListedWorker, PollRequest, PollScope, RunWatch},
+    dotterelshore_domain::schedule::{
+        ListedWorker, PollRequest, PollScope, RunWatch, WorkerReport,
     },
     dotterelshore_platform::{WorkerClient, WorkerFault},
     dotterelshore_wire::{event_log::unix_millis, log_event},
     std::{
-        sync::{Arc, Mutex, OnceLock},
+        sync::{Arc, OnceLock},
         time::Duration,
     },
 };
@@ -40,31 +39,6 @@
 /// Pause after the delegate of a worker failed, in which the worker is assigned elsewhere.
 const REROUTE_PAUSE: Duration = Duration::from_millis(20);
 
-/// Reading of a worker's clock, with the local time at which it arrived.
-#[derive(Debug, Clone, Copy)]
-struct ClockReading {
-    clock_ms: u64,
-    at_ms: u64,
-}
-
-/// The clock of one worker, as last read; shared by the worker's tasks.
-#[derive(Debug)]
-pub(super) struct WorkerClock {
-    pub(super) name: WorkerName,
-    reading: Mutex<Option<ClockReading>>,
-}
-
-impl WorkerClock {
-    /// Returns the end of a lease that begins now, on the worker's clock; `None` if its clock is
-    /// not known.
-    pub(super) fn lease_until(&self, node: &SchedulerNode) -> Option<u64> {
-        let reading = (*lock(&self.reading))?;
-        let lease = WORKER_LEASE.min(node.settings.worker_lease_max);
-        let elapsed_ms = uptime_ms().saturating_sub(reading.at_ms);
-        Some(reading.clock_ms + elapsed_ms + millis(lease))
-    }
-}
-
 /// Starts the tasks of a worker, unless they already run.
 pub(super) fn start_worker(
     node: &Arc<SchedulerNode>,
@@ -74,10 +48,7 @@
     let Some(orders) = leadership.open_order_queues(&listed.name) else {
         return;
     };
-    let clock = Arc::new(WorkerClock {
-        name: listed.name.clone(),
-        reading: Mutex::new(None),
-    });
+    let clock = Arc::new(WorkerClock::new(listed.name.clone()));
     let client = ListedClient::new(listed);
     let clone_handles = || (Arc::clone(node), Arc::clone(leadership));
     let (n, l) = clone_handles();
@@ -147,9 +118,10 @@
             return;
         };
         if client.listed.started_ms != started_ms {
-            *lock(&clock.reading) = None;
+            clock.forget();
         }
         let token = leadership.token();
+        let has_clock = clock.is_read(uptime_ms());
         let (request, scope) = next_poll_request(&node, &leadership, &clock, token, is_unreachable);
         // Checked last: the process may have been paused before the lease was timed.
         if !leadership.has_authority() {
@@ -159,33 +131,19 @@
             tokio::time::sleep(POLL_RETRY_PAUSE).await;
             continue;
         }
+        let number = clock.begin_poll();
         match current.poll(&request, scope).await {
             Ok(report) => {
                 is_unreachable = false;
                 is_rerouted = false;
-                let now_ms = uptime_ms();
-                *lock(&clock.reading) = Some(ClockReading {
-                    clock_ms: report.clock_ms,
-                    at_ms: now_ms,
-                });
-                let (orders, lacks_row) = {
-                    let mut schedule = lock(&leadership.schedule);
-                    let name = &clock.name;
-                    let orders = schedule.apply_report(name, &report, now_ms, unix_millis());
-                    (orders, schedule.lacks_current_row(name))
-                };
-                leadership.dispatch(orders);
-                if !report.finished.is_empty() {
-                    leadership.record_notify.notify_one();
-                    leadership.plan_notify.notify_one();
-                } else if request.wait_ms.is_none() {
+                apply_report(&node, &leadership, &clock, number, &report).await;
+                if request.wait_ms.is_none() {
                     leadership.plan_notify.notify_one();
                 }
-                if lacks_row {
-                    leadership.snapshot_notify.notify_one();
-                    refresh_row(&node, &leadership, &clock.name).await;
+                // The next poll is timed by this reading.
+                if has_clock {
+                    tokio::time::sleep(leadership.poll_pause()).await;
                 }
-                tokio::time::sleep(leadership.poll_pause()).await;
             }
             Err(RouteFault::Delegate { source }) if !is_rerouted => {
                 is_rerouted = true;
@@ -212,7 +170,74 @@
     }
 }
 
-/// Builds the next poll, and what it asks for. It extends the lease, and waits, only if the worker answered the last one.
+/// Applies the report of a poll, unless that of a later poll was applied before.
+async fn apply_report(
+    node: &SchedulerNode,
+    leadership: &Leadership,
+    clock: &WorkerClock,
+    number: u64,
+    report: &WorkerReport,
+) {
+    let now_ms = uptime_ms();
+    if !clock.record_report(number, report.clock_ms, now_ms) {
+        return;
+    }
+    let (orders, lacks_row) = {
+        let mut schedule = lock(&leadership.schedule);
+        let orders = schedule.apply_report(&clock.name, report, now_ms, unix_millis());
+        (orders, schedule.lacks_current_row(&clock.name))
+    };
+    leadership.dispatch(orders);
+    if !report.finished.is_empty() {
+        leadership.record_notify.notify_one();
+        leadership.plan_notify.notify_one();
+    }
+    if lacks_row {
+        leadership.snapshot_notify.notify_one();
+        refresh_row(node, leadership, &clock.name).await;
+    }
+}
+
+/// Polls a worker beside the poll that waits there, to read its clock. Returns whether it answered.
+pub(super) async fn read_clock(
+    node: &SchedulerNode,
+    leadership: &Leadership,
+    clock: &WorkerClock,
+    route: &WorkerRoute,
+) -> bool {
+    let token = leadership.token();
+    let request = PollRequest {
+        lease_until_ms: None,
+        fencing_token: token,
+        acknowledged_end: 0,
+        wait_ms: None,
+    };
+    let scope = lock(&leadership.schedule).ends_scope(&clock.name);
+    let number = clock.begin_poll();
+    match route.poll(&request, scope).await {
+        Ok(report) => {
+            apply_report(node, leadership, clock, number, &report).await;
+            true
+        }
+        Err(RouteFault::Worker {
+            source: WorkerFault::Fenced,
+        }) => {
+            leadership.mark_fenced(token);
+            false
+        }
+        Err(fault) => {
+            log_event!(Info, "clock-not-read", worker = clock.name, error = fault);
+            node.metrics.count_retry("worker-clock");
+            if matches!(fault, RouteFault::Worker { .. }) {
+                lock(&leadership.schedule).mark_unreachable(&clock.name);
+            }
+            false
+        }
+    }
+}
+
+/// Builds the next poll, and what it asks for. It extends the lease, and waits, only if the worker answered
+/// the last one just before.
 fn next_poll_request(
     node: &SchedulerNode,
     leadership: &Leadership,
@@ -222,7 +247,7 @@
 ) -> (PollRequest, PollScope) {
     let mut schedule = lock(&leadership.schedule);
     let lease_until_ms = clock
-        .lease_until(node)
+        .lease_until(node, uptime_ms())
         .filter(|_| !is_unreachable && schedule.renew_lease(&clock.name, uptime_ms()));
     let watch = schedule.run_watch(&clock.name);
     let wait_ms = match watch {
--- a/crates/scheduler/tests/overlap_cases/mod.rs
+++ b/crates/scheduler/tests/overlap_cases/mod.rs
@@ -10,12 +10,14 @@
 
 /// Time between checks of the owner.
 const OWNER_PERIOD: Duration = Duration::from_millis(50);
+/// How long a worker is away that restarts; less than a poll waits.
+const AWAY: Duration = Duration::from_millis(800);
 /// Longest lease of workers, in milliseconds; more than an owner orders.
 const LONGEST_LEASE_MS: u64 = 10_000;
 
-/// A worker starts again under its name while a poll of it waits, gets a start whose lease is timed
-/// by the clock before, and falls silent.
-fn restarted_worker_falls_silent(ends_owner: bool) {
+/// A worker starts again under its name, after a time away, while a poll of it waits. It gets a start, and
+/// falls silent.
+fn restarted_worker_falls_silent(away: Duration, ends_owner: bool) {
     run_test(async {
         let traits = PlatformTraits {
             lease_max_ms: LONGEST_LEASE_MS,
@@ -40,6 +42,7 @@
         );
         let worker = polled().expect("a worker");
         fixture.fleet.crash_listed_worker(worker, false);
+        tokio::time::sleep(away).await;
         fixture.fleet.restart_unlisted_worker(worker);
         let accepted = fixture
             .submit("0000000000000002", &two_steps("work_ms=12000", 100))
@@ -61,8 +64,10 @@
 }
 
 named_cases! { restarted_worker_falls_silent:
-    worker_that_restarts_unnoticed_and_falls_silent_is_waited_for(false);
-    worker_that_restarts_unnoticed_and_falls_silent_is_waited_for_by_the_next_owner(true);
+    worker_that_restarts_unnoticed_and_falls_silent_is_waited_for(AWAY, false);
+    worker_that_restarts_unnoticed_and_falls_silent_is_waited_for_by_the_next_owner(AWAY, true);
+    worker_that_restarts_at_once_and_falls_silent_is_waited_for(Duration::ZERO, false);
+    worker_that_restarts_at_once_and_falls_silent_is_waited_for_by_the_next_owner(Duration::ZERO, true);
 }
 
 /// An owner that took over is cut off from a worker, then from the store. The next owner reaches the
