Read a worker's clock for the first start only, and count no overtaken reports

For waves: unanswered orders of two waves for one instance were repeated in the same pass, and a cordon outlived a restart of its worker under its name.

A start is not sent if the worker is known to be silent or held, or does not answer. The row is read by a task of its own. A cordon names its worker's incarnation; wave_order_test has both cases.

--- a/crates/domain/src/schedule/fleet_schedule.rs
+++ b/crates/domain/src/schedule/fleet_schedule.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Whether a worker's lease may be renewed, see [`renew_lease`](Self::renew_lease).
+    pub fn grants_lease(&self, name: &WorkerName) -> bool {
+        let status = self.workers.get(name);
+        status.is_some_and(|status| status.reachable && !status.recorded_unreachable)
+    }
+
     /// Renews a worker's lease and returns whether it did.
     ///
     /// An unreachable worker gets no renewal, so that its runs end for certain. Neither does a
@@ -185,12 +191,12 @@
     /// relies on the lease end given there.
     pub fn renew_lease(&mut self, name: &WorkerName, now_ms: u64) -> bool {
         let lease = self.lease_bound_ms();
-        let status = self.workers.get_untracked(name);
-        let Some(status) = status.filter(|status| status.reachable && !status.recorded_unreachable)
-        else {
+        if !self.grants_lease(name) {
             return false;
-        };
-        status.lease_until_ms = status.lease_until_ms.max(now_ms + lease);
+        }
+        if let Some(status) = self.workers.get_untracked(name) {
+            status.lease_until_ms = status.lease_until_ms.max(now_ms + lease);
+        }
         true
     }
 
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -259,10 +259,11 @@
         }
         self.update_workers(schedule, now_ms);
         let limit = self.remaining_orders(now_ms);
-        let mut orders = Vec::new();
+        let mut orders: Vec<InstanceOrder> = Vec::new();
         for wave in &self.waves {
             for instance in &wave.unanswered {
-                if orders.len() >= limit || !self.accepts_order(instance) {
+                let is_ordered = orders.iter().any(|order| order.instance() == instance);
+                if orders.len() >= limit || is_ordered || !self.accepts_order(instance) {
                     continue;
                 }
                 if let Some(worker) = self.worker_of(instance) {
@@ -318,7 +319,7 @@
         } = self;
         for wave in waves.iter_mut().filter(|wave| !wave.completed) {
             wave.deadline_at_risk = relocated_by_ms >= wave.deadline_ms;
-            wave.drop_earlier_cordons(instances);
+            wave.drop_earlier_cordons(instances, schedule);
             let unanswered: Vec<_> = wave.unanswered.iter().cloned().collect();
             for name in unanswered.iter().filter(|name| !in_flight.contains(*name)) {
                 let worker = instances
@@ -403,10 +404,15 @@
 
 impl WaveState {
     /// Drops the cordons of workers whose instances host others now.
-    fn drop_earlier_cordons(&mut self, instances: &FastMap<InstanceName, InstanceStatus>) {
+    fn drop_earlier_cordons(
+        &mut self,
+        instances: &FastMap<InstanceName, InstanceStatus>,
+        schedule: &FleetSchedule,
+    ) {
         self.cordons.retain(|name, cordon| {
             let status = instances.get(name);
             let worker = status.and_then(|status| status.worker.as_ref());
+            let worker = worker.and_then(|worker| schedule.worker(worker));
             worker.is_none_or(|worker| cordon.is_of(worker))
         });
     }
@@ -519,7 +525,7 @@
             }
         } else if allows_disruption || !stops.is_empty() {
             pool_cordons.admit(schedule.worker(worker));
-            let cordon = WaveCordon::new(worker, now_ms);
+            let cordon = WaveCordon::new(worker, schedule, now_ms);
             self.cordons.insert(name.clone(), cordon);
             schedule.set_cordon(worker, true);
         }
@@ -565,7 +571,7 @@
         {
             self.cordons
                 .entry(name.clone())
-                .or_insert_with(|| WaveCordon::new(worker, now_ms));
+                .or_insert_with(|| WaveCordon::new(worker, schedule, now_ms));
         }
     }
 }
--- a/crates/domain/src/schedule/mod.rs
+++ b/crates/domain/src/schedule/mod.rs
@@ -49,6 +49,7 @@
 mod trial_queue;
 mod unplaced_needs;
 mod wave_cordon;
+mod worker_clock;
 mod worker_disruption;
 mod worker_listing;
 mod worker_order;
@@ -88,6 +89,7 @@
     step_advice::AdviceRequest,
     task_name::TaskName,
     wave_cordon::LiftedCordon,
+    worker_clock::WorkerClock,
     worker_listing::{RowOutcome, WorkerRow},
     worker_order::{StartOrder, StopOrder, WorkerOrder},
     worker_status::{
--- a/crates/domain/src/schedule/placement.rs
+++ b/crates/domain/src/schedule/placement.rs
@@ -26,8 +26,8 @@
     /// start orders.
     ///
     /// Until `sole_until_ms` this was certainly the only owner. A job that was added later may
-    /// be started by another owner too, and orphaned runs that would end later may be renewed by it:
-    /// what depends on either waits until ownership is confirmed again.
+    /// be started by another owner too, and that owner may renew orphaned runs that would end
+    /// later: what depends on either waits until ownership is confirmed again.
     pub fn plan_starts(
         &mut self,
         now_ms: u64,
--- a/crates/domain/src/schedule/wave_cordon.rs
+++ b/crates/domain/src/schedule/wave_cordon.rs
@@ -24,22 +24,26 @@
 #[derive(Debug, Clone)]
 pub(super) struct WaveCordon {
     worker: WorkerName,
+    /// Start of the worker's incarnation.
+    started_ms: u64,
     since_ms: u64,
     progress_ms: u64,
 }
 
 impl WaveCordon {
-    pub(super) fn new(worker: &WorkerName, now_ms: u64) -> Self {
+    pub(super) fn new(worker: &WorkerName, schedule: &FleetSchedule, now_ms: u64) -> Self {
+        let status = schedule.worker(worker);
         Self {
             worker: worker.clone(),
+            started_ms: status.map_or(0, |status| status.listed.started_ms),
             since_ms: now_ms,
             progress_ms: now_ms,
         }
     }
 
     /// Whether it is that of this worker, and not of one that its instance hosted before.
-    pub(super) fn is_of(&self, worker: &WorkerName) -> bool {
-        self.worker == *worker
+    pub(super) fn is_of(&self, worker: &WorkerStatus) -> bool {
+        self.worker == worker.listed.name && self.started_ms == worker.listed.started_ms
     }
 
     /// Whether the tasks that end by themselves have had their time to do so.
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -193,7 +193,7 @@
     pub(super) runs_listed_ms: u64,
     /// Whether it has listed all its runs and ends to this owner at some time.
     pub(super) has_listed_all: bool,
-    /// Whether the newest stored snapshot may list it as unreachable, in whichever incarnation.
+    /// Whether the next owner may take the runs in the stored snapshot for all that it has.
     pub recorded_unreachable: bool,
     /// Whether it answered its last call.
     pub reachable: bool,
--- a/crates/domain/tests/wave_order_test.rs
+++ b/crates/domain/tests/wave_order_test.rs
@@ -7,10 +7,11 @@
     dotterelshore_domain::{
         names::{InstanceName, PoolName, WorkerName},
         schedule::{
-            FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan, ListedInstance,
-            ListedWorker, OrderRule, ReportedRun, StartOrder, WaveSpec, WorkerReport,
+            FleetSchedule, InstanceActivity, InstancePlan, ListedInstance, ListedWorker, OrderRule,
+            ReportedRun, StartOrder, WaveSpec, WorkerReport,
         },
     },
+    dotterelshore_testkit::named_cases,
     samples::{NOW_MS, WALL_MS, sample_job, sample_worker},
     start_samples::{ordered_starts, sample_step},
     std::sync::Arc,
@@ -82,23 +83,29 @@
     schedule.apply_report(&worker, &report, now_ms, WALL_MS);
 }
 
-#[test]
-fn two_waves_order_an_instance_once_at_a_time() {
+/// Two waves name the instance, and their earlier orders for it may be unanswered.
+fn instance_is_ordered_once(are_unanswered: bool) {
     let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
     host_worker(&mut schedule, "w-1", 1, NOW_MS);
     let mut plan = plan_with_waves(2);
-    let (orders, _) = plan.plan(&mut schedule, NOW_MS + 10);
-    let wave = 1;
-    let expected = InstanceOrder::Maintain {
-        instance: host(),
-        wave,
+    let orders = if are_unanswered {
+        for wave in 1..=2 {
+            plan.record_maintenance_start(&host(), wave, false, NOW_MS);
+        }
+        plan.resend_unanswered(&mut schedule, NOW_MS + 10)
+    } else {
+        plan.plan(&mut schedule, NOW_MS + 10).0
     };
-    assert_eq!(orders, [expected]);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+}
+
+named_cases! { instance_is_ordered_once:
+    two_waves_order_an_instance_once_at_a_time(false);
+    two_waves_repeat_their_order_once_at_a_time(true);
 }
 
 /// The tasks of a worker have their time to end, however long its instance was kept before.
-#[test]
-fn cordon_of_the_worker_before_drains_no_other() {
+fn cordon_drains_no_other(next: &str) {
     let mut schedule = FleetSchedule::new(OrderRule::default(), LEASE_MS, 0);
     host_worker(&mut schedule, "w-1", 1, NOW_MS);
     let job = sample_job("j-1", sample_step(1, 1_000));
@@ -110,10 +117,15 @@
     assert_eq!(orders, [], "its task has time to end");
 
     let later_ms = NOW_MS + DRAINED_MS;
-    host_worker(&mut schedule, "w-2", 2, later_ms);
+    host_worker(&mut schedule, next, 2, later_ms);
     let started = ordered_starts(&mut schedule, later_ms, WALL_MS);
     assert_eq!(started.len(), 1, "the task starts again");
-    report(&mut schedule, "w-2", 2, &started, later_ms + 10);
+    report(&mut schedule, next, 2, &started, later_ms + 10);
     let (orders, _) = plan.plan(&mut schedule, later_ms + 20);
     assert_eq!(orders, [], "its task has time to end, too");
 }
+
+named_cases! { cordon_drains_no_other:
+    cordon_of_the_worker_before_drains_no_other("w-2");
+    cordon_of_the_incarnation_before_drains_no_other("w-1");
+}
--- a/crates/scheduler/src/leading/mod.rs
+++ b/crates/scheduler/src/leading/mod.rs
@@ -1,6 +1,7 @@
 //! Work of the schedule's owner: takeover, planning, orders, recording.
 
 mod advice_task;
+mod clock_reads;
 mod crash_log;
 mod delegates;
 mod instance_calls;
@@ -13,7 +14,6 @@
 mod progress_recorder;
 mod run_log;
 mod takeover;
-mod worker_clock;
 mod worker_orders;
 mod worker_route;
 mod worker_snapshots;
--- a/crates/scheduler/src/leading/run_log.rs
+++ b/crates/scheduler/src/leading/run_log.rs
@@ -91,8 +91,8 @@
 fn label(notice: &RunNotice) -> &'static str {
     match notice {
         RunNotice::SecondRun { .. } => "second-run",
-        RunNotice::UnknownEnd { .. } => "unknown-end",
-        RunNotice::NotListed { .. } => "not-listed",
-        RunNotice::Superseded { .. } => "superseded",
+        RunNotice::UnknownEnd { .. } => "unknown-run-ended",
+        RunNotice::NotListed { .. } => "run-not-listed",
+        RunNotice::Superseded { .. } => "run-superseded",
     }
 }
--- a/crates/scheduler/src/leading/worker_orders.rs
+++ b/crates/scheduler/src/leading/worker_orders.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{
+        clock_reads::{SharedClock, read_clock},
         leadership::{Leadership, RunOrder},
-        worker_clock::WorkerClock,
         worker_route::WorkerRoute,
-        worker_task::{ListedClient, read_clock},
+        worker_task::ListedClient,
     },
     crate::node::{SchedulerNode, lock, uptime_ms},
     dotterelshore_domain::schedule::{StartOrder, StartRefusal, StartReply, StopOrder},
@@ -18,7 +18,7 @@
 pub(super) async fn deliver_orders(
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
-    clock: Arc<WorkerClock>,
+    clock: Arc<SharedClock>,
     mut client: ListedClient,
     mut orders: mpsc::UnboundedReceiver<RunOrder>,
 ) {
@@ -66,35 +66,18 @@
 async fn start_task(
     node: &SchedulerNode,
     leadership: &Leadership,
-    clock: &WorkerClock,
+    clock: &SharedClock,
     client: &WorkerRoute,
     order: &StartOrder,
 ) {
-    let is_pending = || lock(&leadership.schedule).is_start_pending(order);
-    if is_pending() && !clock.is_read(uptime_ms()) {
-        read_clock(node, leadership, clock, client).await;
-    }
-    if !is_pending() {
+    let Some(reply) = order_start(node, leadership, clock, client, order).await else {
         log_event!(Info, "start-superseded", task = order.task, run = order.run);
         return;
-    }
-    let is_admitted = lock(&leadership.schedule).admits_start(order);
-    let lease_until_ms = clock.lease_until(node, uptime_ms());
-    let reply = match lease_until_ms {
-        _ if !is_admitted => StartReply::Refused(StartRefusal::Withheld),
-        Some(until)
-            if leadership.has_authority()
-                && lock(&leadership.schedule).renew_lease(&clock.name, uptime_ms()) =>
-        {
-            client.start(order, until, leadership.token()).await
-        }
-        // The order was not sent, so the task does not run.
-        _ => StartReply::Refused(StartRefusal::Late),
     };
     match reply {
         StartReply::Started { clock_ms } => {
             node.metrics.count_start("started");
-            if !clock.agrees(clock_ms, uptime_ms()) {
+            if !clock.agrees(clock_ms) {
                 log_event!(Warn, "worker-clock-stepped", worker = order.worker);
                 clock.forget();
                 lock(&leadership.schedule).suspect_restart(&order.worker, uptime_ms());
@@ -137,3 +120,40 @@
         leadership.plan_notify.notify_one();
     }
 }
+
+/// Sends a start order whose lease is timed by a clock that was read shortly before. An order that was not sent
+/// counts as refused; `None` means that it is not valid any more.
+async fn order_start(
+    node: &SchedulerNode,
+    leadership: &Leadership,
+    clock: &SharedClock,
+    client: &WorkerRoute,
+    order: &StartOrder,
+) -> Option<StartReply> {
+    let is_pending = || lock(&leadership.schedule).is_start_pending(order);
+    if !is_pending() {
+        return None;
+    }
+    let not_sent = Some(StartReply::Refused(StartRefusal::Late));
+    if !clock.is_fresh() {
+        let grants_lease = lock(&leadership.schedule).grants_lease(&clock.name);
+        if !grants_lease || !read_clock(node, leadership, clock, client).await {
+            return not_sent;
+        }
+        if !is_pending() {
+            return None;
+        }
+    }
+    if !lock(&leadership.schedule).admits_start(order) {
+        return Some(StartReply::Refused(StartRefusal::Withheld));
+    }
+    match clock.lease_until(node) {
+        Some(until)
+            if leadership.has_authority()
+                && lock(&leadership.schedule).renew_lease(&clock.name, uptime_ms()) =>
+        {
+            Some(client.start(order, until, leadership.token()).await)
+        }
+        _ => not_sent,
+    }
+}
--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -1,9 +1,10 @@
-//! The tasks of each worker: one polls its lists of runs, one sends starts and one sends stops.
+//! The tasks of each worker: one polls its lists of runs, one sends starts and one sends stops. The one that
+//! sends starts polls too, if the worker's clock was not read shortly before.
 
 use {
     super::{
+        clock_reads::{SharedClock, apply_poll_report},
         leadership::Leadership,
-        worker_clock::WorkerClock,
         worker_orders::deliver_orders,
         worker_route::{RouteFault, WorkerRoute},
         worker_snapshots::refresh_row,
@@ -13,15 +14,14 @@
         delegation::WorkerTarget,
         node::{SchedulerNode, lock, uptime_ms},
     },
-    dotterelshore_domain::schedule::{
-        ListedWorker, PollRequest, PollScope, RunWatch, WorkerReport,
-    },
+    dotterelshore_domain::schedule::{ListedWorker, PollRequest, PollScope, RunWatch},
     dotterelshore_platform::{WorkerClient, WorkerFault},
-    dotterelshore_wire::{event_log::unix_millis, log_event},
+    dotterelshore_wire::log_event,
     std::{
         sync::{Arc, OnceLock},
         time::Duration,
     },
+    tokio::task::JoinHandle,
 };
 
 /// How long a poll of a worker's lists waits for a run to end. A worker that stops answering
@@ -48,7 +48,7 @@
     let Some(orders) = leadership.open_order_queues(&listed.name) else {
         return;
     };
-    let clock = Arc::new(WorkerClock::new(listed.name.clone()));
+    let clock = Arc::new(SharedClock::new(listed.name.clone()));
     let client = ListedClient::new(listed);
     let clone_handles = || (Arc::clone(node), Arc::clone(leadership));
     let (n, l) = clone_handles();
@@ -105,11 +105,12 @@
 async fn poll_worker(
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
-    clock: Arc<WorkerClock>,
+    clock: Arc<SharedClock>,
     mut client: ListedClient,
 ) {
     let mut is_unreachable = false;
     let mut is_rerouted = false;
+    let mut row_read: Option<JoinHandle<()>> = None;
     loop {
         let started_ms = client.listed.started_ms;
         let Some(current) = client.current(&leadership) else {
@@ -121,7 +122,7 @@
             clock.forget();
         }
         let token = leadership.token();
-        let has_clock = clock.is_read(uptime_ms());
+        let has_clock = clock.is_fresh();
         let (request, scope) = next_poll_request(&node, &leadership, &clock, token, is_unreachable);
         // Checked last: the process may have been paused before the lease was timed.
         if !leadership.has_authority() {
@@ -136,7 +137,11 @@
             Ok(report) => {
                 is_unreachable = false;
                 is_rerouted = false;
-                apply_report(&node, &leadership, &clock, number, &report).await;
+                if apply_poll_report(&leadership, &clock, number, &report)
+                    && row_read.as_ref().is_none_or(JoinHandle::is_finished)
+                {
+                    row_read = Some(read_row(&node, &leadership, &clock));
+                }
                 if request.wait_ms.is_none() {
                     leadership.plan_notify.notify_one();
                 }
@@ -158,6 +163,8 @@
                 leadership.mark_fenced(token);
                 tokio::time::sleep(POLL_RETRY_PAUSE).await;
             }
+            // The worker has answered since.
+            Err(_) if clock.is_overtaken(number) => {}
             Err(fault) => {
                 if !std::mem::replace(&mut is_unreachable, true) {
                     log_event!(Warn, "worker-silent", worker = clock.name, error = fault);
@@ -170,70 +177,17 @@
     }
 }
 
-/// Applies the report of a poll, unless that of a later poll was applied before.
-async fn apply_report(
-    node: &SchedulerNode,
-    leadership: &Leadership,
-    clock: &WorkerClock,
-    number: u64,
-    report: &WorkerReport,
-) {
-    let now_ms = uptime_ms();
-    if !clock.record_report(number, report.clock_ms, now_ms) {
-        return;
-    }
-    let (orders, lacks_row) = {
-        let mut schedule = lock(&leadership.schedule);
-        let orders = schedule.apply_report(&clock.name, report, now_ms, unix_millis());
-        (orders, schedule.lacks_current_row(&clock.name))
-    };
-    leadership.dispatch(orders);
-    if !report.finished.is_empty() {
-        leadership.record_notify.notify_one();
-        leadership.plan_notify.notify_one();
-    }
-    if lacks_row {
-        leadership.snapshot_notify.notify_one();
-        refresh_row(node, leadership, &clock.name).await;
-    }
-}
-
-/// Polls a worker beside the poll that waits there, to read its clock. Returns whether it answered.
-pub(super) async fn read_clock(
-    node: &SchedulerNode,
-    leadership: &Leadership,
-    clock: &WorkerClock,
-    route: &WorkerRoute,
-) -> bool {
-    let token = leadership.token();
-    let request = PollRequest {
-        lease_until_ms: None,
-        fencing_token: token,
-        acknowledged_end: 0,
-        wait_ms: None,
-    };
-    let scope = lock(&leadership.schedule).ends_scope(&clock.name);
-    let number = clock.begin_poll();
-    match route.poll(&request, scope).await {
-        Ok(report) => {
-            apply_report(node, leadership, clock, number, &report).await;
-            true
-        }
-        Err(RouteFault::Worker {
-            source: WorkerFault::Fenced,
-        }) => {
-            leadership.mark_fenced(token);
-            false
-        }
-        Err(fault) => {
-            log_event!(Info, "clock-not-read", worker = clock.name, error = fault);
-            node.metrics.count_retry("worker-clock");
-            if matches!(fault, RouteFault::Worker { .. }) {
-                lock(&leadership.schedule).mark_unreachable(&clock.name);
-            }
-            false
-        }
-    }
+/// Starts to read the row of a worker that reports as another incarnation.
+fn read_row(
+    node: &Arc<SchedulerNode>,
+    leadership: &Arc<Leadership>,
+    clock: &Arc<SharedClock>,
+) -> JoinHandle<()> {
+    let (node, clock) = (Arc::clone(node), Arc::clone(clock));
+    let owner = Arc::clone(leadership);
+    tokio::spawn(leadership.guard_task("worker-row", async move {
+        refresh_row(&node, &owner, &clock.name).await;
+    }))
 }
 
 /// Builds the next poll, and what it asks for. It extends the lease, and waits, only if the worker answered
@@ -241,13 +195,13 @@
 fn next_poll_request(
     node: &SchedulerNode,
     leadership: &Leadership,
-    clock: &WorkerClock,
+    clock: &SharedClock,
     token: u64,
     is_unreachable: bool,
 ) -> (PollRequest, PollScope) {
     let mut schedule = lock(&leadership.schedule);
     let lease_until_ms = clock
-        .lease_until(node, uptime_ms())
+        .lease_until(node)
         .filter(|_| !is_unreachable && schedule.renew_lease(&clock.name, uptime_ms()));
     let watch = schedule.run_watch(&clock.name);
     let wait_ms = match watch {
