Test: a late report of the life before leaves the runs of the next

The owner compared its clock with that of the start replies, took the runs for ended and started them again; their ends were acknowledged unseen.

The emulator can hold up the answers to polls alone.

--- a/crates/scheduler/tests/overlap_cases/mod.rs
+++ b/crates/scheduler/tests/overlap_cases/mod.rs
@@ -123,3 +123,33 @@
         fixture.assert_no_violations();
     });
 }
+
+/// A worker answers a poll, restarts and starts tasks before that answer arrives.
+#[rstest]
+fn late_report_of_the_life_before_leaves_runs_of_the_next() {
+    run_test(async {
+        let fixture = FleetFixture::start(1, 2).await;
+        fixture.fleet.set_worker_capacity(1, 0);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let job = two_steps("work_ms=250", 1);
+        let accepted = fixture.submit("0000000000000001", &job).await;
+        assert_eq!(accepted.status, 200);
+        let is_running = async || fixture.fleet.running() == 1;
+        assert!(fixture.wait_until(SETTLE_TIMEOUT, is_running).await);
+        // The end of the first step is reported at once, that of the second one late.
+        let hold = WorkerFaultMode::HeldReports(Duration::from_millis(500));
+        fixture.fleet.set_worker_fault_mode(0, hold);
+        let is_done = async || fixture.fleet.is_done("0000000000000001.0.1.0");
+        assert!(fixture.wait_until(SETTLE_TIMEOUT, is_done).await);
+        fixture.fleet.crash_listed_worker(0, false);
+        fixture.fleet.restart_unlisted_worker(0);
+        fixture
+            .fleet
+            .set_worker_fault_mode(0, WorkerFaultMode::None);
+        let job = two_steps("work_ms=4000", 2);
+        let accepted = fixture.submit("0000000000000002", &job).await;
+        assert_eq!(accepted.status, 200);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        fixture.assert_no_violations();
+    });
+}
