--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -7,9 +7,9 @@
         collections::FastMap,
         names::{CentreName, InstanceName, JobName, PoolName, QueueName, WorkerName},
         schedule::{
-            FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan, JobPlan, JobRecord,
-            ListedInstance, ListedWorker, OrderRule, ReportedRun, Resources, StartReply, StepPlan,
-            TaskName, WaveProgress, WaveSpec, WorkerOrder, WorkerReport,
+            EndReason, EndedRun, FleetSchedule, InstanceActivity, InstanceOrder, InstancePlan,
+            JobPlan, JobRecord, ListedInstance, ListedWorker, OrderRule, ReportedRun, Resources,
+            StartReply, StepPlan, TaskName, WaveProgress, WaveSpec, WorkerOrder, WorkerReport,
         },
     },
     dotterelshore_testkit::named_cases,
@@ -216,10 +216,11 @@
         }
     }
 
-    /// Resends unanswered orders and carries them out.
-    fn resend_unanswered(&mut self) {
+    /// Resends unanswered orders, carries them out and returns them.
+    fn resend_unanswered(&mut self) -> Vec<InstanceOrder> {
         let orders = self.plan.resend_unanswered(&mut self.schedule, self.now_ms);
         self.carry_out(&orders);
+        orders
     }
 
     /// Makes one plan, carries it out and returns its orders for instances.
@@ -1152,3 +1153,105 @@
     let status = fleet.schedule.worker(&worker).expect("the worker");
     assert!(status.accepts_tasks(fleet.now_ms), "it answers");
 }
+
+/// Returns an unfinished wave whose order for the first instance of two got no answer.
+fn unanswered_wave() -> WaveProgress {
+    WaveProgress {
+        number: 1,
+        started: Vec::new(),
+        unconfirmed: vec![host_name(0)],
+        completed: false,
+        since_wall_ms: WALL_MS,
+    }
+}
+
+/// A wave orders no maintenance while its worker runs a task that ends by itself: the end, and that
+/// the task is done, would be lost.
+fn wave_disrupts_no_open_run(recorded: Option<&WaveProgress>) {
+    let mut fleet = SimulatedFleet::new(2, 0);
+    fleet.send_reports(&[]);
+    fleet
+        .schedule
+        .add_job(job("finite", step(4, 16_000)), None, 0, NOW_MS, WALL_MS);
+    fleet.start_tasks();
+    fleet.send_reports(&[]);
+    fleet
+        .plan
+        .add_wave(wave(2, 1), recorded, fleet.now_ms, WALL_MS);
+    for _ in 0..200 {
+        let runs: FastMap<_, _> = fleet
+            .schedule
+            .workers()
+            .map(|status| (status.listed.instance.clone(), status.runs.len()))
+            .collect();
+        let mut orders = fleet.resend_unanswered();
+        orders.extend(fleet.step());
+        for order in orders {
+            let open = runs.get(&Some(order.instance().clone()));
+            assert_eq!(open.copied().unwrap_or_default(), 0, "{order:?}");
+        }
+    }
+    assert!(fleet.maintained >= 2, "{} maintained", fleet.maintained);
+}
+
+named_cases! { wave_disrupts_no_open_run:
+    late_wave_stops_tasks_before_maintenance(None);
+    unanswered_order_is_not_resent_beside_open_runs(Some(&unanswered_wave()));
+}
+
+/// A worker's instance is not ordered into maintenance while an end that it listed is not recorded:
+/// the next owner could not read it any more.
+fn maintenance_waits_for_record(is_recorded: bool) {
+    let mut fleet = SimulatedFleet::new(1, 0);
+    fleet.send_reports(&[]);
+    fleet
+        .schedule
+        .add_job(job("finite", step(2, 16_000)), None, 0, NOW_MS, WALL_MS);
+    fleet.start_tasks();
+    let worker = worker_name(0, 1);
+    let status = fleet.schedule.worker(&worker).expect("the worker");
+    let runs: Vec<_> = status.runs.iter().cloned().collect();
+    let ended = (1..).zip(runs).map(|(number, (task, run))| EndedRun {
+        number,
+        task,
+        run,
+        reason: EndReason::Done,
+        checkpoint: Arc::from(""),
+    });
+    let report = WorkerReport {
+        clock_ms: fleet.now_ms,
+        finished: ended.collect(),
+        ..WorkerReport::default()
+    };
+    fleet
+        .schedule
+        .apply_report(&worker, &report, fleet.now_ms, WALL_MS);
+    if is_recorded {
+        let batch = fleet.schedule.take_progress_batch();
+        fleet.schedule.mark_progress_recorded(&batch);
+    }
+    fleet.plan.add_wave(wave(1, 1), None, fleet.now_ms, WALL_MS);
+    let (orders, _) = fleet.plan.plan(&mut fleet.schedule, fleet.now_ms);
+    assert_eq!(orders.len(), usize::from(is_recorded));
+}
+
+named_cases! { maintenance_waits_for_record:
+    instance_with_an_unrecorded_end_is_not_maintained(false);
+    instance_with_recorded_ends_is_maintained(true);
+}
+
+/// Two waves that name an idle instance order it one after the other.
+#[test]
+fn waves_order_an_instance_once_at_a_time() {
+    let mut fleet = SimulatedFleet::new(1, 0);
+    fleet.send_reports(&[]);
+    for number in [1, 2] {
+        let spec = WaveSpec {
+            number,
+            ..wave(1, 1)
+        };
+        fleet.plan.add_wave(spec, None, fleet.now_ms, WALL_MS);
+    }
+    let (orders, _) = fleet.plan.plan(&mut fleet.schedule, fleet.now_ms);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+}
