--- a/crates/domain/tests/instance_plan_test.rs
+++ b/crates/domain/tests/instance_plan_test.rs
@@ -1255,3 +1255,44 @@
     let (orders, _) = fleet.plan.plan(&mut fleet.schedule, fleet.now_ms);
     assert_eq!(orders.len(), 1, "{orders:?}");
 }
+
+/// A worker that comes up while a wave still waits for its instance has its own time to end its
+/// tasks, however long the one before was cordoned.
+fn wave_drains_each_worker(is_replaced: bool) {
+    let mut fleet = SimulatedFleet::new(2, 0);
+    fleet.send_reports(&[]);
+    fleet
+        .schedule
+        .add_job(job("finite", step(4, 30_000)), None, 0, NOW_MS, WALL_MS);
+    fleet.start_tasks();
+    let spec = WaveSpec {
+        duration_ms: 0,
+        instances: vec![host_name(0)],
+        ..wave(1, 1)
+    };
+    fleet.plan.add_wave(spec, None, fleet.now_ms, WALL_MS);
+    let is_drained = |fleet: &mut SimulatedFleet| {
+        fleet.now_ms += STEP_MS;
+        let (orders, stops) = fleet.plan.plan(&mut fleet.schedule, fleet.now_ms);
+        !orders.is_empty() || !stops.is_empty()
+    };
+    for _ in 0..14 {
+        assert!(!is_drained(&mut fleet), "the first worker has time left");
+    }
+    if is_replaced {
+        fleet
+            .schedule
+            .unlist_worker(&worker_name(0, 1), fleet.now_ms);
+        fleet.pools[0].1 = 2;
+        fleet.start_worker(0);
+        fleet.send_reports(&[]);
+        fleet.start_tasks();
+    }
+    let drained = (0..10).any(|_| is_drained(&mut fleet));
+    assert_eq!(drained, !is_replaced, "within 3.6 s");
+}
+
+named_cases! { wave_drains_each_worker:
+    cordoned_worker_is_drained_in_time(false);
+    next_worker_is_not_drained_by_an_earlier_cordon(true);
+}
