Order maintenance only once the ends of runs are recorded

An order for maintenance ended runs that could end by themselves meanwhile. Now the tasks that outlast a cordon's time are stopped, and the order, also one that is sent again, waits until the worker runs only tasks that last and all its listed ends are recorded.

A cordon counts only while its worker gets no tasks. Before, a worker that came up after another wave's maintenance of its instance counted as drained by the cordon of the one before, and was disrupted within two seconds, full of new runs. Two waves no longer order an instance in the same pass.

--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -248,7 +248,7 @@
     }
 
     /// Returns the unanswered maintenance orders to resend: those for instances that may be
-    /// disrupted now, in case the first order was not carried out.
+    /// disrupted now without losing the end of a run, in case the first order was not carried out.
     pub fn resend_unanswered(
         &mut self,
         schedule: &mut FleetSchedule,
@@ -266,7 +266,7 @@
                     continue;
                 }
                 if let Some(worker) = self.worker_of(instance) {
-                    if !schedule.allows_disruption(worker) {
+                    if !schedule.allows_disruption(worker) || !schedule.has_settled_runs(worker) {
                         continue;
                     }
                     // The worker's tasks count as unavailable from here, so that another
@@ -317,13 +317,17 @@
             ..
         } = self;
         for wave in waves.iter_mut().filter(|wave| !wave.completed) {
+            wave.retain_cordons(instances, schedule);
             wave.deadline_at_risk = relocated_by_ms >= wave.deadline_ms;
             let unanswered: Vec<_> = wave.unanswered.iter().cloned().collect();
             for name in unanswered.iter().filter(|name| !in_flight.contains(*name)) {
                 let worker = instances
                     .get(name)
                     .and_then(|status| status.worker.as_ref());
-                if let Some(worker) = worker.filter(|worker| !schedule.allows_disruption(worker)) {
+                let may_be_ordered = |worker: &&WorkerName| {
+                    schedule.allows_disruption(worker) && schedule.has_settled_runs(worker)
+                };
+                if let Some(worker) = worker.filter(|worker| !may_be_ordered(worker)) {
                     // Its order has cordoned it.
                     wave.keep_cordon(name, worker, schedule, now_ms);
                     stops.extend(wave.drain(name, worker, schedule, &mut pool_cordons, now_ms));
@@ -334,7 +338,13 @@
                 if room == 0 {
                     break;
                 }
-                if wave.is_ready(&name, worker.as_ref(), schedule, now_ms) {
+                if orders
+                    .iter()
+                    .any(|order: &InstanceOrder| *order.instance() == name)
+                {
+                    continue;
+                }
+                if wave.is_ready(worker.as_ref(), schedule, now_ms) {
                     if orders.len() >= limit {
                         break;
                     }
@@ -433,28 +443,33 @@
         pending.map(|(_, _, name, worker)| (name, worker)).collect()
     }
 
+    /// Drops the cordons whose worker gets tasks again, or was replaced by one that does.
+    fn retain_cordons(
+        &mut self,
+        instances: &FastMap<InstanceName, InstanceStatus>,
+        schedule: &FleetSchedule,
+    ) {
+        self.cordons.retain(|name, _| {
+            let worker = instances.get(name).and_then(|own| own.worker.as_ref());
+            let status = worker.and_then(|worker| schedule.worker(worker));
+            status.is_some_and(|status| status.cordoned)
+        });
+    }
+
     /// Whether an instance may be disrupted now. Its worker has to be reachable, its
     /// long-running tasks have to be within the limits of their steps, and its other tasks
-    /// have to be done or have had their time to end.
-    fn is_ready(
-        &self,
-        name: &InstanceName,
-        worker: Option<&WorkerName>,
-        schedule: &FleetSchedule,
-        now_ms: u64,
-    ) -> bool {
+    /// have to be done or stopped, with their ends recorded.
+    fn is_ready(&self, worker: Option<&WorkerName>, schedule: &FleetSchedule, now_ms: u64) -> bool {
         let Some(worker) = worker else {
             return true;
         };
         let reachable = schedule
             .worker(worker)
             .is_none_or(|status| status.reachable);
-        let cordon = self.cordons.get(name);
-        let timed_out = cordon.is_some_and(|cordon| cordon.is_drained(now_ms));
         reachable
             && schedule.allows_disruption(worker)
             && !self.relocates_first(worker, schedule, now_ms)
-            && (timed_out || schedule.runs_only_long_running(worker))
+            && schedule.has_settled_runs(worker)
     }
 
     /// Whether a worker's tasks are stopped and start elsewhere before its instance is disrupted,
@@ -465,7 +480,8 @@
     }
 
     /// Stops long-running tasks on an instance's worker within the limits of their steps, and cordons
-    /// the worker if that brings its disruption closer and not too many are being drained.
+    /// the worker if that brings its disruption closer and not too many are being drained. Tasks that
+    /// have not ended by themselves after some time are stopped too.
     ///
     /// In the first phase, a worker that runs nothing else is drained as soon as one of its
     /// tasks may be unavailable: these tasks have to move once in any case, and few of a step
@@ -494,10 +510,14 @@
         {
             return Vec::new();
         }
-        let stops = if allows_disruption {
-            Vec::new()
-        } else {
-            schedule.drain_worker(worker, now_ms)
+        let is_drained = self
+            .cordons
+            .get(name)
+            .is_some_and(|cordon| cordon.is_drained(now_ms));
+        let stops = match (allows_disruption, is_drained) {
+            (false, _) => schedule.drain_worker(worker, now_ms),
+            (true, true) => schedule.stop_finite_runs(worker, now_ms),
+            (true, false) => Vec::new(),
         };
         if let Some(cordon) = self.cordons.get_mut(name) {
             if !stops.is_empty() || allows_disruption && !cordon.is_drained(now_ms) {
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -78,6 +78,35 @@
             .is_none_or(|status| status.tasks().all(long_running))
     }
 
+    /// Whether an order for a worker's instance loses no end of a run: none of its runs may end by
+    /// itself, and all ends that it listed are recorded.
+    pub(super) fn has_settled_runs(&self, name: &WorkerName) -> bool {
+        let status = self.workers.get(name);
+        status.is_none_or(WorkerStatus::has_recorded_ends) && self.runs_only_long_running(name)
+    }
+
+    /// Stops the tasks on a worker that end by themselves, so that the ends of their runs are listed
+    /// before its instance is disrupted.
+    pub(super) fn stop_finite_runs(&mut self, name: &WorkerName, now_ms: u64) -> Vec<WorkerOrder> {
+        let Some(status) = self.workers.get(name).filter(|status| status.reachable) else {
+            return Vec::new();
+        };
+        let mut orders = Vec::new();
+        for (task, number) in &status.runs {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            if job.record.plan.steps[usize::from(task.step)].long_running {
+                continue;
+            }
+            let run = job.task_mut(task).and_then(|t| t.run_on_mut(name, *number));
+            if let Some(run) = run.filter(|run| !run.is_stopping()) {
+                orders.push(run.stop(task, now_ms));
+            }
+        }
+        orders
+    }
+
     /// Whether a worker's instance may be disrupted. This requires that its runs are known and
     /// that no long-running step would exceed its limit of unavailable tasks, counting those
     /// that are unavailable for any other reason.
--- a/crates/domain/src/schedule/worker_status.rs
+++ b/crates/domain/src/schedule/worker_status.rs
@@ -309,7 +309,12 @@
     /// Whether it does not answer, has no other runs than those known, and has listed no end that
     /// is not recorded: the next owner would start its task again.
     pub(super) fn is_silent_with_known_runs(&self, now_ms: u64) -> bool {
-        !self.reachable && !self.may_have_orphans(now_ms) && self.applied_end <= self.recorded_end
+        !self.reachable && !self.may_have_orphans(now_ms) && self.has_recorded_ends()
+    }
+
+    /// Whether all ends that it listed are recorded.
+    pub(super) fn has_recorded_ends(&self) -> bool {
+        self.applied_end <= self.recorded_end
     }
 
     /// Notes that a run end of a job was applied.
