Model test: records kept as the product does, and combined faults

A new fault cuts a worker off while writes get no answer and the owner ends.

Seeds 492, 783, 1050 and 1653 of 'combined faults alone', and 2307 of 'combined faults', failed on with 'started after an end that counts': the end was in a batch whose write was open as the owner left. The draws of the profiles before are as they were.

--- a/crates/domain/tests/schedule_model/fault_plan.rs
+++ b/crates/domain/tests/schedule_model/fault_plan.rs
@@ -17,6 +17,8 @@
 const SLOTS: u64 = 4;
 /// Shortest time between two silences of the watches of workers, in milliseconds.
 const WATCH_PAUSE_MS: u64 = 2_500;
+/// Shortest time between two sets of combined faults, in milliseconds.
+const COMBINED_PAUSE_MS: u64 = 2_500;
 /// How far the clock of a worker is set back, in milliseconds.
 const CLOCK_STEP_MS: u64 = 20_000;
 
@@ -127,6 +129,9 @@
         if self.profile.has_stale_rows && self.now_ms < self.faults_until_ms {
             self.restart_behind_silent_watch();
         }
+        if self.profile.has_combined_faults && self.now_ms < self.faults_until_ms {
+            self.combine_faults();
+        }
         let is_quiet = !self.profile.has_faults || self.now_ms >= self.faults_until_ms;
         match self.draw(0..14) {
             _ if is_quiet => self.drain_worker(),
@@ -273,6 +278,106 @@
         self.list_later(listed, life, duration_ms);
     }
 
+    /// Cuts a worker off while it is unlisted for a time or restarts, the store is slow to write, and
+    /// the owner ends.
+    fn combine_faults(&mut self) {
+        if self.now_ms < self.windows.combined {
+            return;
+        }
+        let (slot, name) = self.draw_worker();
+        let process = self.workers.get(&name);
+        let Some((listed, life)) = process.map(|process| (process.listed.clone(), process.life))
+        else {
+            return;
+        };
+        let row = self.store.workers.get(&name);
+        if self.is_store_out() || row.is_none_or(|row| row.listed != listed) {
+            return;
+        }
+        if self.chance(0.5) {
+            self.hand_over_beside_open_writes(name);
+            return;
+        }
+        let (cut_ms, duration_ms) = (self.draw(0..1_500), self.draw(600..7_000));
+        self.windows.combined = self.now_ms + cut_ms + duration_ms + COMBINED_PAUSE_MS;
+        let cut_name = name.clone();
+        self.after(cut_ms, move |model| model.cut_named(cut_name, duration_ms));
+        if self.chance(0.2) {
+            let end_ms = cut_ms + self.draw(0..duration_ms);
+            let restart_ms = self.draw(100..duration_ms);
+            let name = name.clone();
+            self.after(end_ms, move |model| {
+                model.restart_named(slot, &name, life, restart_ms);
+            });
+        } else if self.chance(0.5) {
+            let text = format!("fault: {name} is unlisted");
+            self.oracle.record_fault(cut_ms + duration_ms, text);
+            self.change_store(StoreChange::WorkerUnlisted(name.clone()));
+            let delay_ms = (cut_ms + duration_ms + self.draw(0..1_000)).saturating_sub(400);
+            self.list_later(listed, life, delay_ms);
+        }
+        if self.chance(0.7) {
+            let delay_ms = self.draw(0..cut_ms + duration_ms);
+            let (stuck_ms, of_progress) = (self.draw(500..3_500), self.chance(0.5));
+            self.after(delay_ms, move |model| {
+                model.keep_writes_open(stuck_ms, of_progress);
+            });
+        }
+        let delay_ms = cut_ms + 400 + self.draw(0..duration_ms + 500);
+        self.after(delay_ms, move |model| model.end_owner_beside(name));
+    }
+
+    /// Cuts a worker off and then shuts the owner down, while writes of progress get no answer.
+    fn hand_over_beside_open_writes(&mut self, name: WorkerName) {
+        let (stuck_ms, cut_ms) = (self.draw(1_500..3_000), self.draw(200..1_200));
+        let duration_ms = self.draw(1_300..3_300);
+        self.windows.combined = self.now_ms + cut_ms + duration_ms + COMBINED_PAUSE_MS;
+        self.keep_writes_open(stuck_ms, true);
+        self.after(cut_ms, move |model| model.cut_named(name, duration_ms));
+        let stop_ms = cut_ms + self.draw(400..2_500);
+        self.after(stop_ms, Self::stop_owner);
+    }
+
+    fn keep_writes_open(&mut self, duration_ms: u64, of_progress: bool) {
+        let text = format!("fault: writes get no answer for {duration_ms} ms");
+        self.oracle.record_fault(duration_ms, text);
+        self.windows.stuck_writes = self.now_ms + duration_ms;
+        self.windows.is_stuck_progress_only = of_progress;
+    }
+
+    fn cut_named(&mut self, name: WorkerName, duration_ms: u64) {
+        let text = format!("fault: {name} is cut off for {duration_ms} ms");
+        self.oracle.record_fault(duration_ms, text);
+        let until_ms = self.cut_until_ms.get(&name).copied().unwrap_or_default();
+        let until_ms = until_ms.max(self.now_ms + duration_ms);
+        self.cut_until_ms.insert(name, until_ms);
+    }
+
+    /// Ends an incarnation, and starts the next one under its name.
+    fn restart_named(&mut self, slot: u64, name: &WorkerName, life: u64, restart_ms: u64) {
+        if !self.is_alive(name, life) {
+            return;
+        }
+        self.end_worker(name);
+        let text = format!("fault: {name} restarts in {restart_ms} ms");
+        self.oracle.record_fault(restart_ms, text);
+        let name = name.clone();
+        self.after(restart_ms, move |model| model.start_worker(slot, &name));
+    }
+
+    /// Ends the owner, in many cases while a worker is cut off again.
+    fn end_owner_beside(&mut self, name: WorkerName) {
+        if self.chance(0.5) {
+            let cut_ms = self.draw(500..4_000);
+            self.cut_named(name, cut_ms);
+        }
+        match self.draw(0..4) {
+            0 | 1 => self.stop_owner(),
+            2 => self.kill_owner(),
+            _ => self.freeze_owner(),
+        }
+    }
+
     /// Cuts a worker off for a while.
     fn cut_worker(&mut self) {
         let (_, name) = self.draw_worker();
--- a/crates/domain/tests/schedule_model/fleet_model.rs
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -34,6 +34,10 @@
 
 /// Which faults are injected, and how strictly the oracle counts.
 #[derive(Debug, Clone, Copy)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is an independent kind of fault"
+)]
 pub(crate) struct FaultProfile {
     /// Whether processes, links and the store fail.
     pub(crate) has_faults: bool,
@@ -45,6 +49,12 @@
     /// Whether workers restart while the owner's watch of their rows is silent, some of them with
     /// their clocks set back.
     pub(crate) has_stale_rows: bool,
+    /// Whether owners keep their records as the product does: progress in several chains, snapshots in
+    /// shards, and no answer to a write that is open when they end.
+    pub(crate) has_product_records: bool,
+    /// Whether workers are cut off while they are unlisted or restart, writes to the store get no
+    /// answer and owners end.
+    pub(crate) has_combined_faults: bool,
     /// Time after a fault from which the oracle's bounds count, in milliseconds.
     pub(crate) stable_window_ms: u64,
 }
@@ -58,6 +68,12 @@
     pub(super) store: u64,
     /// Until then the owners' watches of the workers' rows deliver nothing.
     pub(super) worker_watch: u64,
+    /// Until then no other faults are combined.
+    pub(super) combined: u64,
+    /// Until then writes to the store get no answer, whether or not they take effect.
+    pub(super) stuck_writes: u64,
+    /// Whether these are only those of progress.
+    pub(super) is_stuck_progress_only: bool,
     /// Until then the store answers nothing.
     pub(super) outage: u64,
 }
--- a/crates/domain/tests/schedule_model/mod.rs
+++ b/crates/domain/tests/schedule_model/mod.rs
@@ -10,6 +10,7 @@
 mod owner_storage;
 mod ownership;
 mod run_oracle;
+mod sharded_storage;
 mod store_model;
 mod takeover;
 mod worker_calls;
--- a/crates/domain/tests/schedule_model/owner_process.rs
+++ b/crates/domain/tests/schedule_model/owner_process.rs
@@ -3,7 +3,7 @@
 use {
     dotterelshore_domain::{
         names::WorkerName,
-        schedule::{FleetSchedule, StartOrder, StopOrder},
+        schedule::{FleetSchedule, StartOrder, StopOrder, StoredSnapshots},
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
@@ -45,6 +45,9 @@
     pub(super) stored: Option<BTreeSet<(WorkerName, bool)>>,
     pub(super) is_busy: bool,
     pub(super) is_notified: bool,
+    /// The shards that are stored, if the snapshots are stored in shards.
+    pub(super) shards: StoredSnapshots,
+    pub(super) is_check_due: bool,
 }
 
 /// A process from its claim on.
--- a/crates/domain/tests/schedule_model/owner_storage.rs
+++ b/crates/domain/tests/schedule_model/owner_storage.rs
@@ -23,6 +23,12 @@
 const WRITE_TIMEOUT_MS: u64 = 600;
 /// Longest delay of a write without an answer, in milliseconds.
 const LATE_WRITE_MS: u64 = 5_000;
+/// Share of the writes that take some hundred milliseconds.
+const SLOW_WRITES: f64 = 0.25;
+/// Share of the writes that get no answer while some do not.
+const STUCK_WRITES: f64 = 0.7;
+/// Share of the writes that an owner which ends has not sent.
+const UNSENT_WRITES: f64 = 0.3;
 
 impl FleetModel {
     /// Commits an owner's write and tells whether it is known to have taken effect.
@@ -33,8 +39,27 @@
         then: impl FnOnce(&mut Self, bool) + 'static,
     ) {
         let expecting = self.store.expect(write, self.owners[owner].token);
+        let is_final = self.owners[owner].is_ended;
+        let then = move |model: &mut Self, applied| {
+            if !model.is_aborted(owner, is_final) {
+                then(model, applied);
+            }
+        };
         let is_lossy = self.now_ms < self.windows.store;
         let lot = if is_lossy { self.draw(0..100) } else { 100 };
+        let is_of_stuck_kind =
+            expecting.write.is_progress() || !self.windows.is_stuck_progress_only;
+        let is_stuck = self.now_ms < self.windows.stuck_writes && is_of_stuck_kind;
+        if is_stuck && self.chance(STUCK_WRITES) {
+            if self.chance(0.5) {
+                let delay_ms = self.draw(2..LATE_WRITE_MS);
+                self.after(delay_ms, move |model| {
+                    model.store.apply(expecting);
+                });
+            }
+            self.after_in_owner(owner, WRITE_TIMEOUT_MS, move |model| then(model, false));
+            return;
+        }
         if self.is_store_out() || lot < 8 {
             let delay_ms = self.draw(5..WRITE_TIMEOUT_MS);
             self.after_in_owner(owner, delay_ms, move |model| then(model, false));
@@ -51,14 +76,23 @@
             } else {
                 self.draw(2..15)
             };
-            let delay_ms = self.draw(2..15);
+            let is_slow = self.profile.has_product_records && self.chance(SLOW_WRITES);
+            let delay_ms = self.draw(if is_slow { 15..400 } else { 2..15 });
             self.after(delay_ms, move |model| {
+                if model.is_aborted(owner, is_final) && model.chance(UNSENT_WRITES) {
+                    return;
+                }
                 let applied = model.store.apply(expecting);
                 model.after_in_owner(owner, answer_ms, move |model| then(model, applied));
             });
         }
     }
 
+    /// Whether a write was open when its owner ended its tasks, so that nothing follows from its answer.
+    fn is_aborted(&self, owner: usize, is_final: bool) -> bool {
+        self.profile.has_product_records && !is_final && self.owners[owner].is_ended
+    }
+
     /// Wakes the task that records progress.
     pub(super) fn notify_recorder(&mut self, owner: usize) {
         let now_ms = self.now_ms;
@@ -121,6 +155,10 @@
         owner: usize,
         then: impl FnOnce(&mut Self, bool) + 'static,
     ) {
+        if self.profile.has_product_records {
+            self.record_in_chains(owner, Box::new(then));
+            return;
+        }
         let batch = self.owners[owner].schedule.take_progress_batch();
         let write = OwnerWrite::Progress(batch.records.clone());
         self.commit(owner, write, move |model, recorded| {
@@ -158,6 +196,10 @@
         if !self.owners[owner].leads() {
             return;
         }
+        if self.profile.has_product_records {
+            self.check_shards(owner);
+            return;
+        }
         let snapshots = self.worker_snapshots(owner);
         let names: BTreeSet<_> = snapshots
             .iter()
@@ -289,7 +331,9 @@
                 _ => {}
             }
         }
-        if is_listed {
+        if is_listed && self.profile.has_product_records {
+            self.notify_shards(owner);
+        } else if is_listed {
             self.check_snapshots(owner);
         }
         self.notify_planner(owner);
--- a/crates/domain/tests/schedule_model/ownership.rs
+++ b/crates/domain/tests/schedule_model/ownership.rs
@@ -166,15 +166,20 @@
             self.release(owner);
             return;
         };
+        let hand_over = move |model: &mut Self, _| {
+            let handover = OwnerWrite::Handover {
+                term: model.owners[owner].term,
+                orphans_left_ms,
+            };
+            model.commit(owner, handover, move |model, _| model.release(owner));
+        };
         self.record_progress(owner, move |model, _| {
-            let snapshots = model.worker_snapshots(owner);
-            model.store_snapshots(owner, snapshots, move |model, _| {
-                let handover = OwnerWrite::Handover {
-                    term: model.owners[owner].term,
-                    orphans_left_ms,
-                };
-                model.commit(owner, handover, move |model, _| model.release(owner));
-            });
+            if model.profile.has_product_records {
+                model.store_all_shards(owner, Box::new(hand_over));
+            } else {
+                let snapshots = model.worker_snapshots(owner);
+                model.store_snapshots(owner, snapshots, hand_over);
+            }
         });
     }
 
--- a/crates/domain/tests/schedule_model/store_model.rs
+++ b/crates/domain/tests/schedule_model/store_model.rs
@@ -3,11 +3,16 @@
 use {
     dotterelshore_domain::{
         names::{JobName, WorkerName},
-        schedule::{JobRecord, ListedWorker, ProgressRecord, WorkerRow, WorkerSnapshot},
+        schedule::{
+            JobRecord, ListedWorker, ProgressRecord, SnapshotShard, WorkerRow, WorkerSnapshot,
+        },
     },
     std::collections::BTreeMap,
 };
 
+/// Chains for the progress of jobs.
+pub(super) const PROGRESS_CHAINS: usize = 4;
+
 /// A change that watches deliver.
 #[derive(Debug, Clone)]
 pub(super) enum StoreChange {
@@ -21,14 +26,29 @@
 #[derive(Debug, Clone)]
 pub(super) enum OwnerWrite {
     Progress(Vec<(JobName, ProgressRecord)>),
+    /// Progress in one of several chains, by its number.
+    ChainedProgress(usize, Vec<(JobName, ProgressRecord)>),
     Snapshots(Vec<WorkerSnapshot>),
-    Handover { term: u32, orphans_left_ms: u64 },
+    /// The snapshots of the workers in some shards.
+    Shards(Vec<SnapshotShard>, Vec<WorkerSnapshot>),
+    Handover {
+        term: u32,
+        orphans_left_ms: u64,
+    },
 }
 
 impl OwnerWrite {
+    pub(super) fn is_progress(&self) -> bool {
+        matches!(self, Self::Progress(_) | Self::ChainedProgress(..))
+    }
+
     /// The index of the chain in which the write is ordered.
     fn chain(&self) -> usize {
-        usize::from(matches!(self, Self::Progress(_)))
+        match self {
+            Self::Snapshots(_) | Self::Shards(..) | Self::Handover { .. } => 0,
+            Self::Progress(_) => 1,
+            Self::ChainedProgress(number, _) => 1 + number,
+        }
     }
 }
 
@@ -60,7 +80,7 @@
     pub(super) snapshots: Vec<WorkerSnapshot>,
     pub(super) handover: Option<(u32, u64)>,
     changes: Vec<(u64, StoreChange)>,
-    chain_revisions: [u64; 2],
+    chain_revisions: [u64; 1 + PROGRESS_CHAINS],
 }
 
 impl StoreModel {
@@ -126,8 +146,17 @@
         self.revision += 1;
         *chain_revision = self.revision;
         match expecting.write {
-            OwnerWrite::Progress(records) => self.progress.extend(records),
+            OwnerWrite::Progress(records) | OwnerWrite::ChainedProgress(_, records) => {
+                self.progress.extend(records);
+            }
             OwnerWrite::Snapshots(snapshots) => self.snapshots = snapshots,
+            OwnerWrite::Shards(shards, snapshots) => {
+                let is_kept = |known: &WorkerSnapshot| {
+                    !shards.contains(&SnapshotShard::of_worker(&known.listed.name))
+                };
+                self.snapshots.retain(is_kept);
+                self.snapshots.extend(snapshots);
+            }
             OwnerWrite::Handover {
                 term,
                 orphans_left_ms,
--- a/crates/domain/tests/schedule_model/worker_tasks.rs
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -213,6 +213,9 @@
             if known.is_some_and(|known| known.listed.started_ms == row.listed.started_ms) {
                 schedule.apply_row(row);
                 model.notify_planner(owner);
+                if model.profile.has_product_records {
+                    model.notify_shards(owner);
+                }
             }
         });
     }
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -2,7 +2,8 @@
 //! fail, calls that are lost or late. Checks the rules that workers observe.
 //!
 //! To run other seeds: `DOTTERELSHORE_MODEL_SEEDS=1000-2999 cargo test -p dotterelshore-domain
-//! --test schedule_model_test -- --ignored`.
+//! --test schedule_model_test -- --ignored`. `DOTTERELSHORE_MODEL_PROFILE` names the only profile to
+//! play, such as `combined faults`.
 
 mod schedule_model;
 
@@ -14,12 +15,17 @@
 /// Environment variable with the seeds of a manual run, as FIRST-LAST.
 const SEEDS_VARIABLE: &str = "DOTTERELSHORE_MODEL_SEEDS";
 
+/// Environment variable with the only profile of a manual run, if not all are played.
+const PROFILE_VARIABLE: &str = "DOTTERELSHORE_MODEL_PROFILE";
+
 /// Faults of processes, links and the store.
 const MIXED_FAULTS: FaultProfile = FaultProfile {
     has_faults: true,
     late_orders: 0.0,
     culprits: 0.0,
     has_stale_rows: false,
+    has_product_records: false,
+    has_combined_faults: false,
     stable_window_ms: 3_000,
 };
 /// The same beside late orders.
@@ -57,6 +63,28 @@
     ..STALE_ROWS
 };
 
+/// Owners that keep their records as the product does, beside faults.
+const PRODUCT_RECORDS: FaultProfile = FaultProfile {
+    has_product_records: true,
+    ..MIXED_FAULTS
+};
+/// The same, with workers that restart behind silent watches.
+const PRODUCT_RECORDS_AND_STALE_ROWS: FaultProfile = FaultProfile {
+    has_stale_rows: true,
+    ..PRODUCT_RECORDS
+};
+/// Workers that are cut off while other faults act, beside all these.
+const COMBINED_FAULTS: FaultProfile = FaultProfile {
+    has_combined_faults: true,
+    ..PRODUCT_RECORDS
+};
+
+/// The same without faults of their own.
+const COMBINED_FAULTS_ALONE: FaultProfile = FaultProfile {
+    has_faults: false,
+    ..COMBINED_FAULTS
+};
+
 /// Plays the seeds and returns the first violation of each that fails.
 fn failures(profile: FaultProfile, first: u64, last: u64) -> Vec<(u64, String)> {
     (first..=last)
@@ -81,6 +109,15 @@
     runs_behind_an_older_row_are_kept_1(STALE_ROWS, 84, 84);
     runs_behind_an_older_row_are_kept_2(STALE_ROWS, 89, 89);
     rules_hold_behind_stale_rows_and_faults(STALE_ROWS_AND_FAULTS, 1, 15);
+    rules_hold_with_product_records(PRODUCT_RECORDS, 1, 15);
+    rules_hold_with_product_records_and_stale_rows(PRODUCT_RECORDS_AND_STALE_ROWS, 1, 15);
+    rules_hold_under_combined_faults(COMBINED_FAULTS, 1, 15);
+    rules_hold_under_combined_faults_alone(COMBINED_FAULTS_ALONE, 1, 15);
+    end_of_an_aborted_record_is_not_lost_1(COMBINED_FAULTS_ALONE, 492, 492);
+    end_of_an_aborted_record_is_not_lost_2(COMBINED_FAULTS_ALONE, 783, 783);
+    end_of_an_aborted_record_is_not_lost_3(COMBINED_FAULTS_ALONE, 1050, 1050);
+    end_of_an_aborted_record_is_not_lost_4(COMBINED_FAULTS_ALONE, 1653, 1653);
+    end_of_an_aborted_record_is_not_lost_5(COMBINED_FAULTS, 2307, 2307);
     rules_hold_beside_culprits(CULPRITS, 1, 15);
     rules_hold_beside_culprits_and_faults(CULPRITS_AND_FAULTS, 6, 20);
     crashes_that_no_owner_could_record_count_1(CULPRITS_AND_FAULTS, 5, 5);
@@ -112,6 +149,7 @@
     mixed_faults_are_reproducible(MIXED_FAULTS, 1);
     late_orders_and_faults_are_reproducible(LATE_ORDERS_AND_FAULTS, 2);
     late_orders_are_reproducible(LATE_ORDERS, 3);
+    combined_faults_are_reproducible(COMBINED_FAULTS, 4);
 }
 
 /// Plays the seeds that the environment variable names, and prints those that fail.
@@ -130,9 +168,19 @@
         ("culprits and faults", CULPRITS_AND_FAULTS),
         ("stale rows", STALE_ROWS),
         ("stale rows and faults", STALE_ROWS_AND_FAULTS),
+        ("product records", PRODUCT_RECORDS),
+        (
+            "product records and stale rows",
+            PRODUCT_RECORDS_AND_STALE_ROWS,
+        ),
+        ("combined faults", COMBINED_FAULTS),
+        ("combined faults alone", COMBINED_FAULTS_ALONE),
     ];
+    let only = std::env::var(PROFILE_VARIABLE).ok();
     let mut failed = Vec::new();
-    for (name, profile) in profiles {
+    let chosen = profiles.into_iter();
+    let chosen = chosen.filter(|(name, _)| only.as_ref().is_none_or(|only| only == name));
+    for (name, profile) in chosen {
         for (seed, violation) in failures(profile, first, last) {
             println!("{name}, seed {seed}: {violation}");
             failed.push((name, seed));
