Model test: waves of maintenance

The model's platform maintains instances: what runs there ends at once, and another worker starts there 1.5 to 2 s later. Its owners have the product's task for instances with a real InstancePlan: orders are recorded, sent, answered, lost or carried out late, repeated, and their outcome and the list of instances are applied as the product does, also late.

--- a/crates/domain/tests/schedule_model/fault_plan.rs
+++ b/crates/domain/tests/schedule_model/fault_plan.rs
@@ -14,7 +14,7 @@
 };
 
 /// Instances that host workers.
-const SLOTS: u64 = 4;
+pub(super) const SLOTS: u64 = 4;
 /// Shortest time between two silences of the watches of workers, in milliseconds.
 const WATCH_PAUSE_MS: u64 = 2_500;
 /// Shortest time between two sets of combined faults, in milliseconds.
@@ -30,7 +30,7 @@
         }
     }
 
-    fn new_name(&mut self, slot: u64) -> WorkerName {
+    pub(super) fn new_name(&mut self, slot: u64) -> WorkerName {
         let number = self.take_number();
         WorkerName::try_from(format!("w-{slot}-{number}")).expect("a name")
     }
@@ -42,7 +42,7 @@
     }
 
     /// Starts an incarnation and lists it.
-    fn start_worker(&mut self, slot: u64, name: &WorkerName) {
+    pub(super) fn start_worker(&mut self, slot: u64, name: &WorkerName) {
         let mut started_ms = WALL_MS + self.now_ms;
         if self.profile.has_stale_rows && self.chance(0.2) {
             started_ms -= CLOCK_STEP_MS;
@@ -95,7 +95,7 @@
     }
 
     /// Ends an incarnation with all that it runs.
-    fn end_worker(&mut self, name: &WorkerName) {
+    pub(super) fn end_worker(&mut self, name: &WorkerName) {
         let Some(process) = self.workers.remove(name) else {
             return;
         };
@@ -111,7 +111,7 @@
         }
     }
 
-    fn unlist_later(&mut self, name: &WorkerName, delay_ms: u64) {
+    pub(super) fn unlist_later(&mut self, name: &WorkerName, delay_ms: u64) {
         let name = name.clone();
         self.after(delay_ms, move |model| {
             if !model.workers.contains_key(&name) && model.store.workers.contains_key(&name) {
@@ -444,7 +444,7 @@
 }
 
 /// Returns the number of the instance that hosts a worker.
-fn slot_of(name: &WorkerName) -> u64 {
+pub(super) fn slot_of(name: &WorkerName) -> u64 {
     let mut parts = name.as_str().split('-');
     let slot = parts.nth(1).and_then(|slot| slot.parse().ok());
     slot.expect("a name of the model")
--- a/crates/domain/tests/schedule_model/fleet_model.rs
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -2,6 +2,8 @@
 
 use {
     super::{
+        fault_plan::SLOTS,
+        instance_orders::{ModelInstance, instances_of},
         lasting_rule::OpenWorkers,
         owner_process::OwnerProcess,
         run_oracle::RunOracle,
@@ -9,7 +11,7 @@
         worker_calls::PendingCall,
         worker_process::WorkerProcess,
     },
-    dotterelshore_domain::names::WorkerName,
+    dotterelshore_domain::names::{InstanceName, WorkerName},
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -55,6 +57,8 @@
     /// Whether workers are cut off while they are unlisted or restart, writes to the store get no
     /// answer and owners end.
     pub(crate) has_combined_faults: bool,
+    /// Whether waves of maintenance end the workers of instances, each of which then hosts another one.
+    pub(crate) has_waves: bool,
     /// Time after a fault from which the oracle's bounds count, in milliseconds.
     pub(crate) stable_window_ms: u64,
 }
@@ -97,6 +101,9 @@
     /// Workers that answer and get no tasks, each with the time since when.
     held_back: BTreeMap<WorkerName, u64>,
     pub(super) open_workers: OpenWorkers,
+    pub(super) instances: BTreeMap<InstanceName, ModelInstance>,
+    /// Numbers of the waves that operators have ordered.
+    pub(super) waves: Vec<u64>,
     pub(super) jobs: u64,
     pub(super) numbers: u64,
 }
@@ -121,6 +128,8 @@
             jobs_until_ms: START_MS + FAULT_PHASE_MS + QUIET_JOBS_MS,
             held_back: BTreeMap::new(),
             open_workers: OpenWorkers::default(),
+            instances: instances_of(SLOTS),
+            waves: Vec::new(),
             jobs: 0,
             numbers: 0,
         };
@@ -129,6 +138,9 @@
         model.await_claim();
         model.after(1_000, Self::submit_jobs);
         model.after(2_000, Self::inject_faults);
+        if profile.has_waves {
+            model.start_waves();
+        }
         model.check_periodically();
         model.run_until(START_MS + FAULT_PHASE_MS + QUIET_PHASE_MS);
         model.oracle.check_final();
--- a/crates/domain/tests/schedule_model/mod.rs
+++ b/crates/domain/tests/schedule_model/mod.rs
@@ -3,6 +3,7 @@
 
 mod fault_plan;
 mod fleet_model;
+mod instance_orders;
 mod job_source;
 mod lasting_rule;
 mod owner_planning;
--- a/crates/domain/tests/schedule_model/owner_planning.rs
+++ b/crates/domain/tests/schedule_model/owner_planning.rs
@@ -64,7 +64,7 @@
     }
 }
 
-fn order_key(order: &WorkerOrder) -> (TaskName, u32) {
+pub(super) fn order_key(order: &WorkerOrder) -> (TaskName, u32) {
     match order {
         WorkerOrder::Start(order) => (order.task.clone(), order.run),
         WorkerOrder::Stop(order) | WorkerOrder::Pace(order, _) => (order.task.clone(), order.run),
--- a/crates/domain/tests/schedule_model/owner_process.rs
+++ b/crates/domain/tests/schedule_model/owner_process.rs
@@ -1,6 +1,7 @@
 //! A process that owns the schedule, with the state of its tasks.
 
 use {
+    super::instance_orders::InstanceTask,
     dotterelshore_domain::{
         names::WorkerName,
         schedule::{FleetSchedule, StartOrder, StopOrder, StoredSnapshots},
@@ -70,6 +71,7 @@
     pub(super) is_plan_notified: bool,
     pub(super) recorder: RecorderState,
     pub(super) snapshots: SnapshotState,
+    pub(super) instances: InstanceTask,
     /// Store revisions up to which the two watches have delivered.
     pub(super) job_revision: u64,
     pub(super) worker_revision: u64,
@@ -90,6 +92,7 @@
             is_plan_notified: false,
             recorder: RecorderState::default(),
             snapshots: SnapshotState::default(),
+            instances: InstanceTask::default(),
             job_revision: 0,
             worker_revision: 0,
         }
--- a/crates/domain/tests/schedule_model/store_model.rs
+++ b/crates/domain/tests/schedule_model/store_model.rs
@@ -2,9 +2,10 @@
 
 use {
     dotterelshore_domain::{
-        names::{JobName, WorkerName},
+        names::{InstanceName, JobName, WorkerName},
         schedule::{
-            JobRecord, ListedWorker, ProgressRecord, SnapshotShard, WorkerRow, WorkerSnapshot,
+            JobRecord, ListedWorker, ProgressRecord, SnapshotShard, WaveProgress, WorkerRow,
+            WorkerSnapshot,
         },
     },
     std::collections::BTreeMap,
@@ -35,6 +36,14 @@
         term: u32,
         orphans_left_ms: u64,
     },
+    Instances(InstanceRecord),
+}
+
+/// Instances that were just ordered, and the progress of waves.
+#[derive(Debug, Clone, Default)]
+pub(super) struct InstanceRecord {
+    pub(super) ordered: Vec<InstanceName>,
+    pub(super) waves: BTreeMap<u64, WaveProgress>,
 }
 
 impl OwnerWrite {
@@ -48,6 +57,7 @@
             Self::Snapshots(_) | Self::Shards(..) | Self::Handover { .. } => 0,
             Self::Progress(_) => 1,
             Self::ChainedProgress(number, _) => 1 + number,
+            Self::Instances(_) => 1 + PROGRESS_CHAINS,
         }
     }
 }
@@ -79,8 +89,9 @@
     pub(super) workers: BTreeMap<WorkerName, WorkerRow>,
     pub(super) snapshots: Vec<WorkerSnapshot>,
     pub(super) handover: Option<(u32, u64)>,
+    pub(super) instances: InstanceRecord,
     changes: Vec<(u64, StoreChange)>,
-    chain_revisions: [u64; 1 + PROGRESS_CHAINS],
+    chain_revisions: [u64; 2 + PROGRESS_CHAINS],
 }
 
 impl StoreModel {
@@ -157,6 +168,12 @@
                 self.snapshots.retain(is_kept);
                 self.snapshots.extend(snapshots);
             }
+            OwnerWrite::Instances(record) => {
+                if !record.ordered.is_empty() {
+                    self.instances.ordered = record.ordered;
+                }
+                self.instances.waves = record.waves;
+            }
             OwnerWrite::Handover {
                 term,
                 orphans_left_ms,
--- a/crates/domain/tests/schedule_model/takeover.rs
+++ b/crates/domain/tests/schedule_model/takeover.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        fleet_model::FleetModel, owner_process::AUTHORITY_OVERLAP_MS, worker_tasks::WORKER_LEASE_MS,
+        fleet_model::FleetModel, owner_process::AUTHORITY_OVERLAP_MS, store_model::InstanceRecord,
+        worker_tasks::WORKER_LEASE_MS,
     },
     dotterelshore_domain::{
         names::JobName,
@@ -28,12 +29,13 @@
     workers: (u64, Vec<WorkerRow>),
     progress: BTreeMap<JobName, ProgressRecord>,
     jobs: (u64, Vec<JobRecord>, Vec<JobName>),
+    instances: InstanceRecord,
     pending: usize,
 }
 
 type Read = fn(&FleetModel, &mut StoredSchedule);
 
-const READS: [Read; 5] = [
+const READS: [Read; 6] = [
     |model, stored| stored.snapshots.clone_from(&model.store.snapshots),
     |model, stored| stored.handover = model.store.handover,
     |model, stored| {
@@ -45,17 +47,20 @@
         let jobs = model.store.jobs.values().cloned().collect();
         stored.jobs = (model.store.revision, jobs, model.store.cancelled.clone());
     },
+    |model, stored| stored.instances = model.store.instances.clone(),
 ];
 
 impl FleetModel {
     /// Reads all records at once and then leads.
     pub(super) fn take_over(&mut self, owner: usize) {
+        // The last one is of the record of orders for instances.
+        let reads = &READS[..READS.len() - usize::from(!self.profile.has_waves)];
         let stored = std::rc::Rc::new(std::cell::RefCell::new(StoredSchedule {
-            pending: READS.len(),
+            pending: reads.len(),
             ..StoredSchedule::default()
         }));
-        for read in READS {
-            self.read_stored(owner, read, std::rc::Rc::clone(&stored));
+        for read in reads {
+            self.read_stored(owner, *read, std::rc::Rc::clone(&stored));
         }
     }
 
@@ -99,6 +104,9 @@
         self.deliver_workers(owner);
         self.start_planner(owner);
         self.start_snapshot_checks(owner);
+        if self.profile.has_waves {
+            self.start_instance_task(owner, stored.instances.clone());
+        }
     }
 
     fn restore(&mut self, owner: usize, stored: &StoredSchedule) -> FleetSchedule {
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -18,6 +18,9 @@
 /// Environment variable with the only profile of a manual run, if not all are played.
 const PROFILE_VARIABLE: &str = "DOTTERELSHORE_MODEL_PROFILE";
 
+/// Environment variable that has a manual run print whole traces.
+const TRACE_VARIABLE: &str = "DOTTERELSHORE_MODEL_TRACE";
+
 /// Faults of processes, links and the store.
 const MIXED_FAULTS: FaultProfile = FaultProfile {
     has_faults: true,
@@ -26,6 +29,7 @@
     has_stale_rows: false,
     has_product_records: false,
     has_combined_faults: false,
+    has_waves: false,
     stable_window_ms: 3_000,
 };
 /// The same beside late orders.
@@ -85,6 +89,25 @@
     ..COMBINED_FAULTS
 };
 
+/// Waves of maintenance, with orders that get no answer or are carried out late.
+const WAVES: FaultProfile = FaultProfile {
+    has_faults: false,
+    has_waves: true,
+    ..PRODUCT_RECORDS
+};
+/// The same beside faults of processes, links and the store.
+const WAVES_AND_FAULTS: FaultProfile = FaultProfile {
+    has_waves: true,
+    ..PRODUCT_RECORDS
+};
+
+/// The same beside all other faults.
+const WAVES_AND_COMBINED_FAULTS: FaultProfile = FaultProfile {
+    has_waves: true,
+    has_stale_rows: true,
+    ..COMBINED_FAULTS
+};
+
 /// Plays the seeds and returns the first violation of each that fails.
 fn failures(profile: FaultProfile, first: u64, last: u64) -> Vec<(u64, String)> {
     (first..=last)
@@ -118,6 +141,9 @@
     end_of_an_aborted_record_is_not_lost_3(COMBINED_FAULTS_ALONE, 1050, 1050);
     end_of_an_aborted_record_is_not_lost_4(COMBINED_FAULTS_ALONE, 1653, 1653);
     end_of_an_aborted_record_is_not_lost_5(COMBINED_FAULTS, 2307, 2307);
+    rules_hold_in_waves(WAVES, 1, 10);
+    rules_hold_in_waves_and_faults(WAVES_AND_FAULTS, 1, 10);
+    rules_hold_in_waves_and_combined_faults(WAVES_AND_COMBINED_FAULTS, 1, 10);
     rules_hold_beside_culprits(CULPRITS, 1, 15);
     rules_hold_beside_culprits_and_faults(CULPRITS_AND_FAULTS, 6, 20);
     crashes_that_no_owner_could_record_count_1(CULPRITS_AND_FAULTS, 5, 5);
@@ -150,6 +176,8 @@
     late_orders_and_faults_are_reproducible(LATE_ORDERS_AND_FAULTS, 2);
     late_orders_are_reproducible(LATE_ORDERS, 3);
     combined_faults_are_reproducible(COMBINED_FAULTS, 4);
+    waves_and_faults_are_reproducible(WAVES_AND_FAULTS, 6);
+    waves_and_combined_faults_are_reproducible(WAVES_AND_COMBINED_FAULTS, 5);
 }
 
 /// Plays the seeds that the environment variable names, and prints those that fail.
@@ -175,12 +203,21 @@
         ),
         ("combined faults", COMBINED_FAULTS),
         ("combined faults alone", COMBINED_FAULTS_ALONE),
+        ("waves", WAVES),
+        ("waves and faults", WAVES_AND_FAULTS),
+        ("waves and combined faults", WAVES_AND_COMBINED_FAULTS),
     ];
     let only = std::env::var(PROFILE_VARIABLE).ok();
     let mut failed = Vec::new();
+    let prints_traces = std::env::var_os(TRACE_VARIABLE).is_some();
     let chosen = profiles.into_iter();
     let chosen = chosen.filter(|(name, _)| only.as_ref().is_none_or(|only| only == name));
     for (name, profile) in chosen {
+        for seed in (first..=last).filter(|_| prints_traces) {
+            println!("{name}, trace of seed {seed}");
+            let model = FleetModel::play(seed, profile);
+            model.trace().iter().for_each(|line| println!("{line}"));
+        }
         for (seed, violation) in failures(profile, first, last) {
             println!("{name}, seed {seed}: {violation}");
             failed.push((name, seed));
