Model test: unnoticed restarts and pauses of an owner's tasks

Workers restart under their names while the watches of rows are silent and are cut off soon after; the owners know the longest lease. Tasks of an owner pause for up to 600 ms between a call's lease and its departure, an answer's arrival and what follows from it, and the time of a planning pass and the pass.

--- a/crates/domain/tests/schedule_model/fault_plan.rs
+++ b/crates/domain/tests/schedule_model/fault_plan.rs
@@ -132,6 +132,9 @@
         if self.profile.has_combined_faults && self.now_ms < self.faults_until_ms {
             self.combine_faults();
         }
+        if self.profile.has_unnoticed_restarts && self.now_ms < self.faults_until_ms {
+            self.restart_unnoticed();
+        }
         let is_quiet = !self.profile.has_faults || self.now_ms >= self.faults_until_ms;
         match self.draw(0..14) {
             _ if is_quiet => self.drain_worker(),
@@ -278,6 +281,39 @@
         self.list_later(listed, life, duration_ms);
     }
 
+    /// Restarts a worker while the watches of workers are silent, cuts it off soon after and, in many
+    /// cases, ends the owner meanwhile.
+    fn restart_unnoticed(&mut self) {
+        let (slot, name) = self.draw_worker();
+        let process = self.workers.get(&name);
+        let Some(life) = process.map(|process| process.life) else {
+            return;
+        };
+        if self.now_ms < self.windows.unnoticed {
+            return;
+        }
+        let silent_ms = self.draw(3_000..9_000);
+        self.windows.worker_watch = self.now_ms + silent_ms;
+        let restart_ms = self.draw(5..150);
+        let cut_ms = restart_ms + self.draw(0..2_000);
+        let duration_ms = self.draw(5_000..11_000);
+        self.windows.unnoticed = self.now_ms + cut_ms + duration_ms;
+        let text = format!("fault: watches of workers are silent for {silent_ms} ms");
+        self.oracle.record_fault(silent_ms, text);
+        self.restart_named(slot, &name, life, restart_ms);
+        let stop_ms = cut_ms + self.draw(0..3_000);
+        self.after(cut_ms, move |model| model.cut_named(name, duration_ms));
+        if self.chance(0.6) {
+            self.after(stop_ms, |model| {
+                if model.chance(0.5) {
+                    model.stop_owner();
+                } else {
+                    model.kill_owner();
+                }
+            });
+        }
+    }
+
     /// Cuts a worker off while it is unlisted for a time or restarts, the store is slow to write, and
     /// the owner ends.
     fn combine_faults(&mut self) {
--- a/crates/domain/tests/schedule_model/fleet_model.rs
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -32,6 +32,11 @@
 /// Time between the oracle's checks, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 50;
 
+/// Share of the actions before which a task pauses.
+const PAUSES: f64 = 0.08;
+/// Longest pause of a task, in milliseconds.
+const PAUSE_MAX_MS: u64 = 600;
+
 type Action = Box<dyn FnOnce(&mut FleetModel)>;
 
 /// Which faults are injected, and how strictly the oracle counts.
@@ -59,6 +64,11 @@
     pub(crate) has_combined_faults: bool,
     /// Whether waves of maintenance end the workers of instances, each of which then hosts another one.
     pub(crate) has_waves: bool,
+    /// Whether workers restart under their names, unnoticed by the owner, and are cut off soon after. The
+    /// owner knows the longest lease that they grant.
+    pub(crate) has_unnoticed_restarts: bool,
+    /// Whether tasks of an owner pause between a check and what follows it.
+    pub(crate) has_pauses: bool,
     /// Time after a fault from which the oracle's bounds count, in milliseconds.
     pub(crate) stable_window_ms: u64,
 }
@@ -72,6 +82,8 @@
     pub(super) store: u64,
     /// Until then the owners' watches of the workers' rows deliver nothing.
     pub(super) worker_watch: u64,
+    /// Until then no other worker restarts unnoticed.
+    pub(super) unnoticed: u64,
     /// Until then no other faults are combined.
     pub(super) combined: u64,
     /// Until then writes to the store get no answer, whether or not they take effect.
@@ -234,6 +246,24 @@
         self.rng.random_bool(probability)
     }
 
+    /// Returns for how long a task of an owner pauses before its next action, in milliseconds.
+    pub(super) fn draw_pause(&mut self) -> Option<u64> {
+        let may_pause = self.profile.has_pauses && self.now_ms < self.faults_until_ms;
+        (may_pause && self.chance(PAUSES)).then(|| self.draw(1..PAUSE_MAX_MS))
+    }
+
+    /// Acts in an owner's process at once, or after a pause.
+    pub(super) fn act_after_pause(
+        &mut self,
+        owner: usize,
+        action: impl FnOnce(&mut Self) + 'static,
+    ) {
+        match self.draw_pause() {
+            Some(pause_ms) => self.after_in_owner(owner, pause_ms, action),
+            None => action(self),
+        }
+    }
+
     pub(super) fn wall_ms(&self) -> u64 {
         WALL_MS + self.now_ms
     }
--- a/crates/domain/tests/schedule_model/owner_planning.rs
+++ b/crates/domain/tests/schedule_model/owner_planning.rs
@@ -36,10 +36,29 @@
     fn plan(&mut self, owner: usize, ticked: bool) {
         let (now_ms, wall_ms) = (self.now_ms, self.wall_ms());
         let process = &mut self.owners[owner];
-        if !process.has_authority(now_ms) {
+        if process.is_planning || !process.has_authority(now_ms) {
             return;
         }
         let sole_until_ms = process.sole_owner_until_ms();
+        process.is_planning = true;
+        self.act_after_pause(owner, move |model| {
+            let process = &mut model.owners[owner];
+            process.is_planning = false;
+            if process.leads() {
+                model.apply_plan(owner, ticked, (now_ms, wall_ms), sole_until_ms);
+            }
+        });
+    }
+
+    /// Plans by the times that were read before.
+    fn apply_plan(
+        &mut self,
+        owner: usize,
+        ticked: bool,
+        (now_ms, wall_ms): (u64, u64),
+        sole_until_ms: u64,
+    ) {
+        let process = &mut self.owners[owner];
         let mut orders = if ticked {
             process.schedule.tick(now_ms, now_ms < sole_until_ms)
         } else {
--- a/crates/domain/tests/schedule_model/takeover.rs
+++ b/crates/domain/tests/schedule_model/takeover.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         fleet_model::FleetModel, owner_process::AUTHORITY_OVERLAP_MS, store_model::InstanceRecord,
-        worker_tasks::WORKER_LEASE_MS,
+        worker_process::LEASE_MAX_MS, worker_tasks::WORKER_LEASE_MS,
     },
     dotterelshore_domain::{
         names::JobName,
@@ -123,6 +123,9 @@
         };
         let mut schedule =
             FleetSchedule::new(OrderRule::default(), WORKER_LEASE_MS, orphans_until_ms);
+        if self.profile.has_unnoticed_restarts {
+            schedule = schedule.with_longest_lease(LEASE_MAX_MS);
+        }
         let run_base = if term == 1 { 0 } else { term * RUNS_PER_TERM };
         for record in &stored.jobs.1 {
             let progress = stored.progress.get(&record.name);
--- a/crates/domain/tests/schedule_model/worker_process.rs
+++ b/crates/domain/tests/schedule_model/worker_process.rs
@@ -9,7 +9,7 @@
 };
 
 /// Longest lease that a worker grants, in milliseconds.
-const LEASE_MAX_MS: u64 = 10_000;
+pub(super) const LEASE_MAX_MS: u64 = 10_000;
 /// Ends in one report. Far fewer than the platform's workers list, so that lists are often cut off.
 const ENDS_MAX: usize = 3;
 
--- a/crates/domain/tests/schedule_model/worker_tasks.rs
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -101,7 +101,10 @@
             scope: schedule.poll_scope(worker, schedule.run_watch(worker), now_ms),
             started_ms,
         };
-        self.send_call(owner, worker, number, request);
+        let worker = worker.clone();
+        self.act_after_pause(owner, move |model| {
+            model.send_call(owner, &worker, number, request);
+        });
     }
 
     /// Returns the end of a lease that begins now, on the worker's clock.
@@ -116,13 +119,17 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
+        self.act_after_pause(call.owner, move |model| model.finish_call(&call, answer));
+    }
+
+    fn finish_call(&mut self, call: &PendingCall, answer: WorkerAnswer) {
         let (owner, worker, number) = (call.owner, call.worker.clone(), call.tasks);
         if matches!(call.request, WorkerRequest::Poll { .. }) {
-            let pause_ms = self.apply_poll_answer(&call, answer);
+            let pause_ms = self.apply_poll_answer(call, answer);
             self.poll_after(owner, &worker, number, pause_ms);
             return;
         }
-        self.apply_order_answer(&call, &answer);
+        self.apply_order_answer(call, &answer);
         let tasks = self.owners[owner].tasks.get_mut(&worker);
         let Some(tasks) = tasks.filter(|tasks| tasks.number == number) else {
             return;
@@ -320,7 +327,10 @@
                 if let Some(tasks) = self.owners[owner].tasks.get_mut(worker) {
                     tasks.is_starting = true;
                 }
-                self.send_call(owner, worker, number, request);
+                let worker = worker.clone();
+                self.act_after_pause(owner, move |model| {
+                    model.send_call(owner, &worker, number, request);
+                });
                 return;
             }
         }
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -30,6 +30,8 @@
     has_product_records: false,
     has_combined_faults: false,
     has_waves: false,
+    has_unnoticed_restarts: false,
+    has_pauses: false,
     stable_window_ms: 3_000,
 };
 /// The same beside late orders.
@@ -108,6 +110,24 @@
     ..COMBINED_FAULTS
 };
 
+/// Workers that restart unnoticed and are cut off soon after.
+const UNNOTICED_RESTARTS: FaultProfile = FaultProfile {
+    has_faults: false,
+    has_unnoticed_restarts: true,
+    ..PRODUCT_RECORDS
+};
+
+/// Owners whose tasks pause, beside faults.
+const PAUSES: FaultProfile = FaultProfile {
+    has_pauses: true,
+    ..PRODUCT_RECORDS
+};
+/// The same beside all other faults.
+const PAUSES_AND_COMBINED_FAULTS: FaultProfile = FaultProfile {
+    has_pauses: true,
+    ..WAVES_AND_COMBINED_FAULTS
+};
+
 /// Plays the seeds and returns the first violation of each that fails.
 fn failures(profile: FaultProfile, first: u64, last: u64) -> Vec<(u64, String)> {
     (first..=last)
@@ -144,6 +164,9 @@
     rules_hold_in_waves(WAVES, 1, 10);
     rules_hold_in_waves_and_faults(WAVES_AND_FAULTS, 1, 10);
     rules_hold_in_waves_and_combined_faults(WAVES_AND_COMBINED_FAULTS, 1, 10);
+    rules_hold_after_unnoticed_restarts(UNNOTICED_RESTARTS, 1, 15);
+    rules_hold_beside_pauses(PAUSES, 1, 15);
+    rules_hold_beside_pauses_and_combined_faults(PAUSES_AND_COMBINED_FAULTS, 1, 15);
     rules_hold_beside_culprits(CULPRITS, 1, 15);
     rules_hold_beside_culprits_and_faults(CULPRITS_AND_FAULTS, 6, 20);
     crashes_that_no_owner_could_record_count_1(CULPRITS_AND_FAULTS, 5, 5);
@@ -177,6 +200,8 @@
     late_orders_are_reproducible(LATE_ORDERS, 3);
     combined_faults_are_reproducible(COMBINED_FAULTS, 4);
     waves_and_faults_are_reproducible(WAVES_AND_FAULTS, 6);
+    unnoticed_restarts_are_reproducible(UNNOTICED_RESTARTS, 7);
+    pauses_are_reproducible(PAUSES, 8);
     waves_and_combined_faults_are_reproducible(WAVES_AND_COMBINED_FAULTS, 5);
 }
 
@@ -206,6 +231,9 @@
         ("waves", WAVES),
         ("waves and faults", WAVES_AND_FAULTS),
         ("waves and combined faults", WAVES_AND_COMBINED_FAULTS),
+        ("unnoticed restarts", UNNOTICED_RESTARTS),
+        ("pauses", PAUSES),
+        ("pauses and combined faults", PAUSES_AND_COMBINED_FAULTS),
     ];
     let only = std::env::var(PROFILE_VARIABLE).ok();
     let mut failed = Vec::new();
