--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -1,9 +1,10 @@
-//! The tasks of each worker: one polls its lists of runs, one sends starts and one sends stops.
+//! The tasks of each worker: one polls its lists of runs, one sends starts and one sends stops. The one that
+//! sends starts polls too, if the worker's clock was not read shortly before.
 
 use {
     super::{
+        clock_reads::{SharedClock, apply_poll_report},
         leadership::Leadership,
-        takeover::WORKER_LEASE,
         worker_orders::deliver_orders,
         worker_route::{RouteFault, WorkerRoute},
         worker_snapshots::refresh_row,
@@ -11,18 +12,16 @@
     },
     crate::{
         delegation::WorkerTarget,
-        node::{SchedulerNode, lock, millis, uptime_ms},
-    },
-    dotterelshore_domain::{
-        names::WorkerName,
-        schedule::{ListedWorker, PollRequest, PollScope, RunWatch},
+        node::{SchedulerNode, lock, uptime_ms},
     },
+    dotterelshore_domain::schedule::{ListedWorker, PollRequest, PollScope, RunWatch},
     dotterelshore_platform::{WorkerClient, WorkerFault},
-    dotterelshore_wire::{event_log::unix_millis, log_event},
+    dotterelshore_wire::log_event,
     std::{
-        sync::{Arc, Mutex, OnceLock},
+        sync::{Arc, OnceLock},
         time::Duration,
     },
+    tokio::task::JoinHandle,
 };
 
 /// How long a poll of a worker's lists waits for a run to end. A worker that stops answering
@@ -40,31 +39,6 @@
 /// Pause after the delegate of a worker failed, in which the worker is assigned elsewhere.
 const REROUTE_PAUSE: Duration = Duration::from_millis(20);
 
-/// Reading of a worker's clock, with the local time at which it arrived.
-#[derive(Debug, Clone, Copy)]
-struct ClockReading {
-    clock_ms: u64,
-    at_ms: u64,
-}
-
-/// The clock of one worker, as last read; shared by the worker's tasks.
-#[derive(Debug)]
-pub(super) struct WorkerClock {
-    pub(super) name: WorkerName,
-    reading: Mutex<Option<ClockReading>>,
-}
-
-impl WorkerClock {
-    /// Returns the end of a lease that begins now, on the worker's clock; `None` if its clock is
-    /// not known.
-    pub(super) fn lease_until(&self, node: &SchedulerNode) -> Option<u64> {
-        let reading = (*lock(&self.reading))?;
-        let lease = WORKER_LEASE.min(node.settings.worker_lease_max);
-        let elapsed_ms = uptime_ms().saturating_sub(reading.at_ms);
-        Some(reading.clock_ms + elapsed_ms + millis(lease))
-    }
-}
-
 /// Starts the tasks of a worker, unless they already run.
 pub(super) fn start_worker(
     node: &Arc<SchedulerNode>,
@@ -74,10 +48,7 @@
     let Some(orders) = leadership.open_order_queues(&listed.name) else {
         return;
     };
-    let clock = Arc::new(WorkerClock {
-        name: listed.name.clone(),
-        reading: Mutex::new(None),
-    });
+    let clock = Arc::new(SharedClock::new(listed.name.clone()));
     let client = ListedClient::new(listed);
     let clone_handles = || (Arc::clone(node), Arc::clone(leadership));
     let (n, l) = clone_handles();
@@ -134,11 +105,12 @@
 async fn poll_worker(
     node: Arc<SchedulerNode>,
     leadership: Arc<Leadership>,
-    clock: Arc<WorkerClock>,
+    clock: Arc<SharedClock>,
     mut client: ListedClient,
 ) {
     let mut is_unreachable = false;
     let mut is_rerouted = false;
+    let mut row_read: Option<JoinHandle<()>> = None;
     loop {
         let started_ms = client.listed.started_ms;
         let Some(current) = client.current(&leadership) else {
@@ -147,9 +119,10 @@
             return;
         };
         if client.listed.started_ms != started_ms {
-            *lock(&clock.reading) = None;
+            clock.forget();
         }
         let token = leadership.token();
+        let has_clock = clock.is_fresh();
         let (request, scope) = next_poll_request(&node, &leadership, &clock, token, is_unreachable);
         // Checked last: the process may have been paused before the lease was timed.
         if !leadership.has_authority() {
@@ -159,33 +132,23 @@
             tokio::time::sleep(POLL_RETRY_PAUSE).await;
             continue;
         }
+        let number = clock.begin_poll();
         match current.poll(&request, scope).await {
             Ok(report) => {
                 is_unreachable = false;
                 is_rerouted = false;
-                let now_ms = uptime_ms();
-                *lock(&clock.reading) = Some(ClockReading {
-                    clock_ms: report.clock_ms,
-                    at_ms: now_ms,
-                });
-                let (orders, lacks_row) = {
-                    let mut schedule = lock(&leadership.schedule);
-                    let name = &clock.name;
-                    let orders = schedule.apply_report(name, &report, now_ms, unix_millis());
-                    (orders, schedule.lacks_current_row(name))
-                };
-                leadership.dispatch(orders);
-                if !report.finished.is_empty() {
-                    leadership.record_notify.notify_one();
-                    leadership.plan_notify.notify_one();
-                } else if request.wait_ms.is_none() {
+                if apply_poll_report(&leadership, &clock, number, &report)
+                    && row_read.as_ref().is_none_or(JoinHandle::is_finished)
+                {
+                    row_read = Some(read_row(&node, &leadership, &clock));
+                }
+                if request.wait_ms.is_none() {
                     leadership.plan_notify.notify_one();
                 }
-                if lacks_row {
-                    leadership.snapshot_notify.notify_one();
-                    refresh_row(&node, &leadership, &clock.name).await;
+                // The next poll is timed by this reading.
+                if has_clock {
+                    tokio::time::sleep(leadership.poll_pause()).await;
                 }
-                tokio::time::sleep(leadership.poll_pause()).await;
             }
             Err(RouteFault::Delegate { source }) if !is_rerouted => {
                 is_rerouted = true;
@@ -200,6 +163,8 @@
                 leadership.mark_fenced(token);
                 tokio::time::sleep(POLL_RETRY_PAUSE).await;
             }
+            // The worker has answered since.
+            Err(_) if clock.is_overtaken(number) => {}
             Err(fault) => {
                 if !std::mem::replace(&mut is_unreachable, true) {
                     log_event!(Warn, "worker-silent", worker = clock.name, error = fault);
@@ -212,11 +177,25 @@
     }
 }
 
-/// Builds the next poll, and what it asks for. It extends the lease, and waits, only if the worker answered the last one.
+/// Starts to read the row of a worker that reports as another incarnation.
+fn read_row(
+    node: &Arc<SchedulerNode>,
+    leadership: &Arc<Leadership>,
+    clock: &Arc<SharedClock>,
+) -> JoinHandle<()> {
+    let (node, clock) = (Arc::clone(node), Arc::clone(clock));
+    let owner = Arc::clone(leadership);
+    tokio::spawn(leadership.guard_task("worker-row", async move {
+        refresh_row(&node, &owner, &clock.name).await;
+    }))
+}
+
+/// Builds the next poll, and what it asks for. It extends the lease, and waits, only if the worker answered
+/// the last one just before.
 fn next_poll_request(
     node: &SchedulerNode,
     leadership: &Leadership,
-    clock: &WorkerClock,
+    clock: &SharedClock,
     token: u64,
     is_unreachable: bool,
 ) -> (PollRequest, PollScope) {
