--- a/crates/domain/tests/schedule_model/fleet_model.rs
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -2,6 +2,8 @@
 
 use {
     super::{
+        fault_plan::SLOTS,
+        instance_orders::{ModelInstance, instances_of},
         lasting_rule::OpenWorkers,
         owner_process::OwnerProcess,
         run_oracle::RunOracle,
@@ -9,7 +11,7 @@
         worker_calls::PendingCall,
         worker_process::WorkerProcess,
     },
-    dotterelshore_domain::names::WorkerName,
+    dotterelshore_domain::names::{InstanceName, WorkerName},
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -30,10 +32,19 @@
 /// Time between the oracle's checks, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 50;
 
+/// Share of the actions before which a task pauses.
+const PAUSES: f64 = 0.08;
+/// Longest pause of a task, in milliseconds.
+const PAUSE_MAX_MS: u64 = 600;
+
 type Action = Box<dyn FnOnce(&mut FleetModel)>;
 
 /// Which faults are injected, and how strictly the oracle counts.
 #[derive(Debug, Clone, Copy)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is an independent kind of fault"
+)]
 pub(crate) struct FaultProfile {
     /// Whether processes, links and the store fail.
     pub(crate) has_faults: bool,
@@ -45,6 +56,19 @@
     /// Whether workers restart while the owner's watch of their rows is silent, some of them with
     /// their clocks set back.
     pub(crate) has_stale_rows: bool,
+    /// Whether owners keep their records as the product does: progress in several chains, snapshots in
+    /// shards, and no answer to a write that is open when they end.
+    pub(crate) has_product_records: bool,
+    /// Whether workers are cut off while they are unlisted or restart, writes to the store get no
+    /// answer and owners end.
+    pub(crate) has_combined_faults: bool,
+    /// Whether waves of maintenance end the workers of instances, each of which then hosts another one.
+    pub(crate) has_waves: bool,
+    /// Whether workers restart under their names, unnoticed by the owner, and are cut off soon after. The
+    /// owner knows the longest lease that they grant.
+    pub(crate) has_unnoticed_restarts: bool,
+    /// Whether tasks of an owner pause between a check and what follows it.
+    pub(crate) has_pauses: bool,
     /// Time after a fault from which the oracle's bounds count, in milliseconds.
     pub(crate) stable_window_ms: u64,
 }
@@ -58,6 +82,14 @@
     pub(super) store: u64,
     /// Until then the owners' watches of the workers' rows deliver nothing.
     pub(super) worker_watch: u64,
+    /// Until then no other worker restarts unnoticed.
+    pub(super) unnoticed: u64,
+    /// Until then no other faults are combined.
+    pub(super) combined: u64,
+    /// Until then writes to the store get no answer, whether or not they take effect.
+    pub(super) stuck_writes: u64,
+    /// Whether these are only those of progress.
+    pub(super) is_stuck_progress_only: bool,
     /// Until then the store answers nothing.
     pub(super) outage: u64,
 }
@@ -81,6 +113,9 @@
     /// Workers that answer and get no tasks, each with the time since when.
     held_back: BTreeMap<WorkerName, u64>,
     pub(super) open_workers: OpenWorkers,
+    pub(super) instances: BTreeMap<InstanceName, ModelInstance>,
+    /// Numbers of the waves that operators have ordered.
+    pub(super) waves: Vec<u64>,
     pub(super) jobs: u64,
     pub(super) numbers: u64,
 }
@@ -105,6 +140,8 @@
             jobs_until_ms: START_MS + FAULT_PHASE_MS + QUIET_JOBS_MS,
             held_back: BTreeMap::new(),
             open_workers: OpenWorkers::default(),
+            instances: instances_of(SLOTS),
+            waves: Vec::new(),
             jobs: 0,
             numbers: 0,
         };
@@ -113,6 +150,9 @@
         model.await_claim();
         model.after(1_000, Self::submit_jobs);
         model.after(2_000, Self::inject_faults);
+        if profile.has_waves {
+            model.start_waves();
+        }
         model.check_periodically();
         model.run_until(START_MS + FAULT_PHASE_MS + QUIET_PHASE_MS);
         model.oracle.check_final();
@@ -206,6 +246,24 @@
         self.rng.random_bool(probability)
     }
 
+    /// Returns for how long a task of an owner pauses before its next action, in milliseconds.
+    pub(super) fn draw_pause(&mut self) -> Option<u64> {
+        let may_pause = self.profile.has_pauses && self.now_ms < self.faults_until_ms;
+        (may_pause && self.chance(PAUSES)).then(|| self.draw(1..PAUSE_MAX_MS))
+    }
+
+    /// Acts in an owner's process at once, or after a pause.
+    pub(super) fn act_after_pause(
+        &mut self,
+        owner: usize,
+        action: impl FnOnce(&mut Self) + 'static,
+    ) {
+        match self.draw_pause() {
+            Some(pause_ms) => self.after_in_owner(owner, pause_ms, action),
+            None => action(self),
+        }
+    }
+
     pub(super) fn wall_ms(&self) -> u64 {
         WALL_MS + self.now_ms
     }
--- a/crates/domain/tests/schedule_model/mod.rs
+++ b/crates/domain/tests/schedule_model/mod.rs
@@ -3,6 +3,7 @@
 
 mod fault_plan;
 mod fleet_model;
+mod instance_orders;
 mod job_source;
 mod lasting_rule;
 mod owner_planning;
@@ -10,6 +11,7 @@
 mod owner_storage;
 mod ownership;
 mod run_oracle;
+mod sharded_storage;
 mod store_model;
 mod takeover;
 mod worker_calls;
--- a/crates/domain/tests/schedule_model/owner_process.rs
+++ b/crates/domain/tests/schedule_model/owner_process.rs
@@ -1,9 +1,10 @@
 //! A process that owns the schedule, with the state of its tasks.
 
 use {
+    super::instance_orders::InstanceTask,
     dotterelshore_domain::{
         names::WorkerName,
-        schedule::{FleetSchedule, StartOrder, StopOrder},
+        schedule::{FleetSchedule, StartOrder, StopOrder, StoredSnapshots},
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
@@ -45,6 +46,9 @@
     pub(super) stored: Option<BTreeSet<(WorkerName, bool)>>,
     pub(super) is_busy: bool,
     pub(super) is_notified: bool,
+    /// The shards that are stored, if the snapshots are stored in shards.
+    pub(super) shards: StoredSnapshots,
+    pub(super) is_check_due: bool,
 }
 
 /// A process from its claim on.
@@ -65,8 +69,10 @@
     pub(super) is_killed: bool,
     pub(super) tasks: BTreeMap<WorkerName, WorkerTasks>,
     pub(super) is_plan_notified: bool,
+    pub(super) is_planning: bool,
     pub(super) recorder: RecorderState,
     pub(super) snapshots: SnapshotState,
+    pub(super) instances: InstanceTask,
     /// Store revisions up to which the two watches have delivered.
     pub(super) job_revision: u64,
     pub(super) worker_revision: u64,
@@ -85,8 +91,10 @@
             is_killed: false,
             tasks: BTreeMap::new(),
             is_plan_notified: false,
+            is_planning: false,
             recorder: RecorderState::default(),
             snapshots: SnapshotState::default(),
+            instances: InstanceTask::default(),
             job_revision: 0,
             worker_revision: 0,
         }
