Acknowledge ends only shortly after a worker's last report

It now carries an acknowledgement only if the worker's clock was read within the last 0.5 s, as a lease does.

--- a/crates/scheduler/src/leading/worker_task.rs
+++ b/crates/scheduler/src/leading/worker_task.rs
@@ -203,6 +203,12 @@
     let lease_until_ms = clock
         .lease_until(node)
         .filter(|_| !is_unreachable && schedule.renew_lease(&clock.name, uptime_ms()));
+    // Another incarnation, whose ends have the same numbers, may answer a worker's poll long after its last.
+    let acknowledged_end = if clock.is_fresh() {
+        schedule.acknowledged_end(&clock.name)
+    } else {
+        0
+    };
     let watch = schedule.run_watch(&clock.name);
     let wait_ms = match watch {
         RunWatch::Starting => STARTING_POLL_WAIT_MS,
@@ -212,7 +218,7 @@
     let request = PollRequest {
         lease_until_ms,
         fencing_token: token,
-        acknowledged_end: schedule.acknowledged_end(&clock.name),
+        acknowledged_end,
         wait_ms: lease_until_ms.map(|_| wait_ms),
     };
     (
