--- a/crates/domain/tests/schedule_model/fleet_model.rs
+++ b/crates/domain/tests/schedule_model/fleet_model.rs
@@ -67,6 +67,8 @@
     /// Whether workers restart under their names, unnoticed by the owner, and are cut off soon after. The
     /// owner knows the longest lease that they grant.
     pub(crate) has_unnoticed_restarts: bool,
+    /// Whether owners time leases only by a clock that they read shortly before, as the product does.
+    pub(crate) has_clock_reads: bool,
     /// Whether tasks of an owner pause between a check and what follows it.
     pub(crate) has_pauses: bool,
     /// Time after a fault from which the oracle's bounds count, in milliseconds.
--- a/crates/domain/tests/schedule_model/owner_process.rs
+++ b/crates/domain/tests/schedule_model/owner_process.rs
@@ -4,7 +4,7 @@
     super::instance_orders::InstanceTask,
     dotterelshore_domain::{
         names::WorkerName,
-        schedule::{FleetSchedule, StartOrder, StopOrder, StoredSnapshots},
+        schedule::{FleetSchedule, StartOrder, StopOrder, StoredSnapshots, WorkerClock},
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
@@ -27,6 +27,8 @@
     pub(super) stops_in_flight: usize,
     /// The worker's clock, and when it was read.
     pub(super) reading: Option<(u64, u64)>,
+    /// Its clock, if leases are timed only by a fresh reading.
+    pub(super) clock: WorkerClock,
     pub(super) is_unreachable: bool,
     pub(super) started_ms: u64,
 }
--- a/crates/domain/tests/schedule_model/takeover.rs
+++ b/crates/domain/tests/schedule_model/takeover.rs
@@ -123,7 +123,7 @@
         };
         let mut schedule =
             FleetSchedule::new(OrderRule::default(), WORKER_LEASE_MS, orphans_until_ms);
-        if self.profile.has_unnoticed_restarts {
+        if self.profile.has_unnoticed_restarts || self.profile.has_clock_reads {
             schedule = schedule.with_longest_lease(LEASE_MAX_MS);
         }
         let run_base = if term == 1 { 0 } else { term * RUNS_PER_TERM };
--- a/crates/domain/tests/schedule_model/worker_calls.rs
+++ b/crates/domain/tests/schedule_model/worker_calls.rs
@@ -40,6 +40,12 @@
         scope: PollScope,
         started_ms: u64,
     },
+    /// A poll that reads the clock before a start.
+    ReadClock {
+        order: StartOrder,
+        scope: PollScope,
+        started_ms: u64,
+    },
 }
 
 /// A worker's answer.
@@ -61,6 +67,8 @@
     pub(super) tasks: u64,
     pub(super) token: u64,
     pub(super) request: WorkerRequest,
+    /// The number of the poll.
+    pub(super) poll: u64,
     pub(super) sent_ms: u64,
     /// The worker's incarnation that waits for a run to end before it answers.
     pub(super) waits_at: Option<u64>,
@@ -86,14 +94,23 @@
     ) {
         let timeout_ms = match &request {
             WorkerRequest::Poll { wait_ms, .. } => POLL_SLACK_MS + wait_ms.unwrap_or_default(),
+            WorkerRequest::ReadClock { .. } => POLL_SLACK_MS,
             _ => ORDER_TIMEOUT_MS,
         };
+        let is_poll = matches!(
+            request,
+            WorkerRequest::Poll { .. } | WorkerRequest::ReadClock { .. }
+        );
+        let tasks_of = self.owners[owner].tasks.get_mut(worker);
+        let poll = tasks_of.filter(|_| is_poll);
+        let poll = poll.map_or(0, |tasks| tasks.clock.begin_poll());
         let call = PendingCall {
             owner,
             worker: worker.clone(),
             tasks,
             token: self.owners[owner].token,
             request,
+            poll,
             sent_ms: self.now_ms,
             waits_at: None,
         };
@@ -186,6 +203,10 @@
                 self.execute_stop(&order);
                 WorkerAnswer::Stopped(clock_ms)
             }
+            WorkerRequest::ReadClock { .. } => {
+                self.await_end(id, &call.worker, 0, fate);
+                return;
+            }
             WorkerRequest::Poll {
                 lease_until_ms,
                 acknowledged_end,
--- a/crates/domain/tests/schedule_model/worker_tasks.rs
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -8,7 +8,7 @@
     },
     dotterelshore_domain::{
         names::WorkerName,
-        schedule::{StartOrder, StartRefusal, StartReply, WorkerOrder, WorkerReport},
+        schedule::{StartOrder, StartRefusal, StartReply, WorkerClock, WorkerOrder, WorkerReport},
     },
     std::collections::VecDeque,
 };
@@ -47,6 +47,7 @@
             stops: VecDeque::new(),
             stops_in_flight: 0,
             reading: None,
+            clock: WorkerClock::default(),
             is_unreachable: false,
             started_ms,
         };
@@ -83,6 +84,7 @@
         if tasks.started_ms != started_ms {
             tasks.started_ms = started_ms;
             tasks.reading = None;
+            tasks.clock.forget();
         }
         let is_unreachable = tasks.is_unreachable;
         let lease_until_ms = self.lease_until(owner, worker);
@@ -110,6 +112,9 @@
     /// Returns the end of a lease that begins now, on the worker's clock.
     fn lease_until(&self, owner: usize, worker: &WorkerName) -> Option<u64> {
         let tasks = self.owners[owner].tasks.get(worker)?;
+        if self.profile.has_clock_reads {
+            return Some(tasks.clock.now_ms(self.now_ms)? + WORKER_LEASE_MS);
+        }
         let (clock_ms, at_ms) = tasks.reading?;
         Some(clock_ms + (self.now_ms - at_ms) + WORKER_LEASE_MS)
     }
@@ -129,6 +134,21 @@
             self.poll_after(owner, &worker, number, pause_ms);
             return;
         }
+        if let WorkerRequest::ReadClock {
+            order,
+            scope,
+            started_ms,
+        } = &call.request
+        {
+            let answer = match answer {
+                WorkerAnswer::Lists(report) => {
+                    WorkerAnswer::Lists(scope.reduce(*started_ms, report))
+                }
+                answer => answer,
+            };
+            self.finish_clock_read(call, order, answer);
+            return;
+        }
         self.apply_order_answer(call, &answer);
         let tasks = self.owners[owner].tasks.get_mut(&worker);
         let Some(tasks) = tasks.filter(|tasks| tasks.number == number) else {
@@ -143,6 +163,37 @@
         }
     }
 
+    /// Sends the start that waits for a reading of its worker's clock, if that answered.
+    fn finish_clock_read(&mut self, call: &PendingCall, order: &StartOrder, answer: WorkerAnswer) {
+        let (owner, worker) = (call.owner, &call.worker);
+        let mut is_read = false;
+        match answer {
+            WorkerAnswer::Lists(report) => {
+                self.apply_lists(call, &report, false);
+                is_read = true;
+            }
+            WorkerAnswer::Fenced => self.mark_fenced(owner, call.token),
+            _ => self.owners[owner].schedule.mark_unreachable(worker),
+        }
+        let tasks = self.owners[owner].tasks.get_mut(worker);
+        let tasks = tasks.filter(|tasks| tasks.number == call.tasks);
+        let may_start = is_read
+            && tasks
+                .as_ref()
+                .is_some_and(|tasks| tasks.clock.is_fresh(self.now_ms));
+        if let Some(tasks) = tasks {
+            tasks.is_starting = false;
+            if may_start {
+                tasks.starts.push_front(order.clone());
+            }
+        }
+        if !may_start {
+            let reply = StartReply::Refused(StartRefusal::Late);
+            self.apply_start_reply(owner, order, reply);
+        }
+        self.send_starts(owner, worker);
+    }
+
     /// Applies the answer to a poll and returns the pause until the next one.
     fn apply_poll_answer(&mut self, call: &PendingCall, answer: WorkerAnswer) -> u64 {
         let (owner, worker, now_ms) = (call.owner, &call.worker, self.now_ms);
@@ -158,12 +209,18 @@
                     return POLL_PAUSE_MS;
                 };
                 let report = scope.reduce(started_ms, report);
-                self.apply_lists(owner, worker, call.tasks, &report, wait_ms.is_none());
+                self.apply_lists(call, &report, wait_ms.is_none());
                 return POLL_PAUSE_MS;
             }
             WorkerAnswer::Fenced => self.mark_fenced(owner, call.token),
             _ => {
                 let process = &mut self.owners[owner];
+                let tasks = process.tasks.get(worker);
+                if self.profile.has_clock_reads
+                    && tasks.is_some_and(|tasks| tasks.clock.is_overtaken(call.poll))
+                {
+                    return POLL_RETRY_PAUSE_MS;
+                }
                 process.schedule.mark_unreachable(worker);
                 let tasks = process.tasks.get_mut(worker);
                 if let Some(tasks) = tasks.filter(|tasks| tasks.number == call.tasks)
@@ -177,19 +234,20 @@
         POLL_RETRY_PAUSE_MS
     }
 
-    fn apply_lists(
-        &mut self,
-        owner: usize,
-        worker: &WorkerName,
-        number: u64,
-        report: &WorkerReport,
-        first: bool,
-    ) {
+    fn apply_lists(&mut self, call: &PendingCall, report: &WorkerReport, first: bool) {
         let (now_ms, wall_ms) = (self.now_ms, self.wall_ms());
+        let (owner, worker) = (call.owner, &call.worker);
         let process = &mut self.owners[owner];
         let tasks = process.tasks.get_mut(worker);
-        if let Some(tasks) = tasks.filter(|tasks| tasks.number == number) {
-            tasks.is_unreachable = false;
+        if let Some(tasks) = tasks.filter(|tasks| tasks.number == call.tasks) {
+            tasks.is_unreachable &= matches!(call.request, WorkerRequest::ReadClock { .. });
+            let (started_ms, clock_ms) = (report.started_ms, report.clock_ms);
+            let counts = tasks
+                .clock
+                .record_report(call.poll, started_ms, clock_ms, now_ms);
+            if self.profile.has_clock_reads && !counts {
+                return;
+            }
             tasks.reading = Some((report.clock_ms, now_ms));
         }
         let orders = process
@@ -242,7 +300,7 @@
                     self.owners[owner].schedule.confirm_stop(order, *clock_ms);
                 }
             }
-            WorkerRequest::Poll { .. } => {}
+            WorkerRequest::Poll { .. } | WorkerRequest::ReadClock { .. } => {}
         }
     }
 
@@ -257,6 +315,7 @@
             order.task, order.run, order.worker
         );
         self.oracle.note(Some(&order.task.job), text);
+        self.check_clock(owner, order, reply);
         self.owners[owner].schedule.apply_start_reply(
             &order.worker,
             &order.task,
@@ -269,6 +328,21 @@
         }
     }
 
+    /// Counts the longest lease for a worker whose reply shows another clock than the one read last.
+    fn check_clock(&mut self, owner: usize, order: &StartOrder, reply: StartReply) {
+        let StartReply::Started { clock_ms } = reply else {
+            return;
+        };
+        let process = &mut self.owners[owner];
+        let tasks = process.tasks.get_mut(&order.worker);
+        if let Some(tasks) = tasks.filter(|_| self.profile.has_clock_reads)
+            && !tasks.clock.agrees(clock_ms, self.now_ms)
+        {
+            tasks.clock.forget();
+            process.schedule.suspect_restart(&order.worker, self.now_ms);
+        }
+    }
+
     /// Puts orders into the queues of their workers.
     pub(super) fn dispatch(&mut self, owner: usize, orders: Vec<WorkerOrder>) {
         for order in orders {
@@ -370,6 +444,18 @@
         }
         let lease_until_ms = self.lease_until(owner, &order.worker);
         let process = &mut self.owners[owner];
+        if lease_until_ms.is_none()
+            && self.profile.has_clock_reads
+            && process.schedule.grants_lease(&order.worker)
+        {
+            let started_ms = process.tasks.get(&order.worker)?.started_ms;
+            let scope = process.schedule.ends_scope(&order.worker);
+            return Some(WorkerRequest::ReadClock {
+                order,
+                scope,
+                started_ms,
+            });
+        }
         if let Some(lease_until_ms) = lease_until_ms
             && process.has_authority(now_ms)
             && process.schedule.renew_lease(&order.worker, now_ms)
--- a/crates/domain/tests/schedule_model_test.rs
+++ b/crates/domain/tests/schedule_model_test.rs
@@ -31,6 +31,7 @@
     has_combined_faults: false,
     has_waves: false,
     has_unnoticed_restarts: false,
+    has_clock_reads: false,
     has_pauses: false,
     stable_window_ms: 3_000,
 };
@@ -117,6 +118,12 @@
     ..PRODUCT_RECORDS
 };
 
+/// The same with leases timed by fresh readings of the clocks.
+const CLOCK_READS: FaultProfile = FaultProfile {
+    has_clock_reads: true,
+    ..UNNOTICED_RESTARTS
+};
+
 /// Owners whose tasks pause, beside faults.
 const PAUSES: FaultProfile = FaultProfile {
     has_pauses: true,
@@ -128,6 +135,12 @@
     ..WAVES_AND_COMBINED_FAULTS
 };
 
+/// The same with leases timed by fresh readings of the clocks.
+const CLOCK_READS_AND_ALL_FAULTS: FaultProfile = FaultProfile {
+    has_clock_reads: true,
+    ..PAUSES_AND_COMBINED_FAULTS
+};
+
 /// Plays the seeds and returns the first violation of each that fails.
 fn failures(profile: FaultProfile, first: u64, last: u64) -> Vec<(u64, String)> {
     (first..=last)
@@ -165,6 +178,8 @@
     rules_hold_in_waves_and_faults(WAVES_AND_FAULTS, 1, 10);
     rules_hold_in_waves_and_combined_faults(WAVES_AND_COMBINED_FAULTS, 1, 10);
     rules_hold_after_unnoticed_restarts(UNNOTICED_RESTARTS, 1, 15);
+    rules_hold_beside_clock_reads(CLOCK_READS, 1, 15);
+    rules_hold_beside_clock_reads_and_all_faults(CLOCK_READS_AND_ALL_FAULTS, 1, 15);
     rules_hold_beside_pauses(PAUSES, 1, 15);
     rules_hold_beside_pauses_and_combined_faults(PAUSES_AND_COMBINED_FAULTS, 1, 15);
     rules_hold_beside_culprits(CULPRITS, 1, 15);
@@ -202,6 +217,7 @@
     waves_and_faults_are_reproducible(WAVES_AND_FAULTS, 6);
     unnoticed_restarts_are_reproducible(UNNOTICED_RESTARTS, 7);
     pauses_are_reproducible(PAUSES, 8);
+    clock_reads_are_reproducible(CLOCK_READS, 9);
     waves_and_combined_faults_are_reproducible(WAVES_AND_COMBINED_FAULTS, 5);
 }
 
@@ -232,6 +248,8 @@
         ("waves and faults", WAVES_AND_FAULTS),
         ("waves and combined faults", WAVES_AND_COMBINED_FAULTS),
         ("unnoticed restarts", UNNOTICED_RESTARTS),
+        ("clock reads", CLOCK_READS),
+        ("clock reads and all faults", CLOCK_READS_AND_ALL_FAULTS),
         ("pauses", PAUSES),
         ("pauses and combined faults", PAUSES_AND_COMBINED_FAULTS),
     ];
