--- a/crates/domain/tests/schedule_model/worker_tasks.rs
+++ b/crates/domain/tests/schedule_model/worker_tasks.rs
@@ -87,6 +87,7 @@
             tasks.clock.forget();
         }
         let is_unreachable = tasks.is_unreachable;
+        let acknowledges = !self.profile.has_clock_reads || tasks.clock.is_fresh(now_ms);
         let lease_until_ms = self.lease_until(owner, worker);
         let schedule = &mut self.owners[owner].schedule;
         let lease_until_ms =
@@ -98,7 +99,11 @@
         };
         let request = WorkerRequest::Poll {
             lease_until_ms,
-            acknowledged_end: schedule.acknowledged_end(worker),
+            acknowledged_end: if acknowledges {
+                schedule.acknowledged_end(worker)
+            } else {
+                0
+            },
             wait_ms: lease_until_ms.map(|_| wait_ms),
             scope: schedule.poll_scope(worker, schedule.run_watch(worker), now_ms),
             started_ms,
