Plan for instances only while no other owner can exist

For a second after its key may have expired, an owner went on to stop tasks for waves, beside a successor that stopped others of the same steps (AVAIL, some 1.6 s after the owner was cut off from the store).

No unit test.

--- a/crates/scheduler/src/leading/instance_task.rs
+++ b/crates/scheduler/src/leading/instance_task.rs
@@ -67,7 +67,8 @@
             }
             () = interval.tick() => {}
         }
-        if !leadership.has_authority() {
+        // A next owner knows nothing of what this one stops meanwhile.
+        if !leadership.has_authority() || uptime_ms() >= leadership.sole_owner_until_ms() {
             continue;
         }
         let spare = node.current_table().and_then(|table| {
