Say once when an instance may be ordered, and play a soak's seeds in one place

Found in a last read of the change; behaviour stays as it is.

The condition for an order, that no limit of a step is broken and no end of a run is lost, stood three times in maintenance_wave.rs; it is FleetSchedule::may_be_ordered now. The loop over the seeds of the environment stood in soak_test.rs and overlap_soak; both call play_seeds. A comment of incarnation_order.rs is wrapped.

--- a/crates/domain/src/schedule/incarnation_order.rs
+++ b/crates/domain/src/schedule/incarnation_order.rs
@@ -2,9 +2,9 @@
 
 /// Orders what was learned about the incarnations of one worker.
 ///
-/// Changes of its row are ordered by their store revision. Reports are ordered by their polls: one
-/// of an earlier incarnation counts only if its poll was sent after the newest one was known. The start of an incarnation is wall time, which
-/// may step back, and decides only between a row and a report.
+/// Changes of its row are ordered by their store revision. Reports are ordered by their polls: one of
+/// an earlier incarnation counts only if its poll was sent after the newest one was known. The start of
+/// an incarnation is wall time, which may step back, and decides only between a row and a report.
 #[derive(Debug, Clone, Default)]
 pub(super) struct IncarnationOrder {
     /// Store revision of the newest change of the row that was applied.
--- a/crates/domain/src/schedule/maintenance_wave.rs
+++ b/crates/domain/src/schedule/maintenance_wave.rs
@@ -267,7 +267,7 @@
                     continue;
                 }
                 if let Some(worker) = self.worker_of(instance) {
-                    if !schedule.allows_disruption(worker) || !schedule.has_settled_runs(worker) {
+                    if !schedule.may_be_ordered(worker) {
                         continue;
                     }
                     // The worker's tasks count as unavailable from here, so that another
@@ -325,10 +325,7 @@
                 let worker = instances
                     .get(name)
                     .and_then(|status| status.worker.as_ref());
-                let may_be_ordered = |worker: &&WorkerName| {
-                    schedule.allows_disruption(worker) && schedule.has_settled_runs(worker)
-                };
-                if let Some(worker) = worker.filter(|worker| !may_be_ordered(worker)) {
+                if let Some(worker) = worker.filter(|worker| !schedule.may_be_ordered(worker)) {
                     // Its order has cordoned it.
                     wave.keep_cordon(name, worker, schedule, now_ms);
                     stops.extend(wave.drain(name, worker, schedule, &mut pool_cordons, now_ms));
@@ -466,9 +463,8 @@
             .worker(worker)
             .is_none_or(|status| status.reachable);
         reachable
-            && schedule.allows_disruption(worker)
+            && schedule.may_be_ordered(worker)
             && !self.relocates_first(worker, schedule, now_ms)
-            && schedule.has_settled_runs(worker)
     }
 
     /// Whether a worker's tasks are stopped and start elsewhere before its instance is disrupted,
@@ -524,8 +520,7 @@
             }
         } else if allows_disruption || !stops.is_empty() {
             pool_cordons.admit(schedule.worker(worker));
-            let cordon = WaveCordon::new(now_ms);
-            self.cordons.insert(name.clone(), cordon);
+            self.cordons.insert(name.clone(), WaveCordon::new(now_ms));
             schedule.set_cordon(worker, true);
         }
         stops
--- a/crates/domain/src/schedule/worker_disruption.rs
+++ b/crates/domain/src/schedule/worker_disruption.rs
@@ -80,11 +80,16 @@
 
     /// Whether an order for a worker's instance loses no end of a run: none of its runs may end by
     /// itself, and all ends that it listed are recorded.
-    pub(super) fn has_settled_runs(&self, name: &WorkerName) -> bool {
+    fn has_settled_runs(&self, name: &WorkerName) -> bool {
         let status = self.workers.get(name);
         status.is_none_or(WorkerStatus::has_recorded_ends) && self.runs_only_long_running(name)
     }
 
+    /// Whether an order for a worker's instance breaks no limit of a step and loses no end of a run.
+    pub(super) fn may_be_ordered(&self, name: &WorkerName) -> bool {
+        self.allows_disruption(name) && self.has_settled_runs(name)
+    }
+
     /// Stops the tasks on a worker that end by themselves, so that the ends of their runs are listed
     /// before its instance is disrupted.
     pub(super) fn stop_finite_runs(&mut self, name: &WorkerName, now_ms: u64) -> Vec<WorkerOrder> {
--- a/crates/scheduler/tests/overlap_soak/mod.rs
+++ b/crates/scheduler/tests/overlap_soak/mod.rs
@@ -10,19 +10,15 @@
 mod soak_profile;
 
 use {
-    crate::fixture::run_test,
+    crate::{SIZE_VARIABLE, fixture::run_test, play_seeds},
     dotterelshore_testkit::named_cases,
     overlap_run::OverlapRun,
     soak_profile::{CUTS, LEASES, PAUSES, RESTARTS, STARVED, SoakProfile, SoakSize, WORKERS},
     std::time::Duration,
 };
 
-/// Environment variable with the seeds of a manual run, as FIRST-LAST.
-const SEEDS_VARIABLE: &str = "DOTTERELSHORE_SOAK_SEEDS";
 /// Environment variable with the profile of a manual run.
 const PROFILE_VARIABLE: &str = "DOTTERELSHORE_SOAK_PROFILE";
-/// Environment variable with the size of a manual run, as processes, workers and cores.
-const SIZE_VARIABLE: &str = "DOTTERELSHORE_SOAK_SIZE";
 /// A size in which other entries carry the calls to half of the workers.
 const DELEGATING: SoakSize = (4, 6, 0.0151);
 
@@ -54,15 +50,8 @@
 #[test]
 #[ignore = "takes about half a minute per seed; run manually with chosen seeds"]
 fn overlap_soak_with_seeds_of_environment() {
-    let variable =
-        |name: &str, default: &str| std::env::var(name).unwrap_or_else(|_| default.to_owned());
-    let seeds = variable(SEEDS_VARIABLE, "1-3");
-    let (first, last) = seeds.split_once('-').expect("FIRST-LAST");
-    let (first, last): (u64, u64) = (
-        first.parse().expect("a number"),
-        last.parse().expect("a number"),
-    );
-    let profile = match variable(PROFILE_VARIABLE, "pauses").as_str() {
+    let profile = std::env::var(PROFILE_VARIABLE).unwrap_or_else(|_| "pauses".to_owned());
+    let profile = match profile.as_str() {
         "pauses" => PAUSES,
         "workers" => WORKERS,
         "cuts" => CUTS,
@@ -72,18 +61,7 @@
         other => panic!("no profile {other}"),
     };
     let size = std::env::var(SIZE_VARIABLE).map_or(DELEGATING, |size| parse_size(&size));
-    let failed: Vec<u64> = (first..=last)
-        .filter(|seed| {
-            let seed = *seed;
-            let result = std::thread::spawn(move || soak(seed, size, profile)).join();
-            println!(
-                "seed {seed}: {}",
-                if result.is_ok() { "passed" } else { "failed" }
-            );
-            result.is_err()
-        })
-        .collect();
-    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    play_seeds(move |seed| soak(seed, size, profile));
 }
 
 fn parse_size(size: &str) -> SoakSize {
--- a/crates/scheduler/tests/soak_test.rs
+++ b/crates/scheduler/tests/soak_test.rs
@@ -455,17 +455,22 @@
 #[test]
 #[ignore = "takes about half a minute per seed; run manually with chosen seeds"]
 fn soak_with_seeds_of_environment() {
+    let size = std::env::var(SIZE_VARIABLE).map_or(SMALL, |size| parse_size(&size));
+    play_seeds(move |seed| soak(seed, size));
+}
+
+/// Plays the seeds that the environment variable names, and lists those that fail.
+fn play_seeds(play: impl Fn(u64) + Copy + Send + 'static) {
     let seeds = std::env::var(SEEDS_VARIABLE).unwrap_or_else(|_| "1-3".to_owned());
     let (first, last) = seeds.split_once('-').expect("FIRST-LAST");
     let (first, last): (u64, u64) = (
         first.parse().expect("a number"),
         last.parse().expect("a number"),
     );
-    let size = std::env::var(SIZE_VARIABLE).map_or(SMALL, |size| parse_size(&size));
     let failed: Vec<u64> = (first..=last)
         .filter(|seed| {
             let seed = *seed;
-            let result = std::thread::spawn(move || soak(seed, size)).join();
+            let result = std::thread::spawn(move || play(seed)).join();
             println!(
                 "seed {seed}: {}",
                 if result.is_ok() { "passed" } else { "failed" }
